--- a/src/entry/chat.ts
+++ b/src/entry/chat.ts
@@ -45,7 +45,7 @@
 	await runProcedure(serveStream(work, call.prompt, {
 		router: parts.router,
 		getEngine: placement => parts.getEngine(placement.upstream),
-		sink(event) {
+		onEvent(event) {
 			write(event.offset, event.kind === 'token' ? createChunk(head, event.text) : createChunk(head, undefined, event.finishReason));
 		},
 		signal: call.signal,
@@ -58,7 +58,7 @@
 	const end = await runProcedure(serveStream(work, call.prompt, {
 		router: parts.router,
 		getEngine: placement => parts.getEngine(placement.upstream),
-		sink(event) {
+		onEvent(event) {
 			text += event.kind === 'token' ? event.text : '';
 		},
 		signal: call.signal,
--- a/src/serving/stream.ts
+++ b/src/serving/stream.ts
@@ -14,7 +14,7 @@
 export type StreamParts = {
 	readonly router: Router;
 	readonly getEngine: (placement: Placement) => EngineClient;
-	readonly sink: AnswerSink;
+	readonly onEvent: AnswerSink;
 	readonly signal: AbortSignal;
 };
 
@@ -39,7 +39,7 @@
 		try {
 			for (;;) {
 				const event = yield * callStep('read an event', async () => readEvent(events));
-				yield * callStep('pass the event on', async () => parts.sink(event));
+				yield * callStep('pass the event on', async () => parts.onEvent(event));
 				if (event.kind === 'end') {
 					parts.router.onEnd(work, placement, placementOutcome.done);
 					return event;
