--- /dev/null
+++ b/faults/main.ts
@@ -0,0 +1,13 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {runCells} from './matrix.js';
+import {formatTable} from './table.js';
+import {listCells} from './rows/index.js';
+
+/** Runs the fault matrix and prints it: `npm run faults -- --seed 1 --without fence`. */
+const {values} = parseArgs({options: {seed: {type: 'string', default: '1'}, without: {type: 'string'}, procedure: {type: 'string'}}});
+const cells = listCells().filter(cell => values.procedure === undefined || cell.procedure === values.procedure);
+const results = await runCells(cells, {seed: Number(values.seed), without: values.without});
+console.log(formatTable(results));
+process.exitCode = results.some(result => result.failure !== undefined) ? 1 : 0;
--- /dev/null
+++ b/faults/rows/index.ts
@@ -0,0 +1,7 @@
+/** The rows of the fault matrix: each part lists its own cells. */
+import type {Cell} from '../matrix.js';
+
+/** Lists every cell of every part. */
+export function listCells(): readonly Cell[] {
+	return [];
+}
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -3,6 +3,8 @@
 import {parseDeployment} from '../deployment/index.js';
 import type {Deployment, Upstream} from '../deployment/index.js';
 import {FactTable} from '../feed/index.js';
+import {History} from '../history/index.js';
+import {Metrics} from '../metrics/index.js';
 import {LeastInFlightRouter} from '../routing/index.js';
 import type {EntrySettings} from '../settings/index.js';
 import {
@@ -44,6 +46,7 @@
 
 function createParts(settings: EntrySettings): EntryParts {
 	const facts = new FactTable();
+	const timers = new SystemTimers();
 	const engines = new Map<string, HttpEngine>();
 	let parsed: {version: number; deployment: Deployment} | undefined;
 	const getDeployment = () => {
@@ -57,10 +60,12 @@
 
 	return {
 		settings,
-		timers: new SystemTimers(),
+		timers,
 		store: new HttpStore(settings.platform),
 		vms: new HttpVmList(settings.platform),
 		facts,
+		metrics: new Metrics(),
+		history: new History(timers),
 		router: new LeastInFlightRouter(facts, service => getDeployment()?.upstreams.filter(upstream => upstream.service === service) ?? []),
 		getDeployment,
 		getEngine(upstream: Upstream) {
--- a/src/entry/parts.ts
+++ b/src/entry/parts.ts
@@ -1,5 +1,7 @@
 import type {Deployment, Upstream} from '../deployment/index.js';
 import type {FactTable} from '../feed/index.js';
+import type {History} from '../history/index.js';
+import type {Metrics} from '../metrics/index.js';
 import type {Router} from '../routing/index.js';
 import type {EntrySettings} from '../settings/index.js';
 import type {Store, VmList} from '../store/index.js';
@@ -13,6 +15,8 @@
 	readonly store: Store;
 	readonly vms: VmList;
 	readonly facts: FactTable;
+	readonly metrics: Metrics;
+	readonly history: History;
 	readonly router: Router;
 	/** The configuration in force; `undefined` until one is known. */
 	readonly getDeployment: () => Deployment | undefined;
--- /dev/null
+++ b/src/operations/types.ts
@@ -0,0 +1,45 @@
+/** What operators can ask for, besides editing the text. */
+export const operationKind = {
+	/** No new work for an upstream; its requests end. */
+	drain: 'drain',
+	/** Take a drained upstream into use again. */
+	resume: 'resume',
+	/** Put another upstream of the text in the place of this one, then withdraw this one. */
+	replace: 'replace',
+	/** Take an upstream out for good. */
+	withdraw: 'withdraw',
+	/** The operator vouches that a VM's process is stopped and will never send again. */
+	confirmStopped: 'confirm_stopped',
+} as const;
+
+/** See {@link operationKind}. */
+export type OperationKind = (typeof operationKind)[keyof typeof operationKind];
+
+/** How far an operation is. */
+export const operationState = {
+	asked: 'asked',
+	running: 'running',
+	/** Waits for what `detail` says; nothing is forced. */
+	waiting: 'waiting',
+	done: 'done',
+	refused: 'refused',
+} as const;
+
+/** See {@link operationState}. */
+export type OperationState = (typeof operationState)[keyof typeof operationState];
+
+/** An operation as it stands in the store. */
+export type Operation = {
+	/** Chosen by the one who asks; asking again with the same id asks once. */
+	readonly id: string;
+	readonly kind: OperationKind;
+	/** Id of the upstream, or the VM for `confirm_stopped`. */
+	readonly subject: string;
+	/** For `replace`: id of the upstream that takes the place. */
+	readonly replacement?: string;
+	/** Wall clock, in milliseconds since the epoch. */
+	readonly askedAt: number;
+	readonly state: OperationState;
+	/** What it waits for, or why it was refused. */
+	readonly detail: string;
+};
--- /dev/null
+++ b/src/planning/index.ts
@@ -0,0 +1,3 @@
+/** The plan of engines' roles. */
+export {RolePlanner} from './planner.js';
+export type {RoleChange} from './planner.js';
--- a/src/routing/basic.ts
+++ b/src/routing/basic.ts
@@ -22,7 +22,7 @@
 	}
 
 	chooseInstance(service: string, excluded: ReadonlySet<string>): Upstream {
-		const open = this.#listUpstreams(service).filter(upstream => !excluded.has(upstream.id) && this.#isServing(upstream.id));
+		const open = this.#listUpstreams(service).filter(upstream => !excluded.has(upstream.id) && this.isOpen(upstream.id));
 		const [first] = open.toSorted((left, right) => this.countRunning(left.id) - this.countRunning(right.id));
 		if (!first) {
 			throw new NotRunError(`no upstream of ${service} takes work`, {props: {reason: refusalReason.noUpstream}});
@@ -55,12 +55,12 @@
 		this.#running.set(upstream, this.countRunning(upstream) - 1);
 	}
 
-	countRunning(upstream: string): number {
-		return this.#running.get(upstream) ?? 0;
-	}
-
-	#isServing(upstream: string): boolean {
+	isOpen(upstream: string): boolean {
 		const fact = this.#facts.get('upstream', upstream);
 		return fact === undefined || fact.value.state === upstreamState.serving;
 	}
+
+	countRunning(upstream: string): number {
+		return this.#running.get(upstream) ?? 0;
+	}
 }
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -65,6 +65,8 @@
 	abstract onCallSent(upstream: string): void;
 	/** Told once for each `onCallSent`. */
 	abstract onCallEnd(upstream: string, outcome: PlacementOutcome): void;
+	/** Asks whether an upstream may be sent new work; asked again in the same turn as each send. */
+	abstract isOpen(upstream: string): boolean;
 	/** Counts the entry's own requests in progress at an upstream. */
 	abstract countRunning(upstream: string): number;
 }
