--- a/faults/fakes/store.ts
+++ b/faults/fakes/store.ts
@@ -18,11 +18,7 @@
 	readonly waiters = new Set<() => void>();
 	vms: readonly VmRecord[] = [];
 	calls = 0;
-	readonly timers: TimerService;
-
-	constructor(timers: TimerService) {
-		this.timers = timers;
-	}
+	constructor(readonly timers: TimerService) {}
 }
 
 /** One process's connection to a {@link FakePlatform}, with faults that a test switches on. */
@@ -33,20 +29,17 @@
 	lostAnswers = 0;
 	/** Added to every call, in milliseconds. */
 	delayMs = 0;
-	readonly platform: FakePlatform;
-
-	constructor(platform: FakePlatform) {
+	constructor(readonly platform: FakePlatform) {
 		super();
-		this.platform = platform;
 	}
 
 	async read(key: string): Promise<Versioned | undefined> {
-		await this.#enter();
+		await this.#startCall();
 		return this.platform.values.get(key);
 	}
 
 	async write(key: string, value: string, expectedRevision: number): Promise<number> {
-		await this.#enter();
+		await this.#startCall();
 		const known = this.platform.values.get(key)?.revision ?? absentRevision;
 		if (known !== expectedRevision) {
 			throw new StoreConflictError(`${key} is at ${known}, not ${expectedRevision}`);
@@ -59,12 +52,12 @@
 			wake();
 		}
 
-		this.#loseAnswer();
+		this.#finishWrite();
 		return revision;
 	}
 
 	async watch(key: string, afterRevision: number, waitMs: number, signal?: AbortSignal): Promise<Versioned | undefined> {
-		await this.#enter();
+		await this.#startCall();
 		const {platform} = this;
 		const abort = new AbortController();
 		signal?.addEventListener('abort', () => {
@@ -89,7 +82,7 @@
 	}
 
 	async acquire(name: string, holder: string, ttlMs: number): Promise<LeaseGrant> {
-		await this.#enter();
+		await this.#startCall();
 		const now = this.platform.timers.getNow();
 		const lease = this.platform.leases.get(name);
 		if (lease && lease.holder !== holder && lease.until > now) {
@@ -97,20 +90,20 @@
 		}
 
 		this.platform.leases.set(name, {holder, until: now + ttlMs});
-		this.#loseAnswer();
+		this.#finishWrite();
 		return {name, holder, ttlMs};
 	}
 
 	async release(name: string, holder: string): Promise<void> {
-		await this.#enter();
+		await this.#startCall();
 		if (this.platform.leases.get(name)?.holder === holder) {
 			this.platform.leases.delete(name);
 		}
 
-		this.#loseAnswer();
+		this.#finishWrite();
 	}
 
-	async #enter(): Promise<void> {
+	async #startCall(): Promise<void> {
 		this.platform.calls++;
 		if (this.delayMs > 0) {
 			await this.platform.timers.sleep(this.delayMs);
@@ -121,7 +114,7 @@
 		}
 	}
 
-	#loseAnswer(): void {
+	#finishWrite(): void {
 		if (this.lostAnswers > 0) {
 			this.lostAnswers--;
 			throw new StoreUncertainError('the answer was lost');
