Ask for, list and report operations through the store

Cause: operators' side needs ask and list; the authority needs to report progress. Ruled out: settling a lost answer by comparing values (two equal records); a write id in the record does it. Dropped ended operations leave their latest time, so that a late repeat of a dropped one is refused, not run again.

--- a/src/errors/errors.ts
+++ b/src/errors/errors.ts
@@ -31,6 +31,12 @@
 /** An engine refused an order for another reason than the fencing number. */
 export const OrderRefusedError = createClass('OrderRefusedError', {});
 
+/** An operation was not taken in; `reason` is one of the operations' refusals. */
+export const OperationRefusedError = createClass('OperationRefusedError', {reason: 'conflict'});
+
+/** An order may not go out yet: earlier sends to the engine may still arrive. */
+export const OrderBlockedError = createClass('OrderBlockedError', {senders: [] as readonly string[]});
+
 /** The text of the deployment or of a process's settings is not valid; nothing was applied. */
 export const InvalidTextError = createClass('InvalidTextError', {problems: [] as readonly TextProblem[]});
 
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -9,6 +9,8 @@
 	InvalidTextError,
 	LeaseHeldError,
 	NotRunError,
+	OperationRefusedError,
+	OrderBlockedError,
 	OrderRefusedError,
 	StaleFenceError,
 	StoreConflictError,
--- /dev/null
+++ b/src/operations/list.ts
@@ -0,0 +1,106 @@
+import {OperationRefusedError} from '../errors/index.js';
+import {operationKind, operationState} from './types.js';
+import type {
+	Operation, OperationProgress, OperationRecord, OperationRequest,
+} from './types.js';
+
+/** Why an operation was not taken in. */
+export const operationRefusal = {
+	/** Another operation on the same upstream has not ended. */
+	conflict: 'conflict',
+	/** Too many operations have not ended. */
+	full: 'full',
+	/** The id was used for another operation. */
+	idReused: 'id_reused',
+	/** It was asked for before operations that have been dropped since; it may have been carried out. */
+	tooOld: 'too_old',
+} as const;
+
+/** See {@link operationRefusal}. */
+export type OperationRefusal = (typeof operationRefusal)[keyof typeof operationRefusal];
+
+/** Most operations kept for a failure domain. */
+export const maxOperations = 256;
+
+/** The record before anything was asked. */
+export const emptyOperations: OperationRecord = {forgottenAt: 0, write: '', operations: []};
+
+/** Asks whether an operation has not ended. */
+export function isOpenOperation(operation: Operation): boolean {
+	return operation.state !== operationState.done && operation.state !== operationState.refused;
+}
+
+/**
+Adds a request to the record, or returns the record unchanged when the request is in it.
+A `resume` takes the place of an open `drain` of the same upstream. Throws `OperationRefusedError`.
+*/
+export function addOperation(record: OperationRecord, request: OperationRequest): OperationRecord {
+	const known = record.operations.find(operation => operation.id === request.id);
+	if (known) {
+		checkSame(known, request);
+		return record;
+	}
+
+	if (request.askedAt <= record.forgottenAt) {
+		throw new OperationRefusedError(`operation ${request.id} was asked for before operations that are dropped; look at the state and ask anew`, {props: {reason: operationRefusal.tooOld}});
+	}
+
+	const operations = record.operations.map(operation => isSuperseded(operation, request)
+		? {...operation, state: operationState.refused, detail: `given up for operation ${request.id}, resume`}
+		: operation);
+	checkFree(operations, request);
+	return dropOld({...record, operations: [...operations, {...request, state: operationState.asked, detail: ''}]});
+}
+
+/** Writes progress into the record; an ended operation and an unknown id stay as they are. */
+export function updateOperations(record: OperationRecord, progress: ReadonlyMap<string, OperationProgress>): OperationRecord {
+	const operations = record.operations.map(operation => {
+		const update = progress.get(operation.id);
+		return update && isOpenOperation(operation) ? {...operation, ...update} : operation;
+	});
+	return {...record, operations};
+}
+
+function checkSame(known: Operation, request: OperationRequest): void {
+	if (known.kind !== request.kind || known.subject !== request.subject || known.replacement !== request.replacement) {
+		throw new OperationRefusedError(`operation ${request.id} is known as ${known.kind} ${known.subject}`, {props: {reason: operationRefusal.idReused}});
+	}
+}
+
+function checkFree(operations: readonly Operation[], request: OperationRequest): void {
+	const wanted = listTouched(request);
+	const other = operations.find(operation => isOpenOperation(operation) && listTouched(operation).some(id => wanted.includes(id)));
+	if (other) {
+		throw new OperationRefusedError(`operation ${other.id} (${other.kind} ${other.subject}) has not ended: ${other.state} ${other.detail}`.trimEnd(), {props: {reason: operationRefusal.conflict}});
+	}
+}
+
+function listTouched({kind, subject, replacement}: OperationRequest): readonly string[] {
+	if (kind === operationKind.confirmStopped) {
+		return [`vm ${subject}`];
+	}
+
+	return replacement === undefined ? [subject] : [subject, replacement];
+}
+
+function isSuperseded(operation: Operation, request: OperationRequest): boolean {
+	return isOpenOperation(operation) && operation.kind === operationKind.drain
+		&& request.kind === operationKind.resume && operation.subject === request.subject;
+}
+
+function dropOld(record: OperationRecord): OperationRecord {
+	if (record.operations.length <= maxOperations) {
+		return record;
+	}
+
+	const oldest = record.operations.find(operation => !isOpenOperation(operation));
+	if (!oldest) {
+		throw new OperationRefusedError(`${maxOperations} operations have not ended`, {props: {reason: operationRefusal.full}});
+	}
+
+	return {
+		...record,
+		forgottenAt: Math.max(record.forgottenAt, oldest.askedAt),
+		operations: record.operations.filter(operation => operation !== oldest),
+	};
+}
--- a/src/operations/types.ts
+++ b/src/operations/types.ts
@@ -43,3 +43,19 @@
 	/** What it waits for, or why it was refused. */
 	readonly detail: string;
 };
+
+/** What the one who asks says of an operation. */
+export type OperationRequest = Omit<Operation, 'state' | 'detail'>;
+
+/** How an operation goes on. */
+export type OperationProgress = Pick<Operation, 'state' | 'detail'>;
+
+/** The operations of a failure domain as the store has them. */
+export type OperationRecord = {
+	/** Latest `askedAt` of the operations that were dropped. */
+	readonly forgottenAt: number;
+	/** Id of the last write; settles a lost answer. */
+	readonly write: string;
+	/** Oldest first. */
+	readonly operations: readonly Operation[];
+};
