Fit lines through readings for the capacity page

Cause: the page's figures are to be worked out from measured slopes with the fit's error. Ruled out: a statistics package for one line of least squares.

--- /dev/null
+++ b/bench/slopes/slope.ts
@@ -0,0 +1,61 @@
+import {computeFit} from '../fit.js';
+import type {Fit, Reading} from '../fit.js';
+
+/** A quantity of one role, read at several sizes. */
+export type Slope = {
+	/** Which part of the system, such as `feed` or `router`. */
+	readonly role: string;
+	/** What is read, with its unit. */
+	readonly what: string;
+	/** What the size counts. */
+	readonly against: string;
+	readonly sizes: readonly number[];
+	/** Takes one reading. */
+	readonly measure: (size: number) => Promise<number> | number;
+};
+
+/** A slope with its readings and the line through them. */
+export type MeasuredSlope = Slope & {readonly readings: readonly Reading[]; readonly fit: Fit};
+
+const repeats = 3;
+
+/** Takes the readings of a slope: the median of three at each size. */
+export async function measureSlope(slope: Slope): Promise<MeasuredSlope> {
+	const readings: Reading[] = [];
+	for (const size of slope.sizes) {
+		readings.push({size, value: await measureMedian(slope, size)});
+	}
+
+	return {...slope, readings, fit: computeFit(readings)};
+}
+
+async function measureMedian(slope: Slope, size: number): Promise<number> {
+	const values: number[] = [];
+	for (let index = 0; index < repeats; index++) {
+		values.push(await slope.measure(size));
+	}
+
+	return values.toSorted((left, right) => left - right)[Math.floor(repeats / 2)] ?? 0;
+}
+
+/** Formats slopes as a table in Markdown. */
+export function formatSlopes(slopes: readonly MeasuredSlope[]): string {
+	const rows = slopes.map(slope => formatRow(slope));
+	return [
+		'| role | read | against | readings | at 0 | each | error |',
+		'| --- | --- | --- | --- | --- | --- | --- |',
+		...rows,
+	].join('\n');
+}
+
+function formatRow({
+	role, what, against, readings, fit,
+}: MeasuredSlope): string {
+	const read = readings.map(({size, value}) => `${size}: ${formatNumber(value)}`).join(', ');
+	const error = `${(fit.error * 100).toFixed(0)}%`;
+	return `| ${[role, what, against, read, formatNumber(fit.base), formatNumber(fit.slope), error].join(' | ')} |`;
+}
+
+function formatNumber(value: number): string {
+	return Number(value.toPrecision(3)).toString();
+}
--- /dev/null
+++ b/bench/slopes/usage.ts
@@ -0,0 +1,38 @@
+import process from 'node:process';
+
+const nanosecondsPerMicrosecond = 1000;
+
+/** Measures the processor time of one call of `action`, in microseconds, as the mean of `count` calls after a warm-up. */
+export function measureMicroseconds(count: number, action: (index: number) => void): number {
+	for (let index = 0; index < count / 4; index++) {
+		action(index);
+	}
+
+	const start = process.hrtime.bigint();
+	for (let index = 0; index < count; index++) {
+		action(index);
+	}
+
+	return Number(process.hrtime.bigint() - start) / nanosecondsPerMicrosecond / count;
+}
+
+/** Measures the heap that `create` holds on to, in bytes. Needs `--expose-gc`. */
+export function measureHeap(create: () => unknown): number {
+	runCollector();
+	const before = process.memoryUsage().heapUsed;
+	const held = create();
+	runCollector();
+	const after = process.memoryUsage().heapUsed;
+	// Keeps `held` alive until after the reading.
+	return held === undefined ? 0 : after - before;
+}
+
+function runCollector(): void {
+	const {gc} = globalThis as {gc?: () => void};
+	if (!gc) {
+		throw new RangeError('heap is measured with node --expose-gc');
+	}
+
+	gc();
+	gc();
+}
