--- a/src/operations/list.ts
+++ b/src/operations/list.ts
@@ -49,7 +49,7 @@
 		? {...operation, state: operationState.refused, detail: `given up for operation ${request.id}, resume`}
 		: operation);
 	checkFree(operations, request);
-	return dropOld({...record, operations: [...operations, {...request, state: operationState.asked, detail: ''}]});
+	return forgetOldest({...record, operations: [...operations, {...request, state: operationState.asked, detail: ''}]});
 }
 
 /** Writes progress into the record; an ended operation and an unknown id stay as they are. */
@@ -88,7 +88,7 @@
 		&& request.kind === operationKind.resume && operation.subject === request.subject;
 }
 
-function dropOld(record: OperationRecord): OperationRecord {
+function forgetOldest(record: OperationRecord): OperationRecord {
 	if (record.operations.length <= maxOperations) {
 		return record;
 	}
--- a/src/operations/record.ts
+++ b/src/operations/record.ts
@@ -23,7 +23,7 @@
 ```
 */
 export async function askOperation(store: Store, domain: string, request: OperationRequest): Promise<Operation> {
-	const {operations} = await changeOperations(store, domain, record => addOperation(record, request));
+	const {operations} = await writeOperations(store, domain, record => addOperation(record, request));
 	const asked = operations.find(operation => operation.id === request.id);
 	if (!asked) {
 		throw new StoreUnavailableError(`operation ${request.id} is not in the record`);
@@ -46,10 +46,10 @@
 
 /** Writes the progress of operations, by id. */
 export async function reportOperations(store: Store, domain: string, progress: ReadonlyMap<string, OperationProgress>): Promise<void> {
-	await changeOperations(store, domain, record => updateOperations(record, progress));
+	await writeOperations(store, domain, record => updateOperations(record, progress));
 }
 
-async function changeOperations(store: Store, domain: string, change: (record: OperationRecord) => OperationRecord): Promise<OperationRecord> {
+async function writeOperations(store: Store, domain: string, change: (record: OperationRecord) => OperationRecord): Promise<OperationRecord> {
 	const write = randomUUID();
 	let failure: unknown;
 	for (let count = 0; count < maxTries; count++) {
