--- /dev/null
+++ b/src/authority/lease.ts
@@ -0,0 +1,106 @@
+import {LeaseHeldError, StoreUnavailableError, StoreUncertainError} from '../errors/index.js';
+import type {Store} from '../store/index.js';
+import type {TimerService} from '../timers/index.js';
+
+/** Tells other parts whether this process holds its failure domain's authority. */
+export abstract class Holdership {
+	/** Says whether the authority is held as far as this process can tell; the fence proves it, no clock does. */
+	abstract isHolder(): boolean;
+}
+
+/** What a {@link Lease} needs. */
+export type LeaseOptions = {
+	readonly store: Store;
+	readonly timers: TimerService;
+	readonly name: string;
+	/** Unique for each start of the process. */
+	readonly holder: string;
+	/** How long the store keeps a grant, in milliseconds. */
+	readonly ttlMs: number;
+	/** How long before that the holder stops acting, in milliseconds. */
+	readonly marginMs: number;
+};
+
+type Reading = {readonly now: number; readonly wall: number};
+
+/**
+A lease in the store. It counts from when the renewal was sent, by the monotonic clock (which stands still while
+the VM is suspended) and the wall clock (which may jump), whichever says that more time has passed.
+*/
+export class Lease extends Holdership {
+	readonly #options: LeaseOptions;
+	#sent: Reading | undefined;
+	#term = 0;
+	#isReleased = false;
+
+	constructor(options: LeaseOptions) {
+		super();
+		this.#options = options;
+	}
+
+	/** Rises each time the lease is taken anew after it had lapsed. */
+	get term(): number {
+		return this.#term;
+	}
+
+	isHolder(): boolean {
+		if (!this.#sent) {
+			return false;
+		}
+
+		const {now, wall} = this.#readClocks();
+		const elapsedMs = Math.max(now - this.#sent.now, wall - this.#sent.wall);
+		return elapsedMs < this.#options.ttlMs - this.#options.marginMs;
+	}
+
+	/** Takes or renews the lease once, and says whether it is held. */
+	async tryAcquire(): Promise<boolean> {
+		const sent = this.#readClocks();
+		try {
+			await this.#options.store.acquire(this.#options.name, this.#options.holder, this.#options.ttlMs);
+		} catch (error) {
+			this.#onFailure(error);
+			return this.isHolder();
+		}
+
+		if (this.#isReleased) {
+			return false;
+		}
+
+		if (!this.isHolder()) {
+			this.#term++;
+		}
+
+		this.#sent = sent;
+		return this.isHolder();
+	}
+
+	/** Gives the lease up for good: at once for this process, then in the store, where it otherwise lapses by itself. */
+	async release(): Promise<void> {
+		this.#isReleased = true;
+		this.#sent = undefined;
+		try {
+			await this.#options.store.release(this.#options.name, this.#options.holder);
+		} catch (error) {
+			if (!(error instanceof StoreUnavailableError || error instanceof StoreUncertainError)) {
+				throw error;
+			}
+		}
+	}
+
+	#onFailure(error: unknown): void {
+		if (error instanceof LeaseHeldError) {
+			this.#sent = undefined;
+			return;
+		}
+
+		// A renewal that may have taken effect prolongs nothing here: the earlier one still counts.
+		if (!(error instanceof StoreUnavailableError || error instanceof StoreUncertainError)) {
+			throw error;
+		}
+	}
+
+	#readClocks(): Reading {
+		return {now: this.#options.timers.getNow(), wall: this.#options.timers.getWall()};
+	}
+}
--- /dev/null
+++ b/src/authority/publish.ts
@@ -0,0 +1,26 @@
+import type {FactTable, UpstreamFact} from '../feed/index.js';
+import type {DomainRecord} from './record.js';
+
+/** Publishes what the order record says of upstreams as facts; their version is the record's revision. */
+export class FactPublisher {
+	readonly #facts: FactTable;
+	readonly #published = new Map<string, string>();
+
+	constructor(facts: FactTable) {
+		this.#facts = facts;
+	}
+
+	/** Publishes each upstream that changed since the last call; all of them at the first, as others may know less. */
+	publish(record: DomainRecord, revision: number): void {
+		for (const [id, {state, setup}] of Object.entries(record.upstreams)) {
+			const value: UpstreamFact = setup ? {state, setup} : {state};
+			const text = JSON.stringify(value);
+			if (this.#published.get(id) !== text) {
+				this.#published.set(id, text);
+				this.#facts.merge({
+					kind: 'upstream', key: id, version: revision, value,
+				});
+			}
+		}
+	}
+}
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -15,6 +15,8 @@
 	requests: {name: 'crocus_requests_total', help: 'Requests ended, by outcome', label: 'outcome'},
 	/** Orders to engines by how they ended. */
 	orders: {name: 'crocus_orders_total', help: 'Orders to engines, by outcome', label: 'outcome'},
+	/** Takeovers of a failure domain's authority by how they ended. */
+	takeovers: {name: 'crocus_takeovers_total', help: 'Takeovers of the domain\'s authority, by outcome', label: 'outcome'},
 	/** Calls of the platform's store by how they ended. */
 	storeCalls: {name: 'crocus_store_calls_total', help: 'Calls of the store, by outcome', label: 'outcome'},
 	/** Bytes between entries. */
