--- /dev/null
+++ b/src/entry/callers.ts
@@ -0,0 +1,119 @@
+import type {Server, IncomingMessage, ServerResponse} from 'node:http';
+import process from 'node:process';
+import type {Polka} from 'polka';
+import {serviceKind} from '../deployment/index.js';
+import {NotRunError, refusalReason} from '../errors/index.js';
+import {createModelList, relayPath, RequestIds} from '../serving/index.js';
+import {serveChat} from './chat.js';
+import {sendFailure, sendJson} from './http.js';
+import type {EntryParts} from './parts.js';
+import {serveRelay, serveRelayCancel} from './relay.js';
+import {GracefulStop, stopPhase} from './stop.js';
+
+/** Most requests in progress in one process. */
+const maxRunning = 10_000;
+const refusalPauseMs = 1000;
+
+/** What the callers' side needs beside the entry's parts. */
+export type CallerParts = EntryParts & {
+	readonly ids: RequestIds;
+	readonly stop: GracefulStop;
+	/** Draws a number from 0 up to 1. */
+	readonly pick: () => number;
+};
+
+type Serve = (parts: CallerParts, request: IncomingMessage, response: ServerResponse) => Promise<void>;
+
+/** Puts together the callers' side. */
+export function createCallers(parts: EntryParts): CallerParts {
+	return {
+		...parts,
+		ids: new RequestIds(parts.settings.secret),
+		stop: new GracefulStop({timers: parts.timers, history: parts.history, balancerWaitMs: parts.settings.balancerWaitMs}),
+		pick: () => Math.random(),
+	};
+}
+
+/** Adds the paths that callers, the balancer and relaying entries use. */
+export function addCallerRoutes(app: Polka, parts: CallerParts): void {
+	app.get('/healthz', (_request, response) => {
+		sendJson(response, 200, {vm: parts.settings.vm, phase: parts.stop.phase});
+	});
+	app.get('/readyz', (_request, response) => {
+		const isReady = parts.stop.phase === stopPhase.serving && parts.getDeployment() !== undefined;
+		sendJson(response, isReady ? 200 : 503, {isReady, phase: parts.stop.phase});
+	});
+	app.get('/metrics', async (_request, response) => {
+		response.writeHead(200, {'content-type': parts.metrics.registry.contentType});
+		response.end(await parts.metrics.format());
+	});
+	app.get('/v1/models', (_request, response) => {
+		sendJson(response, 200, createModelList(listModels(parts), 0));
+	});
+	app.post('/v1/chat/completions', wrapRequest(parts, 'chat', serveChat));
+	app.post(relayPath.generate, wrapRequest(parts, 'relay', serveRelay));
+	app.post(relayPath.cancel, wrapRequest(parts, 'relay cancel', serveRelayCancel));
+}
+
+/** Sets the server's timeouts on purpose; each of Node's own defaults would cut somebody. */
+export function setServerTimeouts(server: Server): void {
+	// Bounds the taking in of a request, not its answer: 8 MB over a slow line, and no slow sender holds a socket for ever.
+	server.requestTimeout = 120_000;
+	// Headers fit into a few packets.
+	server.headersTimeout = 15_000;
+	// Longer than a balancer's usual 60 s, so that it never sends into a connection that is being closed here.
+	server.keepAliveTimeout = 75_000;
+	// An answer may stay silent for as long as a long prompt is read; serving bounds that by the deadline.
+	server.timeout = 0;
+}
+
+/** Stops gracefully at SIGTERM and SIGINT: at the end the server closes. */
+export function subscribeSignals(parts: CallerParts, server: Server): void {
+	parts.stop.addLastTask({
+		name: 'close the server',
+		async run() {
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+				server.closeIdleConnections();
+			});
+		},
+	});
+	const onSignal = () => {
+		void parts.stop.onSignal();
+	};
+
+	process.on('SIGTERM', onSignal);
+	process.on('SIGINT', onSignal);
+}
+
+/** Counts a request as in progress until its answer is flushed or its connection is gone; refuses it when there is no room. */
+function wrapRequest(parts: CallerParts, kind: string, serve: Serve) {
+	return async (request: IncomingMessage, response: ServerResponse) => {
+		if (!parts.stop.isOpen) {
+			refuse(parts, response, refusalReason.draining);
+			return;
+		}
+
+		if (parts.stop.countRunning() >= maxRunning) {
+			refuse(parts, response, refusalReason.queueFull);
+			return;
+		}
+
+		const finish = parts.stop.startRequest(kind);
+		response.on('close', finish);
+		await serve(parts, request, response);
+	};
+}
+
+function refuse(parts: CallerParts, response: ServerResponse, reason: 'draining' | 'queue_full'): void {
+	sendFailure(response, new NotRunError(`this entry takes no new request: ${reason}`, {props: {reason, retryAfterMs: refusalPauseMs}}), parts.metrics);
+}
+
+function listModels(parts: CallerParts): string[] {
+	const services = parts.getDeployment()?.services ?? [];
+	return services.flatMap(service => service.kind === serviceKind.model
+		? [service.model, ...service.adapters.map(adapter => `${service.model}:${adapter}`)]
+		: []);
+}
--- a/src/entry/chat.ts
+++ b/src/entry/chat.ts
@@ -1,107 +1,181 @@
-import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {serviceKind} from '../deployment/index.js';
 import type {ModelService} from '../deployment/index.js';
-import {BadRequestError, NotRunError, refusalReason} from '../errors/index.js';
+import {NotRunError, refusalReason} from '../errors/index.js';
 import {runProcedure} from '../procedures/index.js';
-import type {Work} from '../routing/index.js';
-import {createChunk, createCompletion, serveStream} from '../serving/index.js';
-import type {ChatRequest} from '../serving/index.js';
-import {readJson, sendFailure, sendJson} from './http.js';
-import type {EntryParts} from './parts.js';
+import type {Placement, Work} from '../routing/index.js';
+import {
+	createChunkWriter, createCompletion, createErrorBody, decideRefusal, hashAsk, lastEventIdHeader, parseChat, parseHeaders, serveStream, streamEnd,
+} from '../serving/index.js';
+import type {
+	CallHeaders, ChatAsk, ChunkWriter, CompletionHead, StreamJob, StreamParts,
+} from '../serving/index.js';
+import type {EndEvent, GenerateEvent} from '../upstreams/index.js';
+import type {CallerParts} from './callers.js';
+import {CallerStream} from './callerstream.js';
+import {
+	countFailure, readJson, sendFailure, sendJson,
+} from './http.js';
+import {createStreamParts, findHeldPlacement} from './placements.js';
 
 const charactersPerToken = 4;
-const defaultMaxTokens = 256;
+
+/** One request of a caller, checked. */
+type Chat = {
+	readonly ask: ChatAsk;
+	readonly job: StreamJob;
+	readonly service: ModelService;
+	/** Binds the request's id to the caller and the body. */
+	readonly binding: string;
+	readonly response: ServerResponse;
+	readonly signal: AbortSignal;
+};
 
 /** Answers `POST /v1/chat/completions`. */
-export async function serveChat(parts: EntryParts, request: IncomingMessage, response: ServerResponse): Promise<void> {
+export async function serveChat(parts: CallerParts, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	const abort = new AbortController();
 	response.on('close', () => {
 		abort.abort();
 	});
 	try {
-		const body = await readJson(request) as ChatRequest;
-		const service = findService(parts, body);
-		const prompt = body.messages.map(message => `${message.role}: ${message.content}`).join('\n');
-		const work = createWork(parts, service, body, {prompt, caller: getCaller(request)});
-		await (body.stream ? sendStream(parts, work, {prompt, response, signal: abort.signal}) : sendWhole(parts, work, {prompt, response, signal: abort.signal}));
+		const chat = {...createChat(parts, request, await readJson(request)), response, signal: abort.signal};
+		await (chat.ask.isStream ? sendStream(parts, chat) : sendWhole(parts, chat));
+		parts.metrics.count('requests', 'done');
 	} catch (error) {
-		sendFailure(response, error);
+		sendFailure(response, error, parts.metrics);
 	}
 }
 
-type Call = {readonly prompt: string; readonly response: ServerResponse; readonly signal: AbortSignal};
+async function sendStream(parts: CallerParts, chat: Chat): Promise<void> {
+	const stream = new CallerStream(chat.response, parts.timers, parts.metrics);
+	const format = createFormatter(parts, chat);
+	try {
+		await runProcedure(serveStream(chat.job, createChatParts(parts, chat, async (events, placement) => stream.write(format(events, placement)))));
+		stream.finish(streamEnd);
+	} catch (error) {
+		if (!stream.hasBegun || chat.response.destroyed) {
+			throw error;
+		}
 
-async function sendStream(parts: EntryParts, work: Work, call: Call): Promise<void> {
-	const head = {id: work.id, model: work.model, created: Math.floor(parts.timers.getWall() / 1000)};
-	const write = (offset: number, chunk: unknown) => {
-		if (!call.response.headersSent) {
-			call.response.writeHead(200, {'content-type': 'text/event-stream', 'cache-control': 'no-cache'});
+		countFailure(error, parts.metrics);
+		stream.abort(`data: ${JSON.stringify(createErrorBody(decideRefusal(error)))}\n\n`);
+	}
+}
+
+async function sendWhole(parts: CallerParts, chat: Chat): Promise<void> {
+	let text = '';
+	let last: Placement | undefined;
+	const end = await runProcedure(serveStream(chat.job, createChatParts(parts, chat, (events, placement) => {
+		last = placement;
+		for (const event of events) {
+			text += event.kind === 'token' ? event.text : '';
+		}
+	})));
+	sendJson(chat.response, 200, createCompletion(createHead(parts, chat, last), text, end.finishReason, createUsage(end)));
+}
+
+/** Makes the function that turns events into the text that the caller gets. */
+function createFormatter(parts: CallerParts, chat: Chat): (events: readonly GenerateEvent[], placement: Placement) => string {
+	let writer: ChunkWriter | undefined;
+	let place = '';
+	let eventId = '';
+	return (events, placement) => {
+		if (place !== placement.upstream.id) {
+			place = placement.upstream.id;
+			eventId = formatId(parts, chat, placement);
+		}
+
+		let text = '';
+		if (!writer) {
+			writer = createChunkWriter(createHead(parts, chat, placement));
+			text = chat.job.offset === 0 ? writer.formatRole() : '';
+		}
+
+		for (const event of events) {
+			text += event.kind === 'token'
+				? writer.formatToken(`${eventId}:${event.offset}`, event.text)
+				: formatEnd(writer, event, chat.ask.hasUsage);
 		}
 
-		call.response.write(`id: ${work.id}:${offset}\ndata: ${JSON.stringify(chunk)}\n\n`);
+		return text;
 	};
+}
 
-	await runProcedure(serveStream(work, call.prompt, {
-		router: parts.router,
-		getEngine: placement => parts.getEngine(placement.upstream),
-		onEvent(event) {
-			write(event.offset, event.kind === 'token' ? createChunk(head, event.text) : createChunk(head, undefined, event.finishReason));
-		},
-		signal: call.signal,
-	}));
-	call.response.end('data: [DONE]\n\n');
+/** The end has no event id of its own: a caller that lost what follows comes back with the last token's. */
+function formatEnd(writer: ChunkWriter, end: EndEvent, hasUsage: boolean): string {
+	const usage = createUsage(end);
+	return writer.formatFinish(end.finishReason, usage) + (hasUsage ? writer.formatUsage(usage) : '');
 }
 
-async function sendWhole(parts: EntryParts, work: Work, call: Call): Promise<void> {
-	let text = '';
-	const end = await runProcedure(serveStream(work, call.prompt, {
-		router: parts.router,
-		getEngine: placement => parts.getEngine(placement.upstream),
-		onEvent(event) {
-			text += event.kind === 'token' ? event.text : '';
-		},
-		signal: call.signal,
-	}));
-	const head = {id: work.id, model: work.model, created: Math.floor(parts.timers.getWall() / 1000)};
-	sendJson(call.response, 200, createCompletion(head, text, end.finishReason, {prompt: end.promptTokens, completion: end.offset}));
+function createUsage(end: EndEvent) {
+	return {prompt: end.promptTokens, completion: end.offset};
 }
 
-function findService(parts: EntryParts, body: ChatRequest): ModelService {
-	if (typeof body.model !== 'string' || !Array.isArray(body.messages)) {
-		throw new BadRequestError('`model` must be a string and `messages` a list');
-	}
+function createChatParts(parts: CallerParts, chat: Chat, onEvents: StreamParts['onEvents']): StreamParts {
+	return createStreamParts(parts, {
+		service: chat.service, work: chat.job.work, signal: chat.signal, onEvents,
+	});
+}
+
+function createHead(parts: CallerParts, chat: Chat, placement: Placement | undefined): CompletionHead {
+	const created = Math.floor(parts.timers.getWall() / 1000);
+	return {id: formatId(parts, chat, placement), model: chat.ask.model, created};
+}
+
+function formatId(parts: CallerParts, chat: Chat, placement: Placement | undefined): string {
+	const {domain, id} = placement?.upstream ?? {domain: parts.settings.domain, id: ''};
+	return parts.ids.format({domain, engine: id, nonce: chat.job.work.id}, chat.binding);
+}
 
+function createChat(parts: CallerParts, request: IncomingMessage, body: unknown): Pick<Chat, 'ask' | 'job' | 'service' | 'binding'> {
+	const headers = parseHeaders(request.headers);
+	const ask = parseChat(body);
+	const service = findService(parts, ask);
+	const binding = hashAsk(headers.caller, service.version, ask);
+	const lastId = request.headers[lastEventIdHeader];
+	const point = typeof lastId === 'string' && ask.isStream ? parts.ids.parseEventId(lastId, binding) : undefined;
+	const work = createWork(parts, service, {ask, headers, id: point?.nonce ?? parts.ids.createNonce()});
+	const job = {
+		work, prompt: ask.prompt, offset: point?.offset ?? 0, held: point && findHeldPlacement(parts, point),
+	};
+	return {
+		ask, job, service, binding,
+	};
+}
+
+function findService(parts: CallerParts, ask: ChatAsk): ModelService {
 	const deployment = parts.getDeployment();
 	if (!deployment) {
 		throw new NotRunError('no configuration is known yet', {props: {reason: refusalReason.noConfiguration}});
 	}
 
-	const found = deployment.services.find(service => service.kind === serviceKind.model && service.model === body.model);
-	if (found?.kind !== serviceKind.model) {
-		throw new NotRunError(`no service has the model ${body.model}`, {props: {reason: refusalReason.unknownModel}});
+	for (const service of deployment.services) {
+		const isFound = service.kind === serviceKind.model && service.model === ask.model;
+		if (isFound && (ask.adapter === undefined || service.adapters.includes(ask.adapter))) {
+			return service;
+		}
 	}
 
-	return found;
+	const name = ask.adapter === undefined ? ask.model : `${ask.model}:${ask.adapter}`;
+	throw new NotRunError(`no service has the model ${name}`, {props: {reason: refusalReason.unknownModel}});
 }
 
-function createWork(parts: EntryParts, service: ModelService, body: ChatRequest, from: {readonly prompt: string; readonly caller: string}): Work {
+function createWork(parts: CallerParts, service: ModelService, from: {readonly ask: ChatAsk; readonly headers: CallHeaders; readonly id: string}): Work {
 	const now = parts.timers.getNow();
+	const {ask, headers} = from;
+	const deadlineMs = Math.min(headers.deadlineMs ?? service.deadlineMs, service.deadlineMs);
 	return {
-		id: randomUUID(),
-		caller: from.caller,
+		id: from.id,
+		caller: headers.caller,
 		service: service.name,
 		model: service.model,
 		version: service.version,
-		promptTokens: Math.ceil(from.prompt.length / charactersPerToken),
-		maxTokens: body.max_completion_tokens ?? body.max_tokens ?? defaultMaxTokens,
+		adapter: ask.adapter,
+		promptTokens: Math.max(1, Math.ceil(ask.prompt.length / charactersPerToken)),
+		maxTokens: ask.maxTokens,
 		prefixes: [],
-		priority: 0,
-		firstTokenDue: now + service.firstTokenMs,
-		due: now + service.deadlineMs,
+		priority: headers.priority,
+		firstTokenDue: now + Math.min(service.firstTokenMs, deadlineMs),
+		due: now + deadlineMs,
 	};
 }
-
-function getCaller(request: IncomingMessage): string {
-	return request.headers.authorization ?? 'anonymous';
-}
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -1,4 +1,4 @@
-import process from 'node:process';
+import type {Server} from 'node:http';
 import polka from 'polka';
 import {parseDeployment} from '../deployment/index.js';
 import type {Deployment, Upstream} from '../deployment/index.js';
@@ -12,36 +12,29 @@
 } from '../store/index.js';
 import {SystemTimers} from '../timers/index.js';
 import {HttpEngine} from '../upstreams/index.js';
-import {serveChat} from './chat.js';
-import {sendJson} from './http.js';
+import {
+	addCallerRoutes, createCallers, setServerTimeouts, subscribeSignals,
+} from './callers.js';
 import type {EntryParts} from './parts.js';
+import type {GracefulStop} from './stop.js';
 
 const configurationWaitMs = 10_000;
 const retryPauseMs = 500;
 
-/** Starts an entry's process and returns when it listens. */
-export async function startEntry(settings: EntrySettings): Promise<void> {
+/** Starts an entry's process and returns when it listens, with what stops it. */
+export async function startEntry(settings: EntrySettings): Promise<GracefulStop> {
 	const parts = createParts(settings);
 	void watchConfiguration(parts);
 	const [host, port] = settings.http.split(':');
 	const app = polka();
-	app.get('/healthz', (_request, response) => {
-		sendJson(response, 200, {vm: settings.vm});
-	});
-	app.get('/readyz', (_request, response) => {
-		sendJson(response, parts.getDeployment() ? 200 : 503, {isReady: parts.getDeployment() !== undefined});
-	});
-	app.post('/v1/chat/completions', async (request, response) => {
-		await serveChat(parts, request, response);
-	});
+	const callers = createCallers(parts);
+	addCallerRoutes(app, callers);
 	await new Promise<void>(resolve => {
 		app.listen(Number(port), host, resolve);
 	});
-	process.once('SIGTERM', () => {
-		app.server.close(() => {
-			process.exitCode = 0;
-		});
-	});
+	setServerTimeouts(app.server as Server);
+	subscribeSignals(callers, app.server as Server);
+	return callers.stop;
 }
 
 function createParts(settings: EntrySettings): EntryParts {
--- a/src/entry/http.ts
+++ b/src/entry/http.ts
@@ -1,23 +1,34 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	BadRequestError, NotRunError, refusalReason, UnknownOutcomeError,
+	BadRequestError, NotRunError, refusalReason,
 } from '../errors/index.js';
-import {createErrorBody} from '../serving/index.js';
+import type {RefusalReason} from '../errors/index.js';
+import type {Metrics} from '../metrics/index.js';
+import {createErrorBody, decideOutcome, decideRefusal} from '../serving/index.js';
 
 const maxBodyBytes = 8_000_000;
+const refusalReasons = new Set<string>(Object.values(refusalReason));
 
 /** Reads a body whole. Throws `BadRequestError` when it is too large. */
 export async function readBody(request: IncomingMessage): Promise<Uint8Array> {
 	const chunks: Uint8Array[] = [];
 	let size = 0;
-	for await (const chunk of request as AsyncIterable<Uint8Array>) {
-		size += chunk.length;
-		if (size > maxBodyBytes) {
-			throw new BadRequestError(`a body may have ${maxBodyBytes} bytes`);
+	try {
+		for await (const chunk of request as AsyncIterable<Uint8Array>) {
+			size += chunk.length;
+			if (size > maxBodyBytes) {
+				break;
+			}
+
+			chunks.push(chunk);
 		}
+	} catch (error) {
+		throw new BadRequestError('the body broke off', {cause: error});
+	}
 
-		chunks.push(chunk);
+	if (size > maxBodyBytes) {
+		throw createProblem('body', `more than ${maxBodyBytes} bytes`, `at most ${maxBodyBytes} bytes`);
 	}
 
 	return Buffer.concat(chunks);
@@ -28,32 +39,58 @@
 	const body = await readBody(request);
 	try {
 		return JSON.parse(new TextDecoder().decode(body)) as unknown;
-	} catch (error) {
-		throw new BadRequestError('the body is not JSON', {cause: error});
+	} catch {
+		throw createProblem('body', 'text that is not JSON', 'JSON');
 	}
 }
 
 /** Sends a JSON answer. */
-export function sendJson(response: ServerResponse, status: number, body: unknown, headers: Record<string, string> = {}): void {
+export function sendJson(response: ServerResponse, status: number, body: unknown, headers: Readonly<Record<string, string>> = {}): void {
 	response.writeHead(status, {'content-type': 'application/json', ...headers});
 	response.end(JSON.stringify(body));
 }
 
-/** Sends the typed answer of a refusal or failure; a stream that has begun is cut, so that its end marker is missing. */
-export function sendFailure(response: ServerResponse, error: unknown): void {
+/** Sends the typed answer of a refusal or failure, and counts it. */
+export function sendFailure(response: ServerResponse, error: unknown, metrics: Metrics): void {
+	const refusal = decideRefusal(error);
+	countFailure(error, metrics);
+	if (response.destroyed) {
+		return;
+	}
+
 	if (response.headersSent) {
 		response.destroy();
 		return;
 	}
 
-	if (error instanceof BadRequestError) {
-		sendJson(response, 400, createErrorBody(error, refusalReason.badRequest, 'no'));
-	} else if (error instanceof NotRunError) {
-		const headers = {'retry-after': String(Math.ceil(error.retryAfterMs / 1000))};
-		const status = error.reason === refusalReason.unknownModel ? 404 : 503;
-		sendJson(response, status, createErrorBody(error, error.reason, 'no', error.retryAfterMs), headers);
-	} else {
-		const failure = error instanceof Error ? error : new UnknownOutcomeError(String(error));
-		sendJson(response, 502, createErrorBody(failure, 'unknown_outcome', 'unknown'));
+	sendJson(response, refusal.status, createErrorBody(refusal), createHeaders(error, refusal.retryAfterMs));
+}
+
+/** Counts a request that was not answered whole. */
+export function countFailure(error: unknown, metrics: Metrics): void {
+	const {code} = decideRefusal(error);
+	const outcome = decideOutcome(error);
+	metrics.count('requests', outcome);
+	if (outcome === 'refused') {
+		metrics.countRefusal(refusalReasons.has(code) ? code as RefusalReason : refusalReason.unavailable);
 	}
 }
+
+function createHeaders(error: unknown, retryAfterMs: number | undefined): Readonly<Record<string, string>> {
+	const isDraining = error instanceof NotRunError && error.reason === refusalReason.draining;
+	return {
+		...(retryAfterMs === undefined ? {} : {'retry-after': String(Math.ceil(retryAfterMs / 1000))}),
+		// A balancer that reuses connections must come to another entry.
+		...(isDraining ? {connection: 'close'} : {}),
+	};
+}
+
+function createProblem(path: string, found: string, allowed: string): Error {
+	return new BadRequestError(`${path}: found ${found}, allowed: ${allowed}`, {
+		props: {
+			problems: [{
+				path, line: 0, found, allowed,
+			}],
+		},
+	});
+}
--- /dev/null
+++ b/src/entry/relayclient.ts
@@ -0,0 +1,116 @@
+import {Buffer} from 'node:buffer';
+import {Client} from 'undici';
+import type {Upstream} from '../deployment/index.js';
+import {
+	BrokenAnswerError, NotRunError, refusalReason, UnknownOutcomeError,
+} from '../errors/index.js';
+import {createProof, relayHeader, relayPath} from '../serving/index.js';
+import {
+	EngineClient, isNeverSent, readServerEvents, upstreamHeader,
+} from '../upstreams/index.js';
+import type {
+	CacheEvents, EngineState, GenerateEvent, GenerateRequest, KvHandle, LoadReport,
+} from '../upstreams/index.js';
+
+const connectTimeoutMs = 1000;
+const cancelTimeoutMs = 2000;
+
+/**
+An engine of another failure domain, reached through an entry there. Each request has a connection of its own, so a
+connection that went silent is never met. Only generating and cancelling go this way; orders and reads stay in the domain.
+*/
+export class RelayEngine extends EngineClient {
+	readonly #client: Client;
+	readonly #upstream: Upstream;
+	readonly #secret: string;
+
+	/** Takes the `via` entry's `host:port` and the secret that entries share. */
+	constructor(via: string, upstream: Upstream, secret: string) {
+		super();
+		// A stream is silent while a long prompt is read: the time between events is bounded by serving, not here.
+		this.#client = new Client(`http://${via}`, {headersTimeout: 0, bodyTimeout: 0, connect: {timeout: connectTimeoutMs}});
+		this.#upstream = upstream;
+		this.#secret = secret;
+	}
+
+	async * generate(request: GenerateRequest, signal: AbortSignal): AsyncGenerator<GenerateEvent> {
+		const response = await this.#send(relayPath.generate, request, signal);
+		if (response.statusCode !== 200) {
+			throw await createFailure(response);
+		}
+
+		try {
+			for await (const data of readServerEvents(response.body)) {
+				yield JSON.parse(data) as GenerateEvent;
+			}
+		} catch (error) {
+			throw new BrokenAnswerError('the relayed answer broke off', {cause: error});
+		}
+	}
+
+	async cancel(id: string): Promise<void> {
+		const response = await this.#send(relayPath.cancel, {id}, AbortSignal.timeout(cancelTimeoutMs));
+		await response.body.dump();
+	}
+
+	async readLoad(): Promise<LoadReport> {
+		throw createRefusal();
+	}
+
+	async readState(): Promise<EngineState> {
+		throw createRefusal();
+	}
+
+	async sendOrder(): Promise<EngineState> {
+		throw createRefusal();
+	}
+
+	async exportKv(): Promise<KvHandle> {
+		throw createRefusal();
+	}
+
+	async importKv(): Promise<KvHandle> {
+		throw createRefusal();
+	}
+
+	async readCacheEvents(): Promise<CacheEvents> {
+		throw createRefusal();
+	}
+
+	/** Closes the connection. */
+	async close(): Promise<void> {
+		await this.#client.destroy();
+	}
+
+	async #send(path: string, body: {readonly id: string}, signal: AbortSignal) {
+		const {id} = this.#upstream;
+		try {
+			return await this.#client.request({
+				method: 'POST',
+				path,
+				headers: {
+					'content-type': 'application/json',
+					[relayHeader.upstream]: id,
+					[relayHeader.proof]: createProof(this.#secret, id, body.id),
+				},
+				body: Buffer.from(JSON.stringify(body)),
+				signal,
+			});
+		} catch (error) {
+			throw isNeverSent(error)
+				? new NotRunError('the relaying entry can\'t be reached', {cause: error})
+				: new UnknownOutcomeError('the relaying entry gave no answer', {cause: error});
+		}
+	}
+}
+
+async function createFailure(response: {readonly statusCode: number; readonly headers: Readonly<Record<string, unknown>>; readonly body: {text: () => Promise<string>}}): Promise<Error> {
+	const text = await response.body.text();
+	return response.headers[upstreamHeader.notRun] === '1'
+		? new NotRunError(`the relaying entry refused: ${text}`)
+		: new BrokenAnswerError(`the relaying entry failed with ${response.statusCode}: ${text}`);
+}
+
+function createRefusal(): Error {
+	return new NotRunError('only answers are relayed between failure domains', {props: {reason: refusalReason.unavailable}});
+}
--- a/src/errors/errors.ts
+++ b/src/errors/errors.ts
@@ -47,7 +47,22 @@
 export const UnknownOutcomeError = createClass('UnknownOutcomeError', {});
 
 /** The caller's request is malformed; it was not run. */
-export const BadRequestError = createClass('BadRequestError', {});
+export const BadRequestError = createClass('BadRequestError', {problems: [] as readonly TextProblem[]});
+
+/** An answer stayed silent for longer than its limit; the connection may be dead. */
+export const SilentAnswerError = createClass('SilentAnswerError', {});
+
+/** The deadline passed after the request was sent; `retryAfterMs` says when to come back. */
+export const DeadlineError = createClass('DeadlineError', {retryAfterMs: 1000});
+
+/** The caller closed its connection. */
+export const CallerGoneError = createClass('CallerGoneError', {});
+
+/** The caller took its answer too slowly and was ended. */
+export const SlowCallerError = createClass('SlowCallerError', {});
+
+/** A call with the same idempotency key is in progress; whether it runs is not known yet. */
+export const KeyPendingError = createClass('KeyPendingError', {retryAfterMs: 1000});
 
 /** A message from a peer is malformed, too long or too deep. */
 export const BadFrameError = createClass('BadFrameError', {});
--- a/src/errors/reasons.ts
+++ b/src/errors/reasons.ts
@@ -8,6 +8,7 @@
 	storeDown: 'store_down',
 	noUpstream: 'no_upstream',
 	badRequest: 'bad_request',
+	badResume: 'bad_resume',
 	unknownModel: 'unknown_model',
 	keyConflict: 'key_conflict',
 	keyPending: 'key_pending',
@@ -26,6 +27,7 @@
 	brokenStream: 'broken_stream',
 	silentStream: 'silent_stream',
 	foreignAnswer: 'foreign_answer',
+	closedBeforeSend: 'closed_before_send',
 	repeatable: 'repeatable',
 	storeConflict: 'store_conflict',
 } as const;
--- /dev/null
+++ b/src/serving/failure.ts
@@ -0,0 +1,39 @@
+import {
+	BrokenAnswerError, CallerGoneError, DeadlineError, ForeignAnswerError, NotRunError, refusalReason, retryReason,
+	SilentAnswerError, SlowCallerError, UnknownOutcomeError,
+} from '../errors/index.js';
+import type {RetryReason} from '../errors/index.js';
+import {placementOutcome} from '../routing/index.js';
+import type {PlacementOutcome} from '../routing/index.js';
+
+/** What a failed attempt means for the request. */
+export type Failure = {
+	readonly outcome: PlacementOutcome;
+	/** Present when the request may be tried again. */
+	readonly reason?: RetryReason;
+	/** Whether the engine may still hold the request, so that a new connection to it can resume it. */
+	readonly isHeld: boolean;
+};
+
+/** Decides what the error of one attempt means; generating is repeatable, so lost answers are too. */
+export function decideFailure(error: unknown): Failure {
+	if (error instanceof NotRunError) {
+		const reason = error.cause === undefined ? retryReason.refusedNotRun : retryReason.connectFailed;
+		return {outcome: placementOutcome.notRun, reason: error.reason === refusalReason.draining ? retryReason.closedBeforeSend : reason, isHeld: false};
+	}
+
+	if (error instanceof SilentAnswerError) {
+		return {outcome: placementOutcome.silent, reason: retryReason.silentStream, isHeld: true};
+	}
+
+	if (error instanceof ForeignAnswerError) {
+		return {outcome: placementOutcome.broken, reason: retryReason.foreignAnswer, isHeld: true};
+	}
+
+	if (error instanceof BrokenAnswerError || error instanceof UnknownOutcomeError) {
+		return {outcome: placementOutcome.broken, reason: retryReason.brokenStream, isHeld: true};
+	}
+
+	const isCancelled = error instanceof CallerGoneError || error instanceof SlowCallerError || error instanceof DeadlineError;
+	return {outcome: isCancelled ? placementOutcome.cancelled : placementOutcome.failed, isHeld: false};
+}
--- a/src/serving/index.ts
+++ b/src/serving/index.ts
@@ -1,5 +1,24 @@
 /** Serving: from a caller's request to the whole answer. */
-export {serveStream} from './stream.js';
-export type {AnswerSink, StreamParts} from './stream.js';
-export {createChunk, createCompletion, createErrorBody} from './wire.js';
-export type {ChatMessage, ChatRequest, ErrorBody} from './wire.js';
+export {serveRelayed, serveStream} from './stream.js';
+export type {AnswerSink, StreamJob, StreamParts} from './stream.js';
+export type {EngineConnection} from './attempt.js';
+export {AnswerCheck} from './check.js';
+export {computeLimits} from './limits.js';
+export type {StreamLimits} from './limits.js';
+export {RequestIds} from './ids.js';
+export type {RequestId, ResumePoint} from './ids.js';
+export {
+	hashAsk, parseChat, parseHeaders,
+} from './request.js';
+export type {CallHeaders, ChatAsk} from './request.js';
+export {decideOutcome, decideRefusal} from './refusal.js';
+export type {Refusal} from './refusal.js';
+export {
+	createProof, isProof, relayHeader, relayPath,
+} from './relayauth.js';
+export {
+	createChunkWriter, createCompletion, createErrorBody, createModelList, lastEventIdHeader, streamEnd,
+} from './wire.js';
+export type {
+	ChunkWriter, CompletionHead, ErrorBody, ErrorParticulars, Ran, Usage,
+} from './wire.js';
--- /dev/null
+++ b/src/serving/relayauth.ts
@@ -0,0 +1,33 @@
+import {Buffer} from 'node:buffer';
+import {createHmac, timingSafeEqual} from 'node:crypto';
+
+/** Headers of a request that one entry relays to another. */
+export const relayHeader = {
+	/** Id of the upstream that the request is for. */
+	upstream: 'x-crocus-upstream',
+	/** Proof that the sender knows the deployment's secret. */
+	proof: 'x-crocus-proof',
+	/** Milliseconds left to the deadline. */
+	left: 'x-crocus-left-ms',
+	/** Present when the call may not be repeated. */
+	once: 'x-crocus-once',
+} as const;
+
+/** Paths at which an entry takes requests from entries of other failure domains. */
+export const relayPath = {
+	generate: '/internal/v1/generate',
+	cancel: '/internal/v1/cancel',
+	services: '/internal/v1/services',
+} as const;
+
+/** Makes the proof for relaying the request `id` to `upstream`. */
+export function createProof(secret: string, upstream: string, id: string): string {
+	return createHmac('sha256', secret).update(`relay\n${upstream}\n${id}`).digest('hex');
+}
+
+/** Asks whether a proof is right. */
+export function isProof(found: unknown, expected: string): boolean {
+	const given = Buffer.from(String(found));
+	const wanted = Buffer.from(expected);
+	return given.length === wanted.length && timingSafeEqual(given, wanted);
+}
--- /dev/null
+++ b/src/serving/request.ts
@@ -0,0 +1,115 @@
+import {createHash} from 'node:crypto';
+import type {z} from 'zod';
+import {BadRequestError} from '../errors/index.js';
+import type {TextProblem} from '../errors/index.js';
+import {chatSchema} from './wire.js';
+
+const defaultMaxTokens = 256;
+const maxShownLength = 60;
+const maxPriority = 9;
+const maxDeadlineMs = 3_600_000;
+const maxProblems = 20;
+const adapterMark = ':';
+
+/** What a caller asks of a model, checked. */
+export type ChatAsk = {
+	readonly model: string;
+	readonly adapter: string | undefined;
+	readonly prompt: string;
+	readonly maxTokens: number;
+	readonly isStream: boolean;
+	readonly hasUsage: boolean;
+};
+
+/** Particulars of a call that callers give in headers. */
+export type CallHeaders = {
+	readonly caller: string;
+	/** Time for the whole answer, in milliseconds; absent when the service's own holds. */
+	readonly deadlineMs: number | undefined;
+	readonly priority: number;
+};
+
+/** Checks the body of a chat completion's request. Throws `BadRequestError` with every problem. */
+export function parseChat(body: unknown): ChatAsk {
+	const result = chatSchema.safeParse(body);
+	if (!result.success) {
+		throw createBadRequest(result.error.issues.slice(0, maxProblems).map(issue => createProblem(issue, body)));
+	}
+
+	const ask = result.data;
+	const mark = ask.model.indexOf(adapterMark);
+	return {
+		model: mark === -1 ? ask.model : ask.model.slice(0, mark),
+		adapter: mark === -1 ? undefined : ask.model.slice(mark + 1),
+		prompt: ask.messages.map(({role, content}) => `${role}: ${formatContent(content)}`).join('\n'),
+		maxTokens: ask.max_completion_tokens ?? ask.max_tokens ?? defaultMaxTokens,
+		isStream: ask.stream ?? false,
+		hasUsage: ask.stream_options?.include_usage ?? false,
+	};
+}
+
+/** Checks the headers that every call may have. Throws `BadRequestError`. */
+export function parseHeaders(headers: Readonly<Record<string, string | readonly string[] | undefined>>): CallHeaders {
+	const authorization = String(headers.authorization ?? '');
+	const caller = /^Bearer (?<name>\S{1,200})$/iv.exec(authorization)?.groups?.name;
+	if (authorization !== '' && caller === undefined) {
+		throw createBadRequest([{
+			path: 'headers.authorization', line: 0, found: 'another scheme', allowed: '"Bearer <caller>"',
+		}]);
+	}
+
+	return {
+		caller: caller ?? 'anonymous',
+		deadlineMs: parseInteger(headers, 'x-deadline-ms', {min: 1, max: maxDeadlineMs}),
+		priority: parseInteger(headers, 'x-priority', {min: 0, max: maxPriority}) ?? 0,
+	};
+}
+
+/** Makes the text that binds a request's id to its caller and to what decides the answer. */
+export function hashAsk(caller: string, version: string, ask: ChatAsk): string {
+	return createHash('sha256').update(JSON.stringify([caller, ask.model, ask.adapter, version, ask.prompt, ask.maxTokens])).digest('base64url');
+}
+
+function parseInteger(headers: Readonly<Record<string, unknown>>, name: string, {min, max}: {readonly min: number; readonly max: number}): number | undefined {
+	const found = headers[name];
+	if (found === undefined) {
+		return undefined;
+	}
+
+	const text = typeof found === 'string' ? found : 'several values';
+	const value = Number(text);
+	if (!/^\d{1,9}$/v.test(text) || value < min || value > max) {
+		throw createBadRequest([{
+			path: `headers.${name}`, line: 0, found: text.slice(0, maxShownLength), allowed: `a whole number from ${min} to ${max}`,
+		}]);
+	}
+
+	return value;
+}
+
+function createBadRequest(problems: readonly TextProblem[]): Error {
+	const text = problems.map(({path, found, allowed}) => `${path}: found ${found}, allowed: ${allowed}`).join('; ');
+	return new BadRequestError(text, {props: {problems}});
+}
+
+function createProblem(issue: z.core.$ZodIssue, body: unknown): TextProblem {
+	return {
+		path: issue.path.length === 0 ? 'body' : issue.path.join('.'),
+		line: 0,
+		found: formatFound(issue.path, body),
+		allowed: issue.message,
+	};
+}
+
+function formatFound(path: readonly PropertyKey[], body: unknown): string {
+	let found = body;
+	for (const key of path) {
+		found = (found as Readonly<Record<PropertyKey, unknown>> | undefined)?.[key];
+	}
+
+	return found === undefined ? 'nothing' : JSON.stringify(found).slice(0, maxShownLength);
+}
+
+function formatContent(content: string | ReadonlyArray<{readonly text: string}>): string {
+	return typeof content === 'string' ? content : content.map(part => part.text).join('');
+}
--- a/src/serving/stream.ts
+++ b/src/serving/stream.ts
@@ -1,70 +1,191 @@
-import {BrokenAnswerError, ForeignAnswerError, NotRunError} from '../errors/index.js';
+import {
+	DeadlineError, NotRunError, refusalReason, retryReason, UnknownOutcomeError,
+} from '../errors/index.js';
+import type {Metrics} from '../metrics/index.js';
 import {callStep} from '../procedures/index.js';
 import type {Procedure} from '../procedures/index.js';
 import {placementOutcome} from '../routing/index.js';
 import type {Placement, Router, Work} from '../routing/index.js';
-import type {
-	EndEvent, EngineClient, GenerateEvent, TokenEvent,
-} from '../upstreams/index.js';
+import type {TimerService} from '../timers/index.js';
+import type {EndEvent, GenerateEvent} from '../upstreams/index.js';
+import {Attempt} from './attempt.js';
+import type {EngineConnection} from './attempt.js';
+import type {AnswerCheck} from './check.js';
+import {decideFailure} from './failure.js';
+import {importPrefilled} from './kv.js';
+import type {StreamLimits} from './limits.js';
 
-/** Takes the events of an answer in order, each once. */
-export type AnswerSink = (event: TokenEvent | EndEvent) => Promise<void> | void;
+const maxAttempts = 8;
+
+/** Takes the checked events of an answer in order, each once, with the place they came from. */
+export type AnswerSink = (events: readonly GenerateEvent[], placement: Placement) => Promise<void> | void;
+
+/** A request to be generated. */
+export type StreamJob = {
+	readonly work: Work;
+	readonly prompt: string;
+	/** Index of the first token that the caller wants; above 0 when it comes back for the rest. */
+	readonly offset: number;
+	/** Engine that may still hold the request of a caller that comes back. */
+	readonly held?: Placement;
+};
 
 /** What serving a stream needs. */
 export type StreamParts = {
 	readonly router: Router;
-	readonly getEngine: (placement: Placement) => EngineClient;
-	readonly onEvent: AnswerSink;
+	readonly timers: TimerService;
+	readonly metrics: Metrics;
+	/** Gives the engine at a placement; `isFresh` asks for connections opened for this request alone. */
+	readonly getEngine: (placement: Placement, isFresh: boolean) => EngineConnection;
+	readonly getLimits: (placement: Placement) => StreamLimits;
+	readonly onEvents: AnswerSink;
 	readonly signal: AbortSignal;
+	/** Makes the check of an answer's events, when not the usual one. */
+	readonly createCheck?: (id: string, offset: number) => AnswerCheck;
+};
+
+type Progress = {
+	offset: number;
+	/** Engine to be asked again over a new connection. */
+	held: Placement | undefined;
+	/** Whether an engine may have run any part of the request. */
+	hasRun: boolean;
+	attempts: number;
+	readonly excluded: Set<string>;
+	/** Engines that were asked again already. */
+	readonly resumed: Set<string>;
 };
 
-/** Serves one request to a model: places it, passes its events on and resumes it elsewhere when it breaks. */
-export function * serveStream(work: Work, prompt: string, parts: StreamParts): Procedure<EndEvent> {
-	const excluded = new Set<string>();
-	let offset = 0;
+/**
+Serves one request to a model: places it, passes its events on, and resumes it at its offset when it breaks or
+stays silent, on a new connection or at another engine. Returns the end marker, without which no answer is whole.
+Throws `NotRunError` only when no engine has started any part of it.
+*/
+export function * serveStream(job: StreamJob, parts: StreamParts): Procedure<EndEvent> {
+	const progress: Progress = {
+		offset: job.offset, held: job.held, hasRun: job.offset > 0, attempts: 0, excluded: new Set(), resumed: new Set(),
+	};
 	for (;;) {
-		const placement = yield * callStep('choose a placement', () => parts.router.choosePlacement(work, excluded));
-		const events = parts.getEngine(placement).generate({
-			id: work.id,
-			model: work.model,
-			version: work.version,
-			adapter: work.adapter,
-			prompt,
-			promptTokens: work.promptTokens,
-			maxTokens: work.maxTokens,
-			offset,
-			priority: work.priority,
-		}, parts.signal)[Symbol.asyncIterator]();
-		parts.router.onSent(work, placement);
+		const isFresh = progress.held !== undefined;
+		const placement = yield * choosePlacement(job, parts, progress);
+		const attempt = new Attempt(job, placement, parts, isFresh);
 		try {
-			for (;;) {
-				const event = yield * callStep('read an event', async () => readEvent(events));
-				yield * callStep('pass the event on', async () => parts.onEvent(event));
-				if (event.kind === 'end') {
-					parts.router.onEnd(work, placement, placementOutcome.done);
-					return event;
-				}
-
-				parts.router.onTokens(work, placement, 1);
-				offset = event.offset + 1;
-			}
+			return yield * runAttempt(attempt, job, {parts, progress});
 		} catch (error) {
-			parts.router.onEnd(work, placement, placementOutcome.broken);
-			const isResumable = error instanceof NotRunError || error instanceof BrokenAnswerError || error instanceof ForeignAnswerError;
-			if (!isResumable || parts.signal.aborted || !parts.router.tryRetry(work.service)) {
-				throw error;
-			}
+			yield * onFailure(error, attempt, {job, parts, progress});
+		}
+	}
+}
+
+/**
+Serves one attempt for another entry that relays it here: the engine is given, and what breaks is told to that entry,
+which alone tries again. Throws `NotRunError` when the engine has closed.
+*/
+export function * serveRelayed(job: StreamJob, placement: Placement, parts: StreamParts): Procedure<EndEvent> {
+	const progress: Progress = {
+		offset: job.offset, held: undefined, hasRun: false, attempts: 0, excluded: new Set(), resumed: new Set(),
+	};
+	const attempt = new Attempt(job, placement, parts, false);
+	try {
+		return yield * runAttempt(attempt, job, {parts, progress});
+	} catch (error) {
+		const {outcome} = decideFailure(error);
+		attempt.finish(outcome);
+		throw error;
+	}
+}
+
+type AttemptContext = {readonly parts: StreamParts; readonly progress: Progress};
+
+function * choosePlacement(job: StreamJob, parts: StreamParts, progress: Progress): Procedure<Placement> {
+	const {held} = progress;
+	progress.held = undefined;
+	if (held && parts.router.isOpen(held.upstream.id)) {
+		return held;
+	}
 
-			excluded.add(placement.upstream.id);
+	try {
+		return yield * callStep('choose a placement', () => parts.router.choosePlacement(job.work, progress.excluded));
+	} catch (error) {
+		throw wrapRefusal(error, progress);
+	}
+}
+
+function * runAttempt(attempt: Attempt, job: StreamJob, {parts, progress}: AttemptContext): Procedure<EndEvent> {
+	const kv = progress.offset === 0 ? yield * importPrefilled(attempt, job, parts) : undefined;
+	progress.attempts++;
+	yield * callStep('send the request', () => {
+		attempt.start(progress.offset, kv);
+	});
+	for (;;) {
+		const events = yield * callStep('read events', async () => attempt.readEvents());
+		const last = events.at(-1);
+		if (!last) {
+			continue;
 		}
+
+		yield * callStep('pass the events on', async () => parts.onEvents(events, attempt.placement));
+		if (last.kind === 'end') {
+			attempt.finish(placementOutcome.done);
+			return last;
+		}
+
+		progress.offset = last.offset + 1;
 	}
 }
 
-async function readEvent(events: AsyncIterator<GenerateEvent>): Promise<GenerateEvent> {
-	const turn = await events.next();
-	if (turn.done) {
-		throw new BrokenAnswerError('the answer ended without its end marker');
+type FailureContext = AttemptContext & {readonly job: StreamJob};
+
+function * onFailure(error: unknown, attempt: Attempt, {job, parts, progress}: FailureContext): Procedure<void> {
+	const failure = decideFailure(error);
+	const {upstream} = attempt.placement;
+	const wasSent = attempt.isSent;
+	attempt.finish(failure.outcome);
+	progress.hasRun ||= wasSent && failure.outcome !== placementOutcome.notRun;
+	if (failure.reason === retryReason.foreignAnswer) {
+		parts.metrics.count('dropped', 'foreign_event');
 	}
 
-	return turn.value;
+	const canAskAgain = failure.isHeld && !progress.resumed.has(upstream.id) && parts.router.isOpen(upstream.id);
+	const isLast = failure.reason === undefined || parts.signal.aborted || progress.attempts >= maxAttempts;
+	if (wasSent && failure.outcome !== placementOutcome.notRun && (isLast || !canAskAgain)) {
+		yield * callStep('cancel at the engine', () => {
+			void attempt.cancel();
+		});
+	}
+
+	if (isLast || failure.reason === undefined) {
+		throw wrapRefusal(error, progress);
+	}
+
+	checkDeadline(job, parts, {progress, cause: error});
+	// Nothing was sent to an engine that closed before the send: choosing again costs the fleet nothing.
+	if (failure.reason !== retryReason.closedBeforeSend && !parts.router.tryRetry(job.work.service)) {
+		throw wrapRefusal(error, progress);
+	}
+
+	parts.metrics.countRetry(failure.reason);
+	if (canAskAgain) {
+		progress.resumed.add(upstream.id);
+		progress.held = attempt.placement;
+	} else {
+		progress.excluded.add(upstream.id);
+	}
+}
+
+function checkDeadline(job: StreamJob, parts: StreamParts, {progress, cause}: {readonly progress: Progress; readonly cause: unknown}): void {
+	if (parts.timers.getNow() < job.work.due) {
+		return;
+	}
+
+	throw progress.hasRun
+		? new DeadlineError('the deadline has passed', {cause})
+		: new NotRunError('the deadline has passed', {cause, props: {reason: refusalReason.deadline}});
+}
+
+/** A refusal may say "not run" only as long as no engine has started the request. */
+function wrapRefusal(error: unknown, progress: Progress): unknown {
+	return error instanceof NotRunError && progress.hasRun
+		? new UnknownOutcomeError('the answer broke off and no engine can take it up', {cause: error})
+		: error;
 }
--- /dev/null
+++ b/src/serving/test/stream.test.ts
@@ -0,0 +1,167 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {createAnswer, engineFault} from '../../../faults/fakes/streams.js';
+import type {EngineFault} from '../../../faults/fakes/streams.js';
+import {createUpstream, StreamWorld} from '../../../faults/fakes/streamworld.js';
+import {
+	BrokenAnswerError, CallerGoneError, DeadlineError, NotRunError, UnknownOutcomeError,
+} from '../../errors/index.js';
+
+const size = 12;
+const resumable: readonly EngineFault[] = [
+	engineFault.refuse,
+	engineFault.connectFails,
+	engineFault.answerLost,
+	engineFault.breaks,
+	engineFault.silent,
+	engineFault.foreign,
+	engineFault.late,
+	engineFault.gap,
+	engineFault.noEnd,
+];
+
+describe('serveStream', () => {
+	for (const fault of resumable) {
+		for (const at of [0, 5, 11]) {
+			it(`gives the whole answer, each token once, past "${fault}" after ${at} tokens`, async () => {
+				const world = new StreamWorld();
+				world.getEngine('e1').faults.push({fault, at});
+				const record = await world.settle(world.start({work: world.createWork('r', size), prompt: 'p', offset: 0}));
+				expect(record.error).to.equal(undefined);
+				expect(record.text).to.equal(createAnswer('p', size));
+				expect(record.end?.offset).to.equal(size);
+				expect(world.router.ends).to.have.lengthOf(world.router.sent);
+				expect(world.router.countRunning('e1') + world.router.countRunning('e2')).to.equal(0);
+				expect(world.timers.countPending()).to.equal(0);
+			});
+		}
+	}
+
+	it('asks the same engine again over a new connection after silence', async () => {
+		const world = new StreamWorld();
+		world.getEngine('e1').faults.push({fault: engineFault.silent, at: 5});
+		const record = await world.settle(world.start({work: world.createWork('r', size), prompt: 'p', offset: 0}));
+		expect(record.text).to.equal(createAnswer('p', size));
+		expect(world.freshConnections).to.equal(1);
+		expect(world.getEngine('e1').journal.filter(({event}) => event === 'started').map(({offset}) => offset)).to.deep.equal([0, 5]);
+		expect(world.getEngine('e2').countStarted()).to.equal(0);
+	});
+
+	it('leaves an engine that stays silent and cancels there', async () => {
+		const world = new StreamWorld();
+		world.getEngine('e1').faults.push({fault: engineFault.silent, at: 5}, {fault: engineFault.silent, at: 2});
+		const record = await world.settle(world.start({work: world.createWork('r', size), prompt: 'p', offset: 0}));
+		expect(record.text).to.equal(createAnswer('p', size));
+		expect(world.getEngine('e2').journal[0]).to.include({event: 'started', offset: 7});
+		expect(world.getEngine('e1').journal.filter(({event}) => event === 'cancelled')).to.have.lengthOf(1);
+	});
+
+	it('sends nothing to an engine that closed after it was chosen', async () => {
+		const world = new StreamWorld();
+		const record = world.start({work: world.createWork('r', size), prompt: 'p', offset: 0}, {
+			onBefore(step) {
+				if (step.name === 'send the request' && world.version === 0) {
+					world.publish('e1', 'closing');
+				}
+			},
+		});
+		await world.settle(record);
+		expect(record.text).to.equal(createAnswer('p', size));
+		expect(world.getEngine('e1').countStarted()).to.equal(0);
+	});
+
+	it('says "not run" only when no engine has started the request', async () => {
+		const refused = new StreamWorld();
+		refused.getEngine('e1').faults.push({fault: engineFault.refuse, at: 0});
+		refused.getEngine('e2').faults.push({fault: engineFault.refuse, at: 0});
+		const first = await refused.settle(refused.start({work: refused.createWork('r', size), prompt: 'p', offset: 0}));
+		expect(first.error).to.be.instanceOf(NotRunError);
+		expect(refused.countStarted()).to.equal(0);
+		const begun = new StreamWorld();
+		begun.getEngine('e1').faults.push({fault: engineFault.breaks, at: 3}, {fault: engineFault.refuse, at: 0});
+		begun.getEngine('e2').faults.push({fault: engineFault.refuse, at: 0});
+		const second = await begun.settle(begun.start({work: begun.createWork('r', size), prompt: 'p', offset: 0}));
+		expect(second.error).to.be.instanceOf(UnknownOutcomeError);
+	});
+
+	it('stops trying when the retry budget is spent', async () => {
+		const world = new StreamWorld();
+		world.router.retriesLeft = 0;
+		world.getEngine('e1').faults.push({fault: engineFault.breaks, at: 3});
+		const record = await world.settle(world.start({work: world.createWork('r', size), prompt: 'p', offset: 0}));
+		expect(record.error).to.be.instanceOf(BrokenAnswerError);
+		expect(world.countStarted()).to.equal(1);
+	});
+
+	it('gives up at the deadline, not later, and cancels at the engine', async () => {
+		const world = new StreamWorld();
+		const work = {...world.createWork('r', size), due: 1000};
+		world.getEngine('e1').faults.push({fault: engineFault.silent, at: 0});
+		const record = world.start({work, prompt: 'p', offset: 0});
+		await world.timers.advance(999);
+		expect(record.isSettled).to.equal(false);
+		await world.timers.advance(1);
+		expect(record.error).to.be.instanceOf(DeadlineError);
+		expect(world.getEngine('e1').journal.at(-1)?.event).to.equal('cancelled');
+	});
+
+	it('cancels at the engine when the caller leaves', async () => {
+		const world = new StreamWorld();
+		world.getEngine('e1').onToken = offset => {
+			if (offset === 4) {
+				world.abort.abort();
+			}
+		};
+
+		const record = await world.settle(world.start({work: world.createWork('r', size), prompt: 'p', offset: 0}));
+		expect(record.error).to.be.instanceOf(CallerGoneError);
+		expect(world.getEngine('e1').journal.at(-1)?.event).to.equal('cancelled');
+		expect(world.router.ends).to.deep.equal([{upstream: 'e1', outcome: 'cancelled'}]);
+	});
+
+	it('moves the KV cache from the engine that prefills, and reads the prompt itself when that fails', async () => {
+		for (const isKvDown of [false, true]) {
+			const world = new StreamWorld();
+			world.router.prefill = createUpstream('e2');
+			world.getEngine('e2').isKvDown = isKvDown;
+			const record = await world.settle(world.start({work: world.createWork('r', size), prompt: 'p', offset: 0}));
+			expect(record.text).to.equal(createAnswer('p', size));
+			expect(world.getEngine('e1').journal.find(({event}) => event === 'started')?.kv).to.equal(isKvDown ? undefined : 'e2-1');
+			expect(world.router.countRunning('e2')).to.equal(0);
+		}
+	});
+
+	it('holds a bounded number of events for a caller that takes them slowly', async () => {
+		const world = new StreamWorld();
+		let read = 0;
+		world.getEngine('e1').onToken = () => {
+			read++;
+		};
+
+		const record = world.start({work: world.createWork('r', 5000), prompt: 'p', offset: 0}, {}, {
+			async onEvents() {
+				await world.timers.sleep(1_000_000);
+			},
+		});
+		await world.timers.advance(20_000);
+		expect(record.isSettled).to.equal(false);
+		expect(read).to.be.below(600);
+	});
+
+	it('keeps answers whole and its tables empty under any order of faults', async () => {
+		const planned = fc.record({fault: fc.constantFrom(...resumable), at: fc.nat(size)});
+		await fc.assert(fc.asyncProperty(fc.array(planned, {maxLength: 4}), fc.array(planned, {maxLength: 4}), async (first, second) => {
+			const world = new StreamWorld();
+			world.getEngine('e1').faults.push(...first);
+			world.getEngine('e2').faults.push(...second);
+			const record = await world.settle(world.start({work: world.createWork('r', size), prompt: 'p', offset: 0}));
+			expect(record.isSettled).to.equal(true);
+			expect(createAnswer('p', size).startsWith(record.text)).to.equal(true);
+			expect(record.end === undefined).to.equal(record.error !== undefined);
+			expect(record.end !== undefined && record.text !== createAnswer('p', size)).to.equal(false);
+			expect(record.error instanceof NotRunError && world.countStarted() > 0).to.equal(false);
+			expect(world.router.ends).to.have.lengthOf(world.router.sent);
+			expect(world.timers.countPending()).to.equal(0);
+		}), {seed: 7, numRuns: 150});
+	});
+});
--- a/src/serving/wire.ts
+++ b/src/serving/wire.ts
@@ -1,55 +1,126 @@
 /** The callers' protocol: chat completions over HTTP with server-sent events. */
+import {z} from 'zod';
+import type {TextProblem} from '../errors/index.js';
 
-/** One message of a chat. */
-export type ChatMessage = {readonly role: string; readonly content: string};
+const maxMessages = 2000;
+const maxTokensLimit = 131_072;
+const maxModelLength = 200;
+
+const contentPart = z.object({type: z.literal('text'), text: z.string()});
+const message = z.object({
+	role: z.enum(['system', 'developer', 'user', 'assistant', 'tool']),
+	content: z.union([z.string(), z.array(contentPart)]),
+});
+const tokenCount = z.int().min(1).max(maxTokensLimit);
 
 /** Body of a chat completion's request; other fields are taken and ignored. */
-export type ChatRequest = {
-	readonly model: string;
-	readonly messages: readonly ChatMessage[];
-	readonly stream?: boolean;
-	readonly max_tokens?: number;
-	readonly max_completion_tokens?: number;
-};
+export const chatSchema = z.object({
+	model: z.string().min(1).max(maxModelLength),
+	messages: z.array(message).min(1).max(maxMessages),
+	stream: z.boolean().nullish(),
+	stream_options: z.object({include_usage: z.boolean().optional()}).nullish(),
+	max_tokens: tokenCount.nullish(),
+	max_completion_tokens: tokenCount.nullish(),
+	n: z.literal(1).nullish(),
+});
+
+/** Whether a request ran, as a refusal or failure tells it. */
+export type Ran = 'no' | 'yes' | 'unknown';
 
-/** Body of every refusal and failure. `ran` is `no`, `yes` or `unknown`. */
+/** Body of every refusal and failure. */
 export type ErrorBody = {
 	readonly error: {
 		readonly message: string;
 		readonly type: string;
+		readonly param: string | null;
 		readonly code: string;
-		readonly ran: 'no' | 'yes' | 'unknown';
+		readonly ran: Ran;
 		readonly retry_after_ms?: number;
+		readonly problems?: readonly TextProblem[];
 	};
 };
 
+/** What the body of a refusal or failure is made of. */
+export type ErrorParticulars = {
+	readonly message: string;
+	readonly type: string;
+	readonly code: string;
+	readonly ran: Ran;
+	readonly retryAfterMs?: number;
+	readonly problems?: readonly TextProblem[];
+};
+
 type Finish = 'stop' | 'length';
-type Head = {readonly id: string; readonly model: string; readonly created: number};
 
-/** Makes one chunk of a streamed completion. */
-export function createChunk(head: Head, text: string | undefined, finish?: Finish) {
+/** What all chunks of one completion share. */
+export type CompletionHead = {readonly id: string; readonly model: string; readonly created: number};
+
+/** Tokens read and generated. */
+export type Usage = {readonly prompt: number; readonly completion: number};
+
+/** Text with which a whole stream ends; a stream without it is not whole. */
+export const streamEnd = 'data: [DONE]\n\n';
+
+/** Header in which a caller that comes back gives the id of the last event it has. */
+export const lastEventIdHeader = 'last-event-id';
+
+/**
+Makes the writer of a completion's chunks: what all of them share is put into text once, since a chunk is made for
+every token.
+*/
+export function createChunkWriter(head: CompletionHead) {
+	const start = `data: ${JSON.stringify({...head, object: 'chat.completion.chunk'}).slice(0, -1)},"choices":[{"index":0,"delta":{`;
 	return {
-		...head,
-		object: 'chat.completion.chunk',
-		choices: [{index: 0, delta: text === undefined ? {} : {role: 'assistant', content: text}, finish_reason: finish ?? null}],
+		formatToken: (eventId: string, text: string) => `id: ${eventId}\n${start}"content":${JSON.stringify(text)}},"finish_reason":null}]}\n\n`,
+		formatRole: () => `${start}"role":"assistant","content":""},"finish_reason":null}]}\n\n`,
+		formatFinish: (finish: Finish, usage: Usage) => `${start}},"finish_reason":"${finish}"}],"usage":${JSON.stringify(createUsage(usage))}}\n\n`,
+		formatUsage: (usage: Usage) => `data: ${JSON.stringify({
+			...head, object: 'chat.completion.chunk', choices: [], usage: createUsage(usage),
+		})}\n\n`,
 	};
 }
 
+/** Writer of a completion's chunks. */
+export type ChunkWriter = ReturnType<typeof createChunkWriter>;
+
 /** Makes a whole completion. */
-export function createCompletion(head: Head, text: string, finish: Finish, usage: {readonly prompt: number; readonly completion: number}) {
+export function createCompletion(head: CompletionHead, text: string, finish: Finish, usage: Usage) {
 	return {
 		...head,
 		object: 'chat.completion',
-		choices: [{index: 0, message: {role: 'assistant', content: text}, finish_reason: finish}],
-		usage: {prompt_tokens: usage.prompt, completion_tokens: usage.completion, total_tokens: usage.prompt + usage.completion},
+		choices: [{
+			index: 0, message: {role: 'assistant', content: text, refusal: null}, logprobs: null, finish_reason: finish,
+		}],
+		usage: createUsage(usage),
+	};
+}
+
+/** Makes the list of models. */
+export function createModelList(models: readonly string[], created: number) {
+	return {
+		object: 'list',
+		data: models.map(id => ({
+			id, object: 'model', created, owned_by: 'crocusworks',
+		})),
 	};
 }
 
 /** Makes the body of a refusal or failure. */
-export function createErrorBody(error: Error, code: string, ran: ErrorBody['error']['ran'], retryAfterMs?: number): ErrorBody {
+export function createErrorBody(particulars: ErrorParticulars): ErrorBody {
+	const {message, type, code, ran, retryAfterMs, problems} = particulars;
 	return {
 		error: {
-			message: error.message, type: error.name, code, ran, ...(retryAfterMs === undefined ? {} : {retry_after_ms: retryAfterMs}),
+			message,
+			type,
+			param: problems?.[0]?.path ?? null,
+			code,
+			ran,
+			...(retryAfterMs === undefined ? {} : {retry_after_ms: Math.ceil(retryAfterMs)}),
+			...(problems === undefined ? {} : {problems}),
 		},
 	};
 }
+
+function createUsage({prompt, completion}: Usage) {
+	return {prompt_tokens: prompt, completion_tokens: completion, total_tokens: prompt + completion};
+}
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -17,6 +17,8 @@
 	platform: z.url(),
 	/** Key that all entries share; it signs the ids with which a stream is resumed. */
 	secret: z.string().min(16),
+	/** At a stop: time for the balancer to see that the entry is not ready, in milliseconds. */
+	balancerWaitMs: z.int().min(0).max(600_000).default(5000),
 });
 
 /** Settings of an entry's process. */
