Route by expected times, with admission, limits, equal shares and a retry budget

Cause: the thin router looked only at its own requests in flight, refused nothing and retried for ever. Conclusion: the policy router replaces the thin one; baselines stay in the binary by CROCUS_POLICY. Ports: Router gains checkCall (no-op by default), refusals gain the reason fair_share.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -5,7 +5,6 @@
 import {FactTable} from '../feed/index.js';
 import {History} from '../history/index.js';
 import {Metrics} from '../metrics/index.js';
-import {LeastInFlightRouter} from '../routing/index.js';
 import type {EntrySettings} from '../settings/index.js';
 import {
 	absentRevision, HttpStore, HttpVmList, storeKey,
@@ -13,6 +12,7 @@
 import {SystemTimers} from '../timers/index.js';
 import {HttpEngine} from '../upstreams/index.js';
 import {serveChat} from './chat.js';
+import {createDecisions} from './decisions.js';
 import {sendJson} from './http.js';
 import type {EntryParts} from './parts.js';
 
@@ -66,7 +66,9 @@
 		facts,
 		metrics: new Metrics(),
 		history: new History(timers),
-		router: new LeastInFlightRouter(facts, service => getDeployment()?.upstreams.filter(upstream => upstream.service === service) ?? []),
+		...createDecisions({
+			settings, timers, facts, getDeployment,
+		}),
 		getDeployment,
 		getEngine(upstream: Upstream) {
 			const engine = engines.get(upstream.address) ?? new HttpEngine(upstream.address);
--- a/src/errors/reasons.ts
+++ b/src/errors/reasons.ts
@@ -3,6 +3,7 @@
 	unavailable: 'unavailable',
 	deadline: 'deadline',
 	callerLimit: 'caller_limit',
+	fairShare: 'fair_share',
 	queueFull: 'queue_full',
 	draining: 'draining',
 	storeDown: 'store_down',
--- /dev/null
+++ b/src/loads/index.ts
@@ -0,0 +1,2 @@
+/** Load reports, cache events and demand: what decisions are made from. */
+export {DemandMeter} from './demand.js';
--- a/src/routing/basic.ts
+++ b/src/routing/basic.ts
@@ -23,7 +23,7 @@
 
 	chooseInstance(service: string, excluded: ReadonlySet<string>): Upstream {
 		const open = this.#listUpstreams(service).filter(upstream => !excluded.has(upstream.id) && this.isOpen(upstream.id));
-		const [first] = open.toSorted((left, right) => this.countRunning(left.id) - this.countRunning(right.id));
+		const first = this.pickOpen(open);
 		if (!first) {
 			throw new NotRunError(`no upstream of ${service} takes work`, {props: {reason: refusalReason.noUpstream}});
 		}
@@ -63,4 +63,19 @@
 	countRunning(upstream: string): number {
 		return this.#running.get(upstream) ?? 0;
 	}
+
+	/** Picks one of the upstreams that take work. */
+	protected pickOpen(open: readonly Upstream[]): Upstream | undefined {
+		return open.toSorted((left, right) => this.countRunning(left.id) - this.countRunning(right.id))[0];
+	}
+}
+
+/** Chooses the upstreams in turn; for comparison. */
+export class RoundRobinRouter extends LeastInFlightRouter {
+	#turn = 0;
+
+	protected override pickOpen(open: readonly Upstream[]): Upstream | undefined {
+		this.#turn++;
+		return open[this.#turn % Math.max(1, open.length)];
+	}
 }
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -46,6 +46,11 @@
 since the last load report. All methods return at once and do no I/O.
 */
 export abstract class Router {
+	/** Checks a call to an application service against the caller's limits. Throws `NotRunError`. */
+	checkCall(_service: string, _caller: string): void {
+		// A router without limits of callers lets every call pass.
+	}
+
 	/**
 	Admits the work and chooses a place for it, not among `excluded` upstream ids.
 	Throws `NotRunError` with the reason and a time to come back.
--- /dev/null
+++ b/src/routing/views.ts
@@ -0,0 +1,60 @@
+import {engineRole} from '../deployment/index.js';
+import type {Deployment, EngineRole, Upstream} from '../deployment/index.js';
+import type {Fact, FactTable, MemberFact} from '../feed/index.js';
+import {upstreamState} from '../feed/index.js';
+import {vmState} from '../store/index.js';
+import type {Work} from './types.js';
+
+/** What decisions read of the deployment and the facts. */
+export class FleetView {
+	readonly #facts: FactTable;
+	readonly #getDeployment: () => Deployment | undefined;
+
+	constructor(
+		facts: FactTable,
+		getDeployment: () => Deployment | undefined,
+		/** Failure domain of this entry. */
+		readonly domain: string,
+	) {
+		this.#facts = facts;
+		this.#getDeployment = getDeployment;
+	}
+
+	/** The deployment in force. */
+	get deployment(): Deployment | undefined {
+		return this.#getDeployment();
+	}
+
+	/** Lists the upstreams of a service. */
+	listUpstreams(service: string): readonly Upstream[] {
+		return this.deployment?.upstreams.filter(upstream => upstream.service === service) ?? [];
+	}
+
+	/** Says whether an upstream may be sent new work. */
+	isOpen(upstream: string): boolean {
+		const fact = this.#facts.get('upstream', upstream);
+		return fact === undefined || fact.value.state === upstreamState.serving;
+	}
+
+	/** Says whether an engine has what a request needs, as far as its setup is known. */
+	isMatching(upstream: string, work: Work): boolean {
+		const setup = this.#facts.get('upstream', upstream)?.value.setup;
+		return setup === undefined || (setup.model === work.model && setup.version === work.version
+			&& (work.adapter === undefined || setup.adapters.includes(work.adapter)));
+	}
+
+	/** Returns the role of an engine, as it or its authority last said. */
+	getRole(upstream: string): EngineRole {
+		return this.#facts.get('load', upstream)?.value.role ?? this.#facts.get('upstream', upstream)?.value.setup?.role ?? engineRole.mixed;
+	}
+
+	/** Lists the live entries of a failure domain. */
+	listMembers(domain: string): readonly MemberFact[] {
+		return this.#facts.list('member').map((fact: Fact<'member'>) => fact.value).filter(member => member.domain === domain && member.state === vmState.live);
+	}
+
+	/** Counts the live entries of this entry's failure domain, itself included. */
+	countEntries(): number {
+		return Math.max(1, this.listMembers(this.domain).length);
+	}
+}
