--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -5,7 +5,6 @@
 import {FactTable} from '../feed/index.js';
 import {History} from '../history/index.js';
 import {Metrics} from '../metrics/index.js';
-import {LeastInFlightRouter} from '../routing/index.js';
 import type {EntrySettings} from '../settings/index.js';
 import {
 	absentRevision, HttpStore, HttpVmList, storeKey,
@@ -15,6 +14,7 @@
 import {
 	addCallerRoutes, createCallers, setServerTimeouts, subscribeSignals,
 } from './callers.js';
+import {createDecisions} from './decisions.js';
 import type {EntryParts} from './parts.js';
 import type {GracefulStop} from './stop.js';
 
@@ -59,7 +59,9 @@
 		facts,
 		metrics: new Metrics(),
 		history: new History(timers),
-		router: new LeastInFlightRouter(facts, service => getDeployment()?.upstreams.filter(upstream => upstream.service === service) ?? []),
+		...createDecisions({
+			settings, timers, facts, getDeployment,
+		}),
 		getDeployment,
 		getEngine(upstream: Upstream) {
 			const engine = engines.get(upstream.address) ?? new HttpEngine(upstream.address);
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -12,6 +12,8 @@
 	KeyPendingError,
 	LeaseHeldError,
 	NotRunError,
+	OperationRefusedError,
+	OrderBlockedError,
 	OrderRefusedError,
 	SilentAnswerError,
 	SlowCallerError,
