Grow the stand-ins: continuous batching engine, platform with limits and outages, plain service

Cause: the thin stand-ins showed one token at a fixed period and a store without limits, so that neither roles, drains nor outages could be judged by anything but the word of the code under test. Before: 1 token in 5 ms whatever the role.

--- /dev/null
+++ b/standins/engine/answer.ts
@@ -0,0 +1,60 @@
+import {createHash} from 'node:crypto';
+import type {EndEvent, GenerateRequest, TokenEvent} from '../../src/upstreams/index.js';
+
+const shortestShare = 0.5;
+const maxUint32 = 0xFF_FF_FF_FF;
+const seedPrime = 1_000_003;
+const offsetPrime = 7919;
+const textPrime = 1_679_609;
+
+/**
+The answer to a request: a function of model, version, adapter, prompt and index, so that any engine can go on with it
+at any offset. The size lies between half of `maxTokens` and all of it.
+*/
+export class Answer {
+	/** Count of tokens. */
+	readonly size: number;
+	readonly #seed: number;
+	readonly #request: GenerateRequest;
+
+	constructor(request: GenerateRequest) {
+		const source = [request.model, request.version, request.adapter ?? '', request.prompt].join('\n');
+		const digest = createHash('sha256').update(source).digest();
+		this.#seed = digest.readUInt32BE(0);
+		const share = shortestShare + ((1 - shortestShare) * digest.readUInt32BE(4) / maxUint32);
+		this.size = Math.max(1, Math.ceil(request.maxTokens * share));
+		this.#request = request;
+	}
+
+	/** Returns the event at an offset: a token, or the end marker at the answer's size. */
+	getEvent(offset: number): TokenEvent | EndEvent {
+		const {id, promptTokens, maxTokens} = this.#request;
+		return offset < this.size
+			? {
+				kind: 'token', id, offset, text: this.#getText(offset),
+			}
+			: {
+				kind: 'end', id, offset: this.size, finishReason: this.size < maxTokens ? 'stop' : 'length', promptTokens,
+			};
+	}
+
+	/** Hashes the whole text. */
+	hashText(): string {
+		const hash = createHash('sha256');
+		for (let offset = 0; offset < this.size; offset++) {
+			hash.update(this.#getText(offset));
+		}
+
+		return hash.digest('hex');
+	}
+
+	#getText(offset: number): string {
+		const mixed = ((this.#seed % seedPrime) * (offset + offsetPrime)) % textPrime;
+		return ` ${mixed.toString(36)}`;
+	}
+}
+
+/** Hashes a whole text as {@link Answer.hashText} does. */
+export function hashAnswerText(text: string): string {
+	return createHash('sha256').update(text).digest('hex');
+}
--- /dev/null
+++ b/standins/engine/core.ts
@@ -0,0 +1,228 @@
+import {BrokenAnswerError, NotRunError} from '../../src/errors/index.js';
+import {enginePhase} from '../../src/upstreams/index.js';
+import type {
+	CacheEvents, EngineState, GenerateRequest, KvHandle, LoadReport, Order,
+} from '../../src/upstreams/index.js';
+import type {TimerService} from '../../src/timers/index.js';
+import {Journal} from '../journal.js';
+import {kvBytesPerMs} from './costs.js';
+import {engineEvent} from './journal.js';
+import type {EngineEvent, EngineRow} from './journal.js';
+import {KvHolder} from './kv.js';
+import type {KvRecord} from './kv.js';
+import {LateLoads} from './loads.js';
+import type {EngineOptions} from './options.js';
+import {Orders} from './orders.js';
+import {PrefixCache} from './prefixcache.js';
+import {EngineRequests} from './requests.js';
+import type {Detach} from './requests.js';
+import {Scheduler} from './scheduler.js';
+import {Sequence} from './sequence.js';
+import type {EventSink} from './sequence.js';
+
+/** A small model engine without network: every time comes from the timer service, every result from the request. */
+export class EngineCore {
+	readonly journal = new Journal<EngineRow>();
+	readonly kv: KvHolder;
+	/** Factor by which a test slows the engine down. */
+	slowFactor = 1;
+	/** When set, the next `configure` order ends in a crash after this time, in milliseconds. */
+	crashInChangeMs: number | undefined;
+	readonly #timers: TimerService;
+	readonly #options: EngineOptions;
+	readonly #orders: Orders;
+	readonly #cache: PrefixCache;
+	readonly #scheduler: Scheduler;
+	readonly #requests: EngineRequests;
+	readonly #loads: LateLoads;
+	#incarnation: number;
+
+	constructor(timers: TimerService, options: EngineOptions, loadWeights?: (bytes: number) => Promise<void>) {
+		this.#timers = timers;
+		this.#options = options;
+		this.#incarnation = timers.getWall();
+		this.kv = new KvHolder(timers, options.kvHoldMs);
+		this.#cache = new PrefixCache(timers, options.cacheBlocks, options.cacheLagMs);
+		this.#orders = new Orders({
+			timers,
+			isFenced: options.isFenced,
+			setup: options.setup,
+			getTimeFactor: () => this.#getTimeFactor(),
+			record: (event, order, reason) => {
+				this.#record(event, order.id, {fence: order.fence, kind: order.kind, reason});
+			},
+			onChange: () => {
+				this.#onChange();
+			},
+			loadWeights,
+		});
+		this.#scheduler = new Scheduler({
+			timers,
+			cache: this.#cache,
+			pieces: options.pieces,
+			getRole: () => this.#orders.setup.role,
+			getTimeFactor: () => this.#getTimeFactor(),
+			hasKv: sequence => this.kv.has(sequence.request),
+			onEnd: sequence => {
+				this.#requests.finish(sequence);
+			},
+		});
+		this.#requests = new EngineRequests(timers, this.#scheduler, options.graceMs, (event, id, more) => {
+			this.#record(event, id, more);
+		});
+		this.#loads = new LateLoads(timers, () => this.#measureLoad(), options.loadLagMs);
+		this.#record(engineEvent.started, '');
+	}
+
+	/** Starts a request, or attaches to it when it is still known. Throws `NotRunError` when it refuses. */
+	startRequest(request: GenerateRequest, sink: EventSink): Detach {
+		const known = this.#requests.findSequence(request.id);
+		if (known) {
+			if (known.request.prompt !== request.prompt) {
+				this.#refuse(request.id, 'another request has this id');
+			}
+
+			return this.#requests.resume(known, request, sink);
+		}
+
+		this.#checkTakes(request);
+		return this.#requests.start(request, sink);
+	}
+
+	/** Cancels a request; does nothing when it is not here. */
+	cancelRequest(id: string): void {
+		this.#requests.cancel(id);
+	}
+
+	/** Reads a prompt and holds its KV cache. Throws `NotRunError` when it refuses. */
+	async exportKv(request: GenerateRequest): Promise<KvHandle> {
+		this.#checkTakes(request);
+		await this.#requests.runPrefill(request);
+		const {handle, bytes} = this.kv.add(request);
+		this.#record(engineEvent.kvExported, request.id);
+		return {handle, bytes};
+	}
+
+	/** Takes in a KV cache of another engine, in the time that its bytes need. */
+	async importKv(record: KvRecord): Promise<KvHandle> {
+		this.#checkPhase('kv');
+		const incarnation = this.#incarnation;
+		await this.#timers.sleep(record.bytes / kvBytesPerMs * this.#getTimeFactor());
+		if (incarnation !== this.#incarnation) {
+			throw new BrokenAnswerError('the engine started anew during the import');
+		}
+
+		const {handle, bytes} = this.kv.import(record);
+		this.#record(engineEvent.kvImported, handle);
+		return {handle, bytes};
+	}
+
+	/** Takes an order. Throws `StaleFenceError` and `OrderRefusedError`. */
+	applyOrder(order: Order): EngineState {
+		this.#orders.apply(order);
+		return this.getState();
+	}
+
+	/** Returns the state of this moment. */
+	getState(): EngineState {
+		const {phase, setup, fence, lastOrder} = this.#orders;
+		return {
+			...setup, incarnation: this.#incarnation, phase, fence, lastOrder, running: this.#requests.list().length,
+		};
+	}
+
+	/** Returns the late load report. */
+	getLoad(): LoadReport {
+		return this.#loads.get();
+	}
+
+	/** Lists the cache events above a sequence that may be read by now. */
+	listCacheEvents(afterSequence: number): CacheEvents {
+		return {incarnation: this.#incarnation, events: this.#cache.listEvents(afterSequence)};
+	}
+
+	/** Crashes and starts anew at once: all requests, orders and caches are lost, and the incarnation rises. */
+	reset(): void {
+		this.#record(engineEvent.crashed, '');
+		this.#requests.abort('crashed');
+		this.#requests.forgetEnded();
+		this.#orders.reset();
+		this.#cache.reset();
+		this.kv.reset();
+		this.#incarnation = Math.max(this.#incarnation + 1, this.#timers.getWall());
+		this.#record(engineEvent.started, '');
+	}
+
+	/** Ends the engine's own timers. */
+	close(): void {
+		this.#loads.stop();
+		this.#scheduler.reset();
+		this.#orders.reset();
+	}
+
+	#onChange(): void {
+		this.#requests.abort('configured while it ran');
+		const delayMs = this.crashInChangeMs;
+		this.crashInChangeMs = undefined;
+		if (delayMs !== undefined) {
+			this.#timers.startTimer(delayMs, () => {
+				this.reset();
+			});
+		}
+	}
+
+	#checkTakes(request: GenerateRequest): void {
+		this.#checkPhase(request.id);
+		const {setup} = this.#orders;
+		if (request.model !== setup.model || request.version !== setup.version) {
+			this.#refuse(request.id, `the engine has ${setup.model} ${setup.version}`);
+		}
+
+		if (request.adapter !== undefined && !setup.adapters.includes(request.adapter)) {
+			this.#refuse(request.id, `the engine does not have the adapter ${request.adapter}`);
+		}
+
+		if (new Sequence(request, 0).pieces > this.#options.pieces) {
+			this.#refuse(request.id, 'the request is larger than the engine');
+		}
+
+		if (this.#scheduler.waiting.length >= this.#options.maxWaiting) {
+			this.#refuse(request.id, 'too many requests wait');
+		}
+	}
+
+	#checkPhase(id: string): void {
+		if (this.#orders.phase !== enginePhase.ready) {
+			this.#refuse(id, `the engine is ${this.#orders.phase}`);
+		}
+	}
+
+	#refuse(id: string, reason: string): never {
+		this.#record(engineEvent.requestRefused, id, {reason});
+		throw new NotRunError(reason);
+	}
+
+	#measureLoad(): Omit<LoadReport, 'sequence'> {
+		const sequences = this.#requests.list();
+		return {
+			incarnation: this.#incarnation,
+			role: this.#orders.setup.role,
+			running: this.#scheduler.running.size,
+			waiting: this.#scheduler.waiting.length,
+			prefillTokens: sequences.reduce((sum, sequence) => sum + sequence.prefillTokens, 0),
+			decodeTokens: sequences.reduce((sum, sequence) => sum + sequence.countRemaining(), 0),
+			piecesUsed: this.#scheduler.countPieces(),
+			pieces: this.#options.pieces,
+		};
+	}
+
+	#getTimeFactor(): number {
+		return this.#options.timeScale * this.slowFactor;
+	}
+
+	#record(event: EngineEvent, id: string, more: Partial<EngineRow> = {}): void {
+		this.journal.add({
+			event, at: this.#timers.getNow(), id, ...more,
+		});
+	}
+}
--- a/standins/engine/main.ts
+++ b/standins/engine/main.ts
@@ -1,6 +1,48 @@
 #!/usr/bin/env node
 import process from 'node:process';
-import {startEngine} from './engine.js';
+import {parseArgs} from 'node:util';
+import {request as sendRequest} from 'undici';
+import type {EngineRole} from '../../src/deployment/index.js';
+import {SystemTimers} from '../../src/timers/index.js';
+import {defaultEngineOptions} from './options.js';
+import {EngineShell} from './shell.js';
 
-/** The program of the engine's stand-in: takes `host:port`. */
-await startEngine(process.argv[2] ?? '127.0.0.1:7100');
+/** The program of the engine's stand-in: `engine/main.js 127.0.0.1:7101 --role decode --time-scale 0.1`. */
+const {values, positionals} = parseArgs({
+	allowPositionals: true,
+	options: {
+		role: {type: 'string', default: defaultEngineOptions.setup.role},
+		model: {type: 'string', default: defaultEngineOptions.setup.model},
+		version: {type: 'string', default: defaultEngineOptions.setup.version},
+		adapters: {type: 'string', default: ''},
+		pieces: {type: 'string', default: String(defaultEngineOptions.pieces)},
+		'time-scale': {type: 'string', default: '1'},
+		unfenced: {type: 'boolean', default: false},
+		/** Origin of the platform whose weight store limits the rate of loading. */
+		weights: {type: 'string'},
+	},
+});
+const timers = new SystemTimers();
+const {weights} = values;
+const timeScale = Number(values['time-scale']);
+const loadWeights = weights === undefined
+	? undefined
+	: async (bytes: number) => {
+		const answer = await sendRequest(`${weights}/weights`, {method: 'POST', body: JSON.stringify({bytes})});
+		const {waitMs} = await answer.body.json() as {waitMs: number};
+		await timers.sleep(waitMs * timeScale);
+	};
+
+const shell = new EngineShell(timers, {
+	...defaultEngineOptions,
+	setup: {
+		role: values.role as EngineRole,
+		model: values.model,
+		version: values.version,
+		adapters: values.adapters === '' ? [] : values.adapters.split(','),
+	},
+	pieces: Number(values.pieces),
+	timeScale,
+	isFenced: !values.unfenced,
+}, loadWeights);
+await shell.start(positionals[0] ?? '127.0.0.1:7100');
--- /dev/null
+++ b/standins/engine/requests.ts
@@ -0,0 +1,148 @@
+import {BrokenAnswerError} from '../../src/errors/index.js';
+import type {GenerateRequest} from '../../src/upstreams/index.js';
+import type {TimerService} from '../../src/timers/index.js';
+import {engineEvent} from './journal.js';
+import type {EngineEvent, EngineRow} from './journal.js';
+import type {Scheduler} from './scheduler.js';
+import {Sequence} from './sequence.js';
+import type {EventSink} from './sequence.js';
+
+/** Ended requests that can be read again by their id. */
+const maxEnded = 512;
+
+/** Closes one attachment to a request; the request is cancelled when nobody comes back for it in time. */
+export type Detach = () => void;
+
+/** Writes a row of the engine's journal. */
+export type RecordRow = (event: EngineEvent, id: string, more?: Partial<EngineRow>) => void;
+
+/** The requests that an engine has, and the ones that ended lately. */
+export class EngineRequests {
+	readonly #running = new Map<string, Sequence>();
+	readonly #prefills = new Set<Sequence>();
+	readonly #ended = new Map<string, Sequence>();
+	#order = 0;
+
+	constructor(
+		private readonly timers: TimerService,
+		private readonly scheduler: Scheduler,
+		private readonly graceMs: number,
+		private readonly record: RecordRow,
+	) {}
+
+	/** Finds a request that runs or ended lately. */
+	findSequence(id: string): Sequence | undefined {
+		return this.#running.get(id) ?? this.#ended.get(id);
+	}
+
+	/** Starts a request. */
+	start(request: GenerateRequest, sink: EventSink): Detach {
+		const sequence = new Sequence(request, this.#order++);
+		this.record(engineEvent.requestStarted, request.id, {offset: request.offset});
+		this.#running.set(request.id, sequence);
+		const detach = this.#setSink(sequence, sink);
+		this.scheduler.add(sequence);
+		return detach;
+	}
+
+	/** Reads a prompt without generating. Throws `BrokenAnswerError` when the engine drops it. */
+	async runPrefill(request: GenerateRequest): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			const sequence = new Sequence(request, this.#order++, reason => {
+				this.#prefills.delete(sequence);
+				if (reason === undefined) {
+					resolve();
+				} else {
+					reject(new BrokenAnswerError(reason));
+				}
+			});
+			this.#prefills.add(sequence);
+			this.scheduler.add(sequence);
+		});
+	}
+
+	/** Goes on with a request on another connection, from the offset that is asked for. */
+	resume(sequence: Sequence, request: GenerateRequest, sink: EventSink): Detach {
+		this.record(engineEvent.requestAttached, request.id, {offset: request.offset});
+		sequence.sink?.onCut('another connection came for the request');
+		for (let {offset} = request; offset < sequence.next; offset++) {
+			sink.onEvent(sequence.answer.getEvent(offset));
+		}
+
+		return this.#setSink(sequence, sink);
+	}
+
+	/** Cancels a request; does nothing when it does not run. */
+	cancel(id: string): void {
+		const sequence = this.#running.get(id);
+		if (sequence) {
+			this.record(engineEvent.requestCancelled, id, {offset: sequence.next});
+			this.#remove(sequence, 'cancelled');
+		}
+	}
+
+	/** Takes note that a sequence came to its end. */
+	finish(sequence: Sequence): void {
+		sequence.grace?.cancel();
+		if (sequence.onPrefilled) {
+			return;
+		}
+
+		const {id} = sequence.request;
+		this.#running.delete(id);
+		this.#ended.set(id, sequence);
+		const [oldest] = this.#ended.keys();
+		if (this.#ended.size > maxEnded && oldest !== undefined) {
+			this.#ended.delete(oldest);
+		}
+
+		this.record(engineEvent.requestEnded, id, {offset: sequence.answer.size, hash: sequence.answer.hashText()});
+	}
+
+	/** Ends everything unfinished. */
+	abort(reason: string): void {
+		for (const sequence of this.list()) {
+			this.record(engineEvent.requestCut, sequence.request.id, {offset: sequence.next, reason});
+			this.#remove(sequence, reason);
+		}
+	}
+
+	/** Forgets the ended requests, as a restart does. */
+	forgetEnded(): void {
+		this.#ended.clear();
+	}
+
+	/** Lists what has not ended. */
+	list(): readonly Sequence[] {
+		return [...this.#running.values(), ...this.#prefills];
+	}
+
+	#setSink(sequence: Sequence, sink: EventSink): Detach {
+		sequence.grace?.cancel();
+		sequence.sink = sink;
+		sequence.attachment++;
+		const {attachment} = sequence;
+		return () => {
+			if (sequence.attachment !== attachment || this.#running.get(sequence.request.id) !== sequence) {
+				return;
+			}
+
+			sequence.sink = undefined;
+			sequence.grace = this.timers.startTimer(this.graceMs, () => {
+				this.cancel(sequence.request.id);
+			});
+		};
+	}
+
+	#remove(sequence: Sequence, reason: string): void {
+		if (!sequence.onPrefilled) {
+			this.#running.delete(sequence.request.id);
+		}
+
+		this.scheduler.remove(sequence);
+		sequence.grace?.cancel();
+		sequence.sink?.onCut(reason);
+		sequence.sink = undefined;
+		sequence.onPrefilled?.(reason);
+	}
+}
--- /dev/null
+++ b/standins/engine/shell.ts
@@ -0,0 +1,203 @@
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import polka from 'polka';
+import type {Polka} from 'polka';
+import {request as sendRequest} from 'undici';
+import {NotRunError, OrderRefusedError, StaleFenceError} from '../../src/errors/index.js';
+import {enginePath, upstreamHeader} from '../../src/upstreams/index.js';
+import type {GenerateEvent, GenerateRequest, Order} from '../../src/upstreams/index.js';
+import type {TimerService} from '../../src/timers/index.js';
+import {readJson, sendJson, startListening} from '../http.js';
+import type {Listening} from '../http.js';
+import {EngineCore} from './core.js';
+import {EngineFaults} from './faults.js';
+import type {StreamFaults} from './faults.js';
+import type {KvRecord} from './kv.js';
+import type {EngineOptions} from './options.js';
+import type {EventSink} from './sequence.js';
+
+/** Path at which an engine hands out a KV cache to another. */
+const kvPath = '/v1/kv/held';
+
+/** Body of `POST /control`: faults that a test switches on. */
+export type EngineControl = {
+	/** Faults of the next answers, one set each. */
+	readonly streams?: readonly StreamFaults[];
+	/** Every connection that is open now goes silent for good; new ones work. */
+	readonly silence?: boolean;
+	/** Factor on the time of every step. */
+	readonly slowFactor?: number;
+	/** The next `configure` order ends in a crash after this time, in milliseconds. */
+	readonly crashInChangeMs?: number;
+	/** Crash now and start anew; the journal stays. */
+	readonly crash?: boolean;
+};
+
+/** An engine's stand-in over HTTP. */
+export class EngineShell {
+	readonly core: EngineCore;
+	readonly faults = new EngineFaults();
+	readonly #sockets = new Set<Socket>();
+	readonly #silent = new WeakSet<Socket>();
+
+	constructor(timers: TimerService, options: EngineOptions, loadWeights?: (bytes: number) => Promise<void>) {
+		this.core = new EngineCore(timers, options, loadWeights);
+	}
+
+	/** Listens at `address`, `host:port`. */
+	async start(address: string): Promise<Listening> {
+		const app = polka({
+			onError(error, _request, response) {
+				sendRefusal(response, error);
+			},
+		});
+		app.use((request, _response, next) => {
+			// A silent connection takes the request in and never answers it.
+			if (!this.#silent.has(request.socket)) {
+				void next();
+			}
+		});
+		app.post(enginePath.generate, async (request, response) => {
+			await this.#serveGenerate(request, response);
+		});
+		this.#addOrders(app);
+		this.#addKv(app);
+		this.#addReads(app);
+		const listening = await startListening(app, address);
+		const server = app.server as Server;
+		server.on('connection', socket => {
+			this.#sockets.add(socket);
+			socket.on('close', () => {
+				this.#sockets.delete(socket);
+			});
+		});
+		// Balancers and pools reuse connections; the default of five seconds closes them under a request.
+		server.keepAliveTimeout = 60_000;
+		return {
+			address: listening.address,
+			close: async () => {
+				this.core.close();
+				await listening.close();
+			},
+		};
+	}
+
+	/** Switches faults on. */
+	applyControl(control: EngineControl): void {
+		this.faults.streams.push(...control.streams ?? []);
+		this.core.slowFactor = control.slowFactor ?? this.core.slowFactor;
+		this.core.crashInChangeMs = control.crashInChangeMs ?? this.core.crashInChangeMs;
+		if (control.silence) {
+			for (const socket of this.#sockets) {
+				this.#silent.add(socket);
+			}
+		}
+
+		if (control.crash) {
+			this.core.reset();
+		}
+	}
+
+	async #serveGenerate(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const work = await readJson(request) as GenerateRequest;
+		const sink = this.faults.wrapSink(this.#createSink(response));
+		try {
+			const detach = this.core.startRequest(work, sink);
+			openStream(response);
+			response.on('close', detach);
+		} catch (error) {
+			sendRefusal(response, error);
+		}
+	}
+
+	#createSink(response: ServerResponse): EventSink {
+		return {
+			onEvent: (event: GenerateEvent) => {
+				if (response.destroyed || (response.socket && this.#silent.has(response.socket))) {
+					return;
+				}
+
+				openStream(response);
+				response.write(`id: ${event.offset}\ndata: ${JSON.stringify(event)}\n\n`);
+				if (event.kind === 'end') {
+					response.end();
+				}
+			},
+			onCut() {
+				response.destroy();
+			},
+		};
+	}
+
+	#addOrders(app: Polka): void {
+		app.post(enginePath.orders, async (request, response) => {
+			const order = await readJson(request) as Order;
+			sendJson(response, 200, this.core.applyOrder(order));
+		});
+		app.post(enginePath.cancel, async (request, response) => {
+			const {id} = await readJson(request) as {id: string};
+			this.core.cancelRequest(id);
+			sendJson(response, 200, {});
+		});
+		app.post('/control', async (request, response) => {
+			this.applyControl(await readJson(request) as EngineControl);
+			sendJson(response, 200, {});
+		});
+	}
+
+	#addKv(app: Polka): void {
+		app.post(enginePath.exportKv, async (request, response) => {
+			sendJson(response, 200, await this.core.exportKv(await readJson(request) as GenerateRequest));
+		});
+		app.post(enginePath.importKv, async (request, response) => {
+			const {source, handle} = await readJson(request) as {source: string; handle: string};
+			const found = await sendRequest(`http://${source}${kvPath}/${handle}`);
+			if (found.statusCode !== 200) {
+				throw new NotRunError(`${source} does not hold ${handle}`);
+			}
+
+			sendJson(response, 200, await this.core.importKv(await found.body.json() as KvRecord));
+		});
+		app.get(`${kvPath}/:handle`, (request, response) => {
+			const record = this.core.kv.findRecord(request.params.handle ?? '');
+			sendJson(response, record ? 200 : 404, record ?? {});
+		});
+	}
+
+	#addReads(app: Polka): void {
+		app.get(enginePath.state, (_request, response) => {
+			sendJson(response, 200, this.core.getState());
+		});
+		app.get(enginePath.load, (_request, response) => {
+			sendJson(response, 200, this.core.getLoad());
+		});
+		app.get(enginePath.cacheEvents, (request, response) => {
+			sendJson(response, 200, this.core.listCacheEvents(Number(request.query.after ?? 0)));
+		});
+		app.get('/journal', (_request, response) => {
+			sendJson(response, 200, {journal: this.core.journal.list(), dropped: this.core.journal.countDropped()});
+		});
+	}
+}
+
+function openStream(response: ServerResponse): void {
+	if (!response.headersSent) {
+		response.writeHead(200, {'content-type': 'text/event-stream'});
+		response.flushHeaders();
+	}
+}
+
+function sendRefusal(response: ServerResponse, error: unknown): void {
+	const message = error instanceof Error ? error.message : String(error);
+	if (response.headersSent) {
+		response.destroy();
+	} else if (error instanceof StaleFenceError) {
+		sendJson(response, 409, {message});
+	} else if (error instanceof OrderRefusedError) {
+		sendJson(response, 422, {message}, {[upstreamHeader.notRun]: '1'});
+	} else if (error instanceof NotRunError) {
+		sendJson(response, 503, {message}, {[upstreamHeader.notRun]: '1'});
+	} else {
+		sendJson(response, 500, {message});
+	}
+}
--- /dev/null
+++ b/standins/engine/test/core.test.ts
@@ -0,0 +1,160 @@
+import {expect} from 'chai';
+import {engineRole} from '../../../src/deployment/index.js';
+import {NotRunError} from '../../../src/errors/index.js';
+import {Answer, engineEvent, hashAnswerText} from '../index.js';
+import {
+	Collected, createEngine, createRequest, listRows,
+} from './help.js';
+
+describe('an engine', () => {
+	it('answers whole, the same on every engine, and journals the hash of the text', async () => {
+		const texts: string[] = [];
+		for (const role of Object.values(engineRole)) {
+			const {timers, core} = createEngine({
+				setup: {
+					role, model: 'contracts', version: '1', adapters: [],
+				},
+			});
+			const sink = new Collected();
+			core.startRequest(createRequest('r1'), sink);
+			await timers.advance(5000);
+			expect(sink.isWhole).to.equal(true);
+			expect(listRows(core, engineEvent.requestEnded)[0]?.hash).to.equal(hashAnswerText(sink.text));
+			texts.push(sink.text);
+			core.close();
+		}
+
+		expect(new Set(texts).size).to.equal(1);
+	});
+
+	it('goes on at an offset as any other engine would have', async () => {
+		const {timers, core} = createEngine();
+		const request = createRequest('r1', {offset: 7});
+		const sink = new Collected();
+		core.startRequest(request, sink);
+		await timers.advance(5000);
+		const answer = new Answer(request);
+		expect(sink.events).to.deep.equal(Array.from({length: answer.size - 6}, (_item, index) => answer.getEvent(index + 7)));
+		core.close();
+	});
+
+	it('attaches to a request that it holds, without running it again', async () => {
+		const {timers, core} = createEngine();
+		const request = createRequest('r1');
+		const first = new Collected();
+		const detach = core.startRequest(request, first);
+		await timers.advance(100);
+		expect(first.events.length).to.be.greaterThan(0);
+		detach();
+		const second = new Collected();
+		core.startRequest({...request, offset: first.events.length}, second);
+		await timers.advance(5000);
+		expect(second.isWhole).to.equal(true);
+		expect(hashAnswerText(first.text + second.text)).to.equal(listRows(core, engineEvent.requestEnded)[0]?.hash);
+		const third = new Collected();
+		core.startRequest(request, third);
+		expect(third.text).to.equal(first.text + second.text);
+		expect(listRows(core, engineEvent.requestStarted)).to.have.length(1);
+		core.close();
+	});
+
+	it('cancels a request when nobody comes back for it', async () => {
+		const {timers, core} = createEngine({graceMs: 500});
+		const detach = core.startRequest(createRequest('r1', {maxTokens: 2000}), new Collected());
+		await timers.advance(100);
+		detach();
+		await timers.advance(499);
+		expect(listRows(core, engineEvent.requestCancelled)).to.have.length(0);
+		await timers.advance(1);
+		expect(listRows(core, engineEvent.requestCancelled)).to.have.length(1);
+		expect(core.getState().running).to.equal(0);
+		core.close();
+	});
+
+	it('refuses as not run what it cannot take, and runs none of it', async () => {
+		const {timers, core} = createEngine({pieces: 4, maxWaiting: 1});
+		const refused = [{model: 'other'}, {version: '2'}, {adapter: 'none'}, {maxTokens: 5000}];
+		for (const more of refused) {
+			expect(() => core.startRequest(createRequest('bad', more), new Collected())).to.throw(NotRunError);
+		}
+
+		core.startRequest(createRequest('r1', {promptTokens: 3900}), new Collected());
+		core.startRequest(createRequest('r2', {promptTokens: 3900}), new Collected());
+		expect(() => core.startRequest(createRequest('r3'), new Collected())).to.throw(NotRunError);
+		await timers.advance(60_000);
+		expect(listRows(core, engineEvent.requestStarted).map(row => row.id)).to.deep.equal(['r1', 'r2']);
+		core.close();
+	});
+
+	it('takes the higher priority first when KV capacity is short', async () => {
+		const {timers, core} = createEngine({pieces: 4});
+		for (const [id, priority] of [['first', 0], ['low', 0], ['high', 5]] as const) {
+			core.startRequest(createRequest(id, {promptTokens: 3900, priority}), new Collected());
+		}
+
+		await timers.advance(60_000);
+		expect(listRows(core, engineEvent.requestEnded).map(row => row.id)).to.deep.equal(['first', 'high', 'low']);
+		core.close();
+	});
+
+	it('saves the prefill of a prefix that it holds, and tells so late and with gaps', async () => {
+		const {timers, core} = createEngine({cacheLagMs: 300});
+		const request = createRequest('r1', {promptTokens: 20_000});
+		const measure = async (id: string) => {
+			const start = timers.getNow();
+			let firstMs = 0;
+			core.startRequest({...request, id}, {
+				onEvent() {
+					firstMs ||= timers.getNow() - start;
+				},
+				onCut: () => undefined,
+			});
+			await timers.advance(299);
+			const early = core.listCacheEvents(0).events.length;
+			await timers.advance(10_000);
+			return {firstMs, early};
+		};
+
+		const cold = await measure('r1');
+		const warm = await measure('r2');
+		expect(warm.firstMs).to.be.lessThan(cold.firstMs / 5);
+		expect(cold.early).to.equal(0);
+		const sequences = core.listCacheEvents(0).events.map(event => event.sequence);
+		expect(sequences).to.have.length.greaterThan(50);
+		expect(sequences.at(-1)).to.be.greaterThan(sequences.length);
+		core.close();
+	});
+
+	it('saves the prefill by an imported KV cache of the same prompt only', async () => {
+		const {timers, core} = createEngine();
+		const other = createEngine();
+		const request = createRequest('r1', {promptTokens: 20_000});
+		const exported = other.core.exportKv(request);
+		await other.timers.advance(10_000);
+		const {handle: held} = await exported;
+		const record = other.core.kv.findRecord(held)!;
+		const imported = core.importKv(record);
+		await timers.advance(1000);
+		const {handle} = await imported;
+		const warm = new Collected();
+		const cold = new Collected();
+		core.startRequest({...request, kv: handle}, warm);
+		await timers.advance(100);
+		core.startRequest(createRequest('r2', {promptTokens: 20_000, kv: handle}), cold);
+		await timers.advance(100);
+		expect(warm.events.length).to.be.greaterThan(0);
+		expect(cold.events).to.have.length(0);
+		core.close();
+		other.core.close();
+	});
+
+	it('tells its load late', async () => {
+		const {timers, core} = createEngine({loadLagMs: 300});
+		core.startRequest(createRequest('r1', {maxTokens: 4000}), new Collected());
+		await timers.advance(250);
+		expect(core.getLoad().running).to.equal(0);
+		await timers.advance(250);
+		expect(core.getLoad().running).to.equal(1);
+		core.close();
+	});
+});
--- /dev/null
+++ b/standins/engine/test/help.ts
@@ -0,0 +1,48 @@
+import type {GenerateEvent, GenerateRequest} from '../../../src/upstreams/index.js';
+import {ManualTimers} from '../../../src/timers/index.js';
+import {defaultEngineOptions, EngineCore} from '../index.js';
+import type {EngineEvent, EngineOptions, EngineRow} from '../index.js';
+import type {EventSink} from '../sequence.js';
+
+/** An engine under moved time. */
+export function createEngine(options: Partial<EngineOptions> = {}): {readonly timers: ManualTimers; readonly core: EngineCore} {
+	const timers = new ManualTimers();
+	return {timers, core: new EngineCore(timers, {...defaultEngineOptions, ...options})};
+}
+
+/** A request of `promptTokens`, whose prompt starts with its id unless `prompt` says otherwise. */
+export function createRequest(id: string, more: Partial<GenerateRequest> = {}): GenerateRequest {
+	const promptTokens = more.promptTokens ?? 100;
+	return {
+		id, model: 'contracts', version: '1', prompt: `${id} `.padEnd(promptTokens * 4, 'x'), promptTokens, maxTokens: 20, offset: 0, priority: 0, ...more,
+	};
+}
+
+/** Collects what a connection gets. */
+export class Collected implements EventSink {
+	readonly events: GenerateEvent[] = [];
+	cut: string | undefined;
+
+	/** The text so far. */
+	get text(): string {
+		return this.events.map(event => event.kind === 'token' ? event.text : '').join('');
+	}
+
+	/** Whether the end marker came. */
+	get isWhole(): boolean {
+		return this.events.at(-1)?.kind === 'end';
+	}
+
+	onEvent(event: GenerateEvent): void {
+		this.events.push(event);
+	}
+
+	onCut(reason: string): void {
+		this.cut = reason;
+	}
+}
+
+/** Lists the journal's rows of some kinds. */
+export function listRows(core: EngineCore, ...events: EngineEvent[]): EngineRow[] {
+	return core.journal.list().filter(row => events.includes(row.event));
+}
--- a/standins/http.ts
+++ b/standins/http.ts
@@ -1,17 +1,63 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {Polka} from 'polka';
 
-/** Reads a JSON body. */
-export async function readJson(request: IncomingMessage): Promise<unknown> {
-	let text = '';
-	for await (const chunk of request) {
-		text += String(chunk);
+/** Longest body that a stand-in takes. */
+const maxBodyBytes = 16_000_000;
+
+/** A stand-in that listens. */
+export type Listening = {
+	/** Where it listens, `host:port`. */
+	readonly address: string;
+	/** Stops listening and cuts every connection. */
+	readonly close: () => Promise<void>;
+};
+
+/** Reads a body whole. Throws `RangeError` when it is too large. */
+export async function readBody(request: IncomingMessage): Promise<Uint8Array> {
+	const chunks: Uint8Array[] = [];
+	let size = 0;
+	for await (const chunk of request as AsyncIterable<Uint8Array>) {
+		size += chunk.length;
+		if (size > maxBodyBytes) {
+			throw new RangeError(`a body may have ${maxBodyBytes} bytes`);
+		}
+
+		chunks.push(chunk);
 	}
 
-	return JSON.parse(text) as unknown;
+	return Buffer.concat(chunks);
 }
 
-/** Sends a JSON answer. */
-export function sendJson(response: ServerResponse, status: number, body: unknown): void {
-	response.writeHead(status, {'content-type': 'application/json'});
+/** Reads a JSON body. */
+export async function readJson(request: IncomingMessage): Promise<unknown> {
+	return JSON.parse(new TextDecoder().decode(await readBody(request))) as unknown;
+}
+
+/** Sends a JSON body. */
+export function sendJson(response: ServerResponse, status: number, body: unknown, headers: Record<string, string> = {}): void {
+	response.writeHead(status, {'content-type': 'application/json', ...headers});
 	response.end(JSON.stringify(body));
 }
+
+/** Listens at `address`, `host:port`; port 0 takes a free one. */
+export async function startListening(app: Polka, address: string): Promise<Listening> {
+	const [host, port] = address.split(':');
+	await new Promise<void>(resolve => {
+		app.listen(Number(port), host, resolve);
+	});
+	const server = app.server as Server;
+	const found = server.address() as AddressInfo;
+	return {
+		address: `${found.address}:${found.port}`,
+		async close() {
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+				server.closeAllConnections();
+			});
+		},
+	};
+}
--- a/standins/platform/main.ts
+++ b/standins/platform/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import process from 'node:process';
-import {startPlatform} from './platform.js';
+import {SystemTimers} from '../../src/timers/index.js';
+import {PlatformShell} from './shell.js';
 
 /** The program of the platform's stand-in: takes `host:port`. */
-await startPlatform(process.argv[2] ?? '127.0.0.1:7000');
+await new PlatformShell(new SystemTimers()).start(process.argv[2] ?? '127.0.0.1:7000');
--- /dev/null
+++ b/standins/platform/shell.ts
@@ -0,0 +1,199 @@
+import type {ServerResponse} from 'node:http';
+import polka from 'polka';
+import type {Polka, Request} from 'polka';
+import type {TimerService} from '../../src/timers/index.js';
+import {readJson, sendJson, startListening} from '../http.js';
+import type {Listening} from '../http.js';
+import {CallLimits} from './limits.js';
+import type {CallKind} from './limits.js';
+import {PlatformState} from './state.js';
+import type {Entry} from './state.js';
+import {WeightRate} from './weights.js';
+
+const maxValueBytes = 1_000_000;
+const maxWatchMs = 60_000;
+
+/** Limits of the platform's stand-in. */
+export type PlatformOptions = {
+	readonly readsPerSecond: number;
+	readonly writesPerSecond: number;
+	readonly weightBytesPerMs: number;
+};
+
+/** Limits of the users' own platform. */
+export const defaultPlatformOptions: PlatformOptions = {readsPerSecond: 2000, writesPerSecond: 400, weightBytesPerMs: 8_000_000};
+
+/** Body of `POST /control`: faults that a test switches on and off. */
+export type PlatformControl = {
+	/** `refuse` answers 503 and has no effect; `silent` never answers and has no effect; `no` ends the outage. */
+	readonly down?: 'refuse' | 'silent' | 'no';
+	/** Added to every call, in milliseconds. */
+	readonly slowMs?: number;
+	/** How many of the next writes take effect and lose their answer. */
+	readonly loseAnswers?: number;
+	/** Time after which a change of the list of VMs can be read, in milliseconds. */
+	readonly vmLagMs?: number;
+};
+
+type Handler = (request: Request, response: ServerResponse) => Promise<void> | void;
+
+/** The platform's stand-in over HTTP. */
+export class PlatformShell {
+	readonly state: PlatformState;
+	readonly limits: CallLimits;
+	readonly #timers: TimerService;
+	readonly #weights: WeightRate;
+	readonly #waiting = new Set<ServerResponse>();
+	#down: Required<PlatformControl>['down'] = 'no';
+	#slowMs = 0;
+	#loseAnswers = 0;
+
+	constructor(timers: TimerService, options: PlatformOptions = defaultPlatformOptions) {
+		this.#timers = timers;
+		this.state = new PlatformState(timers);
+		this.limits = new CallLimits(timers, options.readsPerSecond, options.writesPerSecond);
+		this.#weights = new WeightRate(timers, options.weightBytesPerMs);
+	}
+
+	/** Listens at `address`, `host:port`. */
+	async start(address: string): Promise<Listening> {
+		const app = polka();
+		this.#addValues(app);
+		this.#addLeases(app);
+		app.get('/vms', this.#wrapCall('read', (_request, response) => {
+			sendJson(response, 200, {vms: this.state.getVms()});
+		}));
+		this.#addTestSide(app);
+		const listening = await startListening(app, address);
+		return listening;
+	}
+
+	/** Switches faults on and off. */
+	applyControl(control: PlatformControl): void {
+		this.#down = control.down ?? this.#down;
+		this.#slowMs = control.slowMs ?? this.#slowMs;
+		this.#loseAnswers = control.loseAnswers ?? this.#loseAnswers;
+		this.state.vmLagMs = control.vmLagMs ?? this.state.vmLagMs;
+		if (this.#down !== 'no') {
+			for (const response of this.#waiting) {
+				response.destroy();
+			}
+		}
+	}
+
+	#addValues(app: Polka): void {
+		app.get('/kv/:key', this.#wrapCall('read', (request, response) => {
+			const entry = this.state.findEntry(getName(request));
+			sendJson(response, entry ? 200 : 404, entry ?? {});
+		}));
+		app.put('/kv/:key', this.#wrapCall('write', async (request, response) => {
+			const {value, expectedRevision} = await readJson(request) as {value: string; expectedRevision: number};
+			if (value.length > maxValueBytes) {
+				sendJson(response, 413, {message: `a value may have ${maxValueBytes} bytes`});
+				return;
+			}
+
+			const {isWritten, revision} = this.state.write(getName(request), value, expectedRevision);
+			this.#sendWritten(response, isWritten, {revision});
+		}));
+		app.get('/watch/:key', this.#wrapCall('watch', (request, response) => {
+			this.#serveWatch(request, response);
+		}));
+	}
+
+	#addLeases(app: Polka): void {
+		app.post('/leases/:name', this.#wrapCall('write', async (request, response) => {
+			const {holder, ttlMs} = await readJson(request) as {holder: string; ttlMs: number};
+			const name = getName(request);
+			const found = this.state.acquire(name, holder, ttlMs);
+			this.#sendWritten(response, found === holder, {name, holder: found, ttlMs});
+		}));
+		app.delete('/leases/:name', this.#wrapCall('write', async (request, response) => {
+			const {holder} = await readJson(request) as {holder: string};
+			this.state.release(getName(request), holder);
+			this.#sendWritten(response, true, {});
+		}));
+	}
+
+	/** Calls of tests and of the engines, which are not counted. */
+	#addTestSide(app: Polka): void {
+		app.put('/vms', async (request, response) => {
+			const {vms} = await readJson(request) as {vms: unknown[]};
+			this.state.setVms(vms);
+			sendJson(response, 200, {});
+		});
+		app.post('/control', async (request, response) => {
+			this.applyControl(await readJson(request) as PlatformControl);
+			sendJson(response, 200, {});
+		});
+		app.post('/weights', async (request, response) => {
+			const {bytes} = await readJson(request) as {bytes: number};
+			sendJson(response, 200, {waitMs: this.#weights.take(bytes)});
+		});
+		app.get('/counts', (_request, response) => {
+			sendJson(response, 200, this.limits.counts);
+		});
+		app.get('/journal', (_request, response) => {
+			sendJson(response, 200, {journal: this.state.journal.list(), dropped: this.state.journal.countDropped()});
+		});
+	}
+
+	#wrapCall(kind: CallKind, handler: Handler): Handler {
+		return async (request, response) => {
+			if (!this.limits.tryCall(kind)) {
+				sendJson(response, 429, {message: 'too many calls'});
+				return;
+			}
+
+			if (this.#slowMs > 0) {
+				await this.#timers.sleep(this.#slowMs);
+			}
+
+			if (this.#down === 'refuse') {
+				sendJson(response, 503, {message: 'the store is down'});
+			} else if (this.#down === 'no') {
+				await handler(request, response);
+			}
+		};
+	}
+
+	#serveWatch(request: Request, response: ServerResponse): void {
+		const key = getName(request);
+		const after = Number(request.query.after);
+		const waitMs = Math.min(Number(request.query.wait), maxWatchMs);
+		const found = this.state.findEntry(key);
+		if (found && found.revision > after) {
+			sendJson(response, 200, found);
+			return;
+		}
+
+		const stop = this.state.subscribe(key, (entry: Entry) => {
+			stop();
+			sendJson(response, 200, entry);
+		});
+		const timer = this.#timers.startTimer(waitMs, () => {
+			response.writeHead(204).end();
+		});
+		this.#waiting.add(response);
+		response.on('close', () => {
+			stop();
+			timer.cancel();
+			this.#waiting.delete(response);
+		});
+	}
+
+	#sendWritten(response: ServerResponse, isWritten: boolean, body: unknown): void {
+		if (isWritten && this.#loseAnswers > 0) {
+			this.#loseAnswers--;
+			response.destroy();
+			return;
+		}
+
+		sendJson(response, isWritten ? 200 : 409, body);
+	}
+}
+
+function getName(request: Request): string {
+	// The router has decoded the path already.
+	return request.params.key ?? request.params.name ?? '';
+}
--- /dev/null
+++ b/standins/platform/test/shell.test.ts
@@ -0,0 +1,117 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {request as sendRequest} from 'undici';
+import {
+	LeaseHeldError, StoreConflictError, StoreUnavailableError, StoreUncertainError,
+} from '../../../src/errors/index.js';
+import {HttpStore, HttpVmList} from '../../../src/store/index.js';
+import {SystemTimers} from '../../../src/timers/index.js';
+import type {Listening} from '../../http.js';
+import {PlatformShell} from '../index.js';
+import type {PlatformOptions} from '../index.js';
+
+async function readValue(store: HttpStore): Promise<string | undefined> {
+	const found = await store.read('k');
+	return found?.value;
+}
+
+describe('the platform', () => {
+	const closers: Array<() => Promise<void>> = [];
+	const start = async (options?: PlatformOptions) => {
+		const shell = new PlatformShell(new SystemTimers(), options);
+		const listening: Listening = await shell.start('127.0.0.1:0');
+		const origin = `http://${listening.address}`;
+		const store = new HttpStore(origin);
+		const vms = new HttpVmList(origin);
+		closers.push(async () => store.close(), async () => vms.close(), listening.close);
+		return {
+			shell, origin, store, vms,
+		};
+	};
+
+	const getFailure = async (call: Promise<unknown>): Promise<unknown> => {
+		try {
+			await call;
+			return undefined;
+		} catch (error) {
+			return error;
+		}
+	};
+
+	afterEach(async () => {
+		for (const close of closers.splice(0)) {
+			await close();
+		}
+	});
+
+	it('lets one of two writers with the same revision through', async () => {
+		const {shell, store} = await start();
+		const first = await store.write('a/b c%', 'one', 0);
+		expect(await getFailure(store.write('a/b c%', 'two', 0))).to.be.instanceOf(StoreConflictError);
+		expect(await store.read('a/b c%')).to.deep.equal({value: 'one', revision: first});
+		expect(shell.state.journal.list().map(row => row.key)).to.deep.equal(['a/b c%']);
+	});
+
+	it('wakes a watch by a write, and counts it as one call', async () => {
+		const {shell, store} = await start();
+		const watch = store.watch('k', 0, 5000);
+		await sleep(20);
+		await store.write('k', 'v', 0);
+		const found = await watch;
+		expect(found?.value).to.equal('v');
+		expect(await store.watch('k', 1, 20)).to.equal(undefined);
+		expect(shell.limits.counts).to.deep.equal({
+			read: 0, write: 1, watch: 2, refused: 0,
+		});
+	});
+
+	it('gives a lease to one holder until its time is over', async () => {
+		const {store} = await start();
+		await store.acquire('l', 'a', 50);
+		expect(await getFailure(store.acquire('l', 'b', 50))).to.be.instanceOf(LeaseHeldError);
+		await sleep(70);
+		await store.acquire('l', 'b', 50);
+		await store.release('l', 'b');
+		await store.acquire('l', 'a', 50);
+	});
+
+	it('refuses calls above its rate', async () => {
+		const {store, shell} = await start({readsPerSecond: 3, writesPerSecond: 1, weightBytesPerMs: 1});
+		await store.write('k', 'v', 0);
+		expect(await getFailure(store.write('k', 'w', 1))).to.be.instanceOf(StoreUnavailableError);
+		expect(await readValue(store)).to.equal('v');
+		expect(shell.limits.counts.refused).to.equal(1);
+	});
+
+	it('loses the answer of a write that took effect, and has outages', async () => {
+		const {store, shell} = await start();
+		shell.applyControl({loseAnswers: 1});
+		expect(await getFailure(store.write('k', 'v', 0))).to.be.instanceOf(StoreUncertainError);
+		expect(await readValue(store)).to.equal('v');
+		shell.applyControl({down: 'refuse'});
+		expect(await getFailure(store.write('k', 'w', 1))).to.be.instanceOf(StoreUnavailableError);
+		shell.applyControl({down: 'no'});
+		expect(await readValue(store)).to.equal('v');
+	});
+
+	it('shows a change of the list of VMs late', async () => {
+		const {origin, vms, shell} = await start();
+		shell.applyControl({vmLagMs: 60});
+		await sendRequest(`${origin}/vms`, {method: 'PUT', body: JSON.stringify({vms: [{vm: 'vm-1'}]})});
+		expect(await vms.readVms()).to.deep.equal([]);
+		await sleep(90);
+		expect(await vms.readVms()).to.deep.equal([{vm: 'vm-1'}]);
+	});
+
+	it('makes loads of weights follow one another', async () => {
+		const {origin} = await start({readsPerSecond: 3, writesPerSecond: 1, weightBytesPerMs: 10});
+		const takeWait = async () => {
+			const answer = await sendRequest(`${origin}/weights`, {method: 'POST', body: JSON.stringify({bytes: 10_000})});
+			const {waitMs} = await answer.body.json() as {waitMs: number};
+			return waitMs;
+		};
+
+		expect(await takeWait()).to.be.closeTo(1000, 50);
+		expect(await takeWait()).to.be.closeTo(2000, 100);
+	});
+});
--- /dev/null
+++ b/standins/service/index.ts
@@ -0,0 +1,3 @@
+/** The stand-in of a plain application service. */
+export {ServiceShell} from './shell.js';
+export type {RunRow, ServiceControl} from './shell.js';
