--- a/src/entry/chat.ts
+++ b/src/entry/chat.ts
@@ -10,6 +10,7 @@
 import type {
 	CallHeaders, ChatAsk, ChunkWriter, CompletionHead, StreamJob, StreamParts,
 } from '../serving/index.js';
+import {listPrefixes} from '../upstreams/index.js';
 import type {EndEvent, GenerateEvent} from '../upstreams/index.js';
 import type {CallerParts} from './callers.js';
 import {CallerStream} from './callerstream.js';
@@ -173,7 +174,9 @@
 		adapter: ask.adapter,
 		promptTokens: Math.max(1, Math.ceil(ask.prompt.length / charactersPerToken)),
 		maxTokens: ask.maxTokens,
-		prefixes: [],
+		prefixes: listPrefixes({
+			model: service.model, version: service.version, adapter: ask.adapter, prompt: ask.prompt,
+		}),
 		priority: headers.priority,
 		firstTokenDue: now + Math.min(service.firstTokenMs, deadlineMs),
 		due: now + deadlineMs,
--- a/src/upstreams/index.ts
+++ b/src/upstreams/index.ts
@@ -10,3 +10,5 @@
 export {HttpEngine} from './enginehttp.js';
 export {readServerEvents} from './sse.js';
 export {isNeverSent} from './sent.js';
+export {blockTokens, listPrefixes} from './prefixes.js';
+export type {PrefixSource} from './prefixes.js';
