--- a/src/authority/orders.ts
+++ b/src/authority/orders.ts
@@ -21,7 +21,7 @@
 Gives an engine a new order: the intention is written, the authority checked, the order sent and confirmed from the
 engine's own state. A failure after the intention leaves it open, for {@link settleOrder}.
 */
-export function * giveOrder(term: Term, subject: Subject, wanted: NewOrder): Procedure<void> {
+export function * runOrder(term: Term, subject: Subject, wanted: NewOrder): Procedure<void> {
 	const {id, known} = subject;
 	const {kind, target} = wanted;
 	const order: OrderNote = {
@@ -38,11 +38,11 @@
 		throw error;
 	}
 
-	yield * sendOrder(term, subject, {order, send});
+	yield * sendIntended(term, subject, {order, send});
 }
 
 /** Sends the open order of an unfenced engine once more, unchanged. */
-export function * repeatOrder(term: Term, subject: Subject, order: OrderNote): Procedure<void> {
+export function * sendOrderAgain(term: Term, subject: Subject, order: OrderNote): Procedure<void> {
 	const send = term.claims.open(subject.id);
 	try {
 		yield * callStep(`write the repeat of ${order.kind}`, async () => term.book.update(record => updateUpstream(record, subject.id, known => addRepeat(known, order.id, send))));
@@ -51,11 +51,11 @@
 		throw error;
 	}
 
-	yield * sendOrder(term, subject, {order, send});
+	yield * sendIntended(term, subject, {order, send});
 }
 
 /** Makes a fenced engine refuse every order with an older fencing number. */
-export function * sealEngine(term: Term, {id, known}: Subject): Procedure<void> {
+export function * applySeal(term: Term, {id, known}: Subject): Procedure<void> {
 	const {fence} = term.book.record;
 	yield * callStep('check the authority to seal', () => {
 		term.checkHeld();
@@ -67,7 +67,7 @@
 /** Brings an open order to its end: its effect is seen at the engine, or it can have none any more, or it has to be sent again. */
 export function * settleOrder(term: Term, subject: Subject, order: OrderNote): Procedure<string> {
 	if (subject.known.isFenced && !term.answered.has(order.id)) {
-		yield * sealAgainst(term, subject, order);
+		yield * refuseLateSends(term, subject, order);
 	}
 
 	const state = yield * callStep('read the engine to settle', async () => term.getEngine(subject.id, subject.known).readState());
@@ -84,7 +84,7 @@
 	return state.lastOrder === order.id;
 }
 
-function * sendOrder(term: Term, subject: Subject, {order, send}: Attempt): Procedure<void> {
+function * sendIntended(term: Term, subject: Subject, {order, send}: Attempt): Procedure<void> {
 	const engine = term.getEngine(subject.id, subject.known);
 	const {
 		id, fence, kind, target,
@@ -102,7 +102,7 @@
 		});
 	} catch (error) {
 		onSendFailed(term, send, isSent ? error : new NotRunError('the order was not sent', {cause: error}));
-		yield * dropRefused(term, subject, {order, send}, isSent ? error : undefined);
+		yield * forgetRefused(term, subject, {order, send}, isSent ? error : undefined);
 		throw error;
 	}
 
@@ -134,20 +134,20 @@
 }
 
 /** An order that never left, or that the engine refused, is taken out of the record. */
-function * dropRefused(term: Term, {id}: Subject, {order}: Attempt, error: unknown): Procedure<void> {
+function * forgetRefused(term: Term, {id}: Subject, {order}: Attempt, error: unknown): Procedure<void> {
 	const isOver = error instanceof NotRunError || error instanceof OrderRefusedError;
 	if (isOver && order.sends === 1) {
 		yield * callStep('write the refusal', async () => term.book.update(record => updateUpstream(record, id, known => forgetOrder(term, known, order))));
 	}
 }
 
-function * sealAgainst(term: Term, subject: Subject, order: OrderNote): Procedure<void> {
+function * refuseLateSends(term: Term, subject: Subject, order: OrderNote): Procedure<void> {
 	if (order.fence >= term.book.record.fence) {
 		// An answer of this very term was lost: only a higher fence keeps a late copy of that order out.
 		yield * callStep('raise the fence', async () => term.book.update(record => ({...record, fence: record.fence + 1})));
 	}
 
-	yield * sealEngine(term, subject);
+	yield * applySeal(term, subject);
 }
 
 function * writeConfirmed(term: Term, {id}: Subject, order: OrderNote): Procedure<string> {
--- a/src/authority/reconcile.ts
+++ b/src/authority/reconcile.ts
@@ -7,7 +7,7 @@
 import {decideAction} from './decide.js';
 import type {Action, UpstreamView} from './decide.js';
 import {
-	giveOrder, repeatOrder, sealEngine, settleOrder,
+	runOrder, sendOrderAgain, applySeal, settleOrder,
 } from './orders.js';
 import {removeSenders, updateUpstream} from './record.js';
 import type {Subject, Term} from './term.js';
@@ -27,7 +27,7 @@
 const goOn: PassResult = {isSteady: false, waitsFor: ''};
 
 /** Brings one upstream a single action nearer to what it should be. */
-export function * reconcileUpstream(term: Term, id: string, surroundings: Surroundings): Procedure<PassResult> {
+export function * advanceUpstream(term: Term, id: string, surroundings: Surroundings): Procedure<PassResult> {
 	const recorded = term.book.record.upstreams[id];
 	if (!recorded) {
 		return steady;
@@ -73,19 +73,19 @@
 		}
 
 		case 'seal': {
-			yield * sealEngine(term, subject);
+			yield * applySeal(term, subject);
 			return goOn;
 		}
 
 		case 'repeat': {
 			term.recordUpstream(id, {kind: 'order', detail: `${action.order.kind} ${action.order.id} once more`});
-			yield * repeatOrder(term, subject, action.order);
+			yield * sendOrderAgain(term, subject, action.order);
 			return goOn;
 		}
 
 		case 'order': {
 			term.recordUpstream(id, {kind: 'order', detail: formatOrder(action)});
-			yield * giveOrder(term, subject, {
+			yield * runOrder(term, subject, {
 				kind: action.order, target: action.target, state: action.order === orderKind.configure ? upstreamState.away : undefined,
 			});
 			return goOn;
--- a/src/authority/repair.ts
+++ b/src/authority/repair.ts
@@ -7,7 +7,7 @@
 import type {StepHooks} from '../procedures/index.js';
 import type {TimerService} from '../timers/index.js';
 import {explainFloor} from './floor.js';
-import {reconcileUpstream} from './reconcile.js';
+import {advanceUpstream} from './reconcile.js';
 import type {PassResult} from './reconcile.js';
 import {updateUpstream} from './record.js';
 import type {DomainRecord} from './record.js';
@@ -62,7 +62,7 @@
 	}
 
 	/** Looks at an upstream at the next turn instead of at its time. */
-	wake(id: string): void {
+	resume(id: string): void {
 		const progress = this.#progress.get(id);
 		if (progress?.failures === 0) {
 			progress.due = 0;
@@ -92,7 +92,7 @@
 		if (version !== this.#configuration || applyText(book.record, deployment, this.#options.term.domain, version) !== book.record) {
 			await book.update(record => applyText(record, deployment, this.#options.term.domain, version));
 			this.#configuration = version;
-			this.#wakeAll();
+			this.#resumeAll();
 		}
 
 		await this.#planRole(deployment);
@@ -114,7 +114,7 @@
 		this.#unsubscribe();
 	}
 
-	#wakeAll(): void {
+	#resumeAll(): void {
 		for (const progress of this.#progress.values()) {
 			progress.due = 0;
 		}
@@ -123,7 +123,7 @@
 	#onLoad({key, value}: Fact<'load'>): void {
 		if (this.#incarnations.get(key) !== value.incarnation) {
 			this.#incarnations.set(key, value.incarnation);
-			this.wake(key);
+			this.resume(key);
 		}
 	}
 
@@ -143,7 +143,7 @@
 		try {
 			const known = term.book.record.upstreams[id];
 			if (!this.#isStopped && known) {
-				const result = await runProcedure(reconcileUpstream(term, id, {
+				const result = await runProcedure(advanceUpstream(term, id, {
 					wanted: computeWanted(deployment, term.domain, id, known),
 					waiting: this.#options.listWaiting(id),
 					floor: explainFloor(deployment, term.book.record, id, term.domain),
@@ -199,7 +199,7 @@
 
 		term.recordUpstream(change.upstream, {kind: 'planned', detail: `${change.role}: ${change.reason}`});
 		await term.book.update(before => updateUpstream(before, change.upstream, known => ({...known, role: change.role})));
-		this.wake(change.upstream);
+		this.resume(change.upstream);
 	}
 
 	#isAllowed(record: DomainRecord, id: string, deployment: Deployment): boolean {
--- a/src/authority/tenure.ts
+++ b/src/authority/tenure.ts
@@ -182,8 +182,8 @@
 			}
 
 			await this.#book.update(before => decide(before).record);
-			this.#repair.wake(operation.subject);
-			this.#repair.wake(operation.replacement ?? '');
+			this.#repair.resume(operation.subject);
+			this.#repair.resume(operation.replacement ?? '');
 		}
 
 		return decision.progress;
