Start the authority in each entry and settle by state before the seal

Cause: the stand-in engine notes a seal as its last order and refuses one while it is away; settling reads first, then seals, then reads. Ruled out: sealing an engine that is away (refused, a backoff for nothing). Before: the demo answered at once with no authority. With it the first chat was refused (503 no_upstream) until the engine was seen; the demo now waits for that.

--- a/rigs/demo.ts
+++ b/rigs/demo.ts
@@ -2,7 +2,7 @@
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import {Rig, waitForOk} from './rig.js';
+import {Rig, waitForOk, waitForServing} from './rig.js';
 import {createChat, createClient} from './wire.js';
 
 /** Starts a thin deployment on loopback and sends one request through it. */
@@ -45,6 +45,8 @@
 	await waitForOk('http://127.0.0.1:8001/readyz');
 	const client = createClient('http://127.0.0.1:8001', 'cafe-12');
 	const chat = createChat('contracts', 'Is the deposit late?', 20);
+	// At a first start the engine takes work once the domain's authority has seen how it is set up.
+	await waitForServing(async () => client.chat.completions.create(chat));
 	const whole = await client.chat.completions.create(chat);
 	const stream = await client.chat.completions.create({...chat, stream: true});
 	let streamed = '';
--- a/rigs/rig.ts
+++ b/rigs/rig.ts
@@ -48,3 +48,22 @@
 		});
 	}
 }
+
+/** Waits until `send` is not refused with status 503 any more. */
+export async function waitForServing(send: () => Promise<unknown>, timeoutMs = 10_000): Promise<void> {
+	const end = Date.now() + timeoutMs;
+	for (;;) {
+		try {
+			await send();
+			return;
+		} catch (error) {
+			if ((error as {status?: number}).status !== 503 || Date.now() > end) {
+				throw error;
+			}
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 100);
+		});
+	}
+}
--- a/src/authority/decide.ts
+++ b/src/authority/decide.ts
@@ -49,14 +49,14 @@
 		return decideSilent(view);
 	}
 
-	if (known.isFenced && state.fence < fence) {
-		return {kind: 'seal'};
-	}
-
 	if (state.phase === enginePhase.away) {
 		return isServing(known) ? createMark(upstreamState.away, false, 'the engine is away') : {kind: 'wait', detail: 'the engine is away'};
 	}
 
+	if (known.isFenced && state.fence < fence) {
+		return {kind: 'seal'};
+	}
+
 	return view.wanted.out ? decideOut(view, state) : decideIn(view, state);
 }
 
--- a/src/authority/orders.ts
+++ b/src/authority/orders.ts
@@ -11,6 +11,7 @@
 } from './record.js';
 import type {OrderNote, UpstreamRecord} from './record.js';
 import type {Subject, Term} from './term.js';
+import {isSetUp} from './wanted.js';
 
 /** A new order to one engine; `state` is written with its intention. */
 export type NewOrder = {readonly kind: OrderKind; readonly target?: EngineTarget; readonly state?: UpstreamState};
@@ -64,26 +65,50 @@
 	term.countOrder('sealed');
 }
 
+/** How an attempt to settle an order ended. */
+export type Settlement = {readonly isSettled: boolean; readonly detail: string};
+
 /** Brings an open order to its end: its effect is seen at the engine, or it can have none any more, or it has to be sent again. */
-export function * settleOrder(term: Term, subject: Subject, order: OrderNote): Procedure<string> {
+export function * settleOrder(term: Term, subject: Subject, order: OrderNote): Procedure<Settlement> {
+	const before = yield * readToSettle(term, subject);
+	if (before.phase === enginePhase.away) {
+		return {isSettled: false, detail: 'the engine is away'};
+	}
+
+	let state = before;
 	if (subject.known.isFenced && !term.answered.has(order.id)) {
 		yield * refuseLateSends(term, subject, order);
+		state = yield * readToSettle(term, subject);
 	}
 
-	const state = yield * callStep('read the engine to settle', async () => term.getEngine(subject.id, subject.known).readState());
-	term.claims.onIncarnation(subject.id, state.incarnation);
 	if (state.phase === enginePhase.away) {
-		return 'the engine is away';
+		return {isSettled: false, detail: 'the engine is away'};
 	}
 
-	return isTaken(order, state) ? yield * writeConfirmed(term, subject, order) : yield * settleUntaken(term, subject, order);
+	const hasEffect = isTaken(order, before) || isTaken(order, state) || (subject.known.isFenced && isAsOrdered(order, state));
+	const detail = hasEffect ? yield * writeConfirmed(term, subject, order) : yield * settleUntaken(term, subject, order);
+	return {isSettled: true, detail};
 }
 
-/** Asks whether the engine's own state shows the order's effect. */
+/** Asks whether the engine's own state names the order as the last that took effect. */
 export function isTaken(order: OrderNote, state: EngineState): boolean {
 	return state.lastOrder === order.id;
 }
 
+function isAsOrdered({kind, target}: OrderNote, state: EngineState): boolean {
+	if (kind === orderKind.configure) {
+		return target !== undefined && isSetUp(state, target);
+	}
+
+	return state.phase === (kind === orderKind.drain ? enginePhase.draining : enginePhase.ready);
+}
+
+function * readToSettle(term: Term, {id, known}: Subject): Procedure<EngineState> {
+	const state = yield * callStep('read the engine to settle', async () => term.getEngine(id, known).readState());
+	term.claims.onIncarnation(id, state.incarnation);
+	return state;
+}
+
 function * sendIntended(term: Term, subject: Subject, {order, send}: Attempt): Procedure<void> {
 	const engine = term.getEngine(subject.id, subject.known);
 	const {
--- a/src/authority/reconcile.ts
+++ b/src/authority/reconcile.ts
@@ -67,8 +67,12 @@
 		}
 
 		case 'settle': {
-			const outcome = yield * settleOrder(term, subject, action.order);
-			term.recordUpstream(id, {kind: 'settled', detail: `${action.order.kind} ${action.order.id}: ${outcome}`});
+			const {isSettled, detail} = yield * settleOrder(term, subject, action.order);
+			if (!isSettled) {
+				return {isSteady: false, waitsFor: detail};
+			}
+
+			term.recordUpstream(id, {kind: 'settled', detail: `${action.order.kind} ${action.order.id}: ${detail}`});
 			return goOn;
 		}
 
--- /dev/null
+++ b/src/entry/authority.ts
@@ -0,0 +1,45 @@
+import {randomUUID} from 'node:crypto';
+import {Authority} from '../authority/index.js';
+import {KeepRolesPlanner} from '../planning/index.js';
+import type {RolePlanner} from '../planning/index.js';
+import {HttpEngine} from '../upstreams/index.js';
+import type {EntryParts} from './parts.js';
+import type {GracefulStop} from './stop.js';
+
+/**
+Starts this entry's part in the authority over its own failure domain. The lease is given up as the last task of a
+graceful stop, so this is called after every other last task was added.
+*/
+export function startAuthority(parts: EntryParts & {readonly stop: GracefulStop}, planner: RolePlanner = new KeepRolesPlanner()): Authority {
+	const {settings, timers} = parts;
+	const engines = new Map<string, HttpEngine>();
+	const authority = new Authority({
+		vm: settings.vm,
+		domain: settings.domain,
+		incarnation: parts.facts.get('member', settings.vm)?.value.incarnation ?? Math.floor(timers.getWall()),
+		store: parts.store,
+		vms: parts.vms,
+		timers,
+		facts: parts.facts,
+		history: parts.history,
+		metrics: parts.metrics,
+		planner,
+		getDeployment: parts.getDeployment,
+		getEngine(_id, address) {
+			// Orders have connections of their own: a crowd of streams never delays them.
+			const engine = engines.get(address) ?? new HttpEngine(address);
+			engines.set(address, engine);
+			return engine;
+		},
+		random: () => Math.random(),
+		createId: () => randomUUID(),
+	});
+	authority.start();
+	parts.stop.addLastTask({
+		name: 'give up the lease',
+		async run() {
+			await authority.stop();
+		},
+	});
+	return authority;
+}
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -11,6 +11,7 @@
 } from '../store/index.js';
 import {SystemTimers} from '../timers/index.js';
 import {HttpEngine} from '../upstreams/index.js';
+import {startAuthority} from './authority.js';
 import {
 	addCallerRoutes, createCallers, setServerTimeouts, subscribeSignals,
 } from './callers.js';
@@ -34,6 +35,7 @@
 	});
 	setServerTimeouts(app.server as Server);
 	subscribeSignals(callers, app.server as Server);
+	startAuthority(callers);
 	return callers.stop;
 }
 
--- /dev/null
+++ b/src/planning/keep.ts
@@ -0,0 +1,9 @@
+import {RolePlanner} from './planner.js';
+import type {RoleChange} from './planner.js';
+
+/** Keeps every engine in the role that it has. */
+export class KeepRolesPlanner extends RolePlanner {
+	planChange(): RoleChange | undefined {
+		return undefined;
+	}
+}
