Fault every step of the authority's procedures, and read released sends anew

Ruled out: the release itself failing (the store had it). The holder now reads the record anew while foreign sends stand in it.

--- a/faults/fakes/domain.ts
+++ b/faults/fakes/domain.ts
@@ -55,6 +55,8 @@
 	readonly entries: FakeEntry[] = [];
 	/** What must never be seen. */
 	readonly violations: string[] = [];
+	/** VMs of the entries killed for good. */
+	readonly killed: string[] = [];
 	/** Changes of role that the plan wants. */
 	readonly plan: RoleChange[] = [];
 	readonly random: RandomSource;
@@ -115,6 +117,7 @@
 	/** Kills an entry for good; the platform's list notices it a while later. */
 	abort(entry: FakeEntry): void {
 		entry.gate.stop();
+		this.killed.push(entry.vm);
 		this.timers.startTimer(listLagMs, () => {
 			this.platform.vms = this.platform.vms.filter(({vm}) => vm !== entry.vm);
 		});
@@ -152,7 +155,8 @@
 		}
 
 		const text = this.#findText();
-		return text.upstreams.every(({id}) => this.#isAsWanted(id, text, operations, record));
+		const isListed = (id: string) => text.upstreams.some(upstream => upstream.id === id);
+		return Object.keys(record.upstreams).every(id => isListed(id)) && text.upstreams.every(({id}) => this.#isAsWanted(id, text, operations, record));
 	}
 
 	/** Says where things stand, for failures. */
--- a/faults/fakes/orders.ts
+++ b/faults/fakes/orders.ts
@@ -62,7 +62,8 @@
 
 	/** Starts a request unless new work is refused, and says whether it did. */
 	startWork(id: string): boolean {
-		if (this.isDown || this.#state.phase !== enginePhase.ready) {
+		const isRefused = this.#state.phase === enginePhase.away || (this.#options.hasDrain && this.#state.phase === enginePhase.draining);
+		if (this.isDown || isRefused) {
 			return false;
 		}
 
@@ -127,7 +128,7 @@
 
 	#applyKind({id, kind, target}: Order): void {
 		this.#state = {...this.#state, lastOrder: id};
-		if (kind === orderKind.drain && this.#options.hasDrain) {
+		if (kind === orderKind.drain) {
 			this.#state = {...this.#state, phase: enginePhase.draining};
 		} else if (kind === orderKind.resume) {
 			this.#state = {...this.#state, phase: enginePhase.ready};
--- /dev/null
+++ b/faults/rows/authority.ts
@@ -0,0 +1,65 @@
+import {isOrderStep, isWriteStep} from '../authority/inject.js';
+import {procedures, settling} from '../authority/procedures.js';
+import type {FaultedProcedure} from '../authority/procedures.js';
+import {runFault} from '../authority/run.js';
+import {faultName, pointName} from '../matrix.js';
+import type {Cell, FaultName, PointName} from '../matrix.js';
+
+const faults = [
+	faultName.killBefore,
+	faultName.killAfter,
+	faultName.freeze,
+	faultName.freezePastLease,
+	faultName.platformDown,
+	faultName.platformSlow,
+	faultName.cutPlatform,
+	faultName.cutPeers,
+	faultName.answerLost,
+	faultName.crossedAnswer,
+	faultName.engineCrash,
+	faultName.operatorRace,
+	faultName.pair,
+] as const;
+
+/** Lists every fault at every step of every procedure of the authority, over fenced and unfenced engines. */
+export function listAuthorityCells(): readonly Cell[] {
+	return [
+		...[...procedures, settling].flatMap(procedure => listProcedureCells(procedure, true)),
+		...procedures.flatMap(procedure => listProcedureCells(procedure, false)),
+	];
+}
+
+function listProcedureCells(procedure: FaultedProcedure, isFenced: boolean): readonly Cell[] {
+	return [...new Set(procedure.steps)].flatMap(step => faults.map(fault => createCell(procedure, step, fault, isFenced)));
+}
+
+function createCell(procedure: FaultedProcedure, step: string, fault: FaultName, isFenced: boolean): Cell {
+	return {
+		point: getPoint(fault),
+		procedure: `${procedure.name} (${isFenced ? 'fenced' : 'unfenced'})`,
+		step,
+		fault,
+		async run(context) {
+			await runFault({
+				procedure, step, fault, isFenced,
+			}, context);
+		},
+		notApplicable: explainNotApplicable(step, fault),
+	};
+}
+
+function explainNotApplicable(step: string, fault: FaultName): string | undefined {
+	if (fault === faultName.answerLost && !isWriteStep(step) && !isOrderStep(step)) {
+		return 'the step changes nothing outside the process';
+	}
+
+	return fault === faultName.crossedAnswer && !isOrderStep(step) ? 'the step sends nothing to an engine' : undefined;
+}
+
+function getPoint(fault: FaultName): PointName {
+	if (fault === faultName.freezePastLease || fault === faultName.pair) {
+		return pointName.lostAuthority;
+	}
+
+	return fault === faultName.cutPeers || fault === faultName.freeze ? pointName.notCut : pointName.conflictingOrders;
+}
--- a/src/authority/book.ts
+++ b/src/authority/book.ts
@@ -16,7 +16,8 @@
 export type RecordListener = (record: DomainRecord, revision: number) => void;
 
 type Waiting = {
-	readonly change: RecordChange;
+	/** Absent to read the record anew. */
+	readonly change?: RecordChange;
 	readonly onDone: (revision: number) => void;
 	readonly onFailed: (error: unknown) => void;
 };
@@ -73,6 +74,20 @@
 
 	/** Makes one change and returns the revision that it got. */
 	async update(change: RecordChange): Promise<number> {
+		return this.#push(change);
+	}
+
+	/** Reads the record anew, as an earlier holder may have released its sends there. */
+	async refresh(): Promise<void> {
+		await this.#push();
+	}
+
+	/** Refuses every later change of this term. */
+	close(): void {
+		this.#isLost = true;
+	}
+
+	async #push(change?: RecordChange): Promise<number> {
 		if (this.#waiting.length >= maxWaiting) {
 			throw new StoreConflictError(`${maxWaiting} changes of the order record wait`);
 		}
@@ -83,11 +98,6 @@
 		});
 	}
 
-	/** Refuses every later change of this term. */
-	close(): void {
-		this.#isLost = true;
-	}
-
 	async #writeWaiting(): Promise<void> {
 		if (this.#isWriting) {
 			return;
@@ -107,6 +117,10 @@
 		let left = batch;
 		for (let count = 0; count < maxTries; count++) {
 			try {
+				if (left.some(({change}) => change === undefined)) {
+					await this.#read();
+				}
+
 				this.#checkHeld();
 				const applied = applyBatch(this.#record, left);
 				left = applied.left;
@@ -155,6 +169,13 @@
 		this.#options.onWritten(this.#record, this.#revision);
 	}
 
+	async #read(): Promise<void> {
+		const found = await this.#options.store.read(storeKey.orders(this.#options.domain));
+		if (!this.#isLost && found?.revision !== this.#revision) {
+			this.#onForeign(found);
+		}
+	}
+
 	#onForeign(found: Versioned | undefined): void {
 		const {fence} = this.#record;
 		this.#take(found);
@@ -180,7 +201,7 @@
 	let changed = record;
 	for (const waiting of batch) {
 		try {
-			changed = waiting.change(changed);
+			changed = waiting.change?.(changed) ?? changed;
 			left.push(waiting);
 		} catch (error) {
 			waiting.onFailed(error);
--- a/src/authority/tenure.ts
+++ b/src/authority/tenure.ts
@@ -29,6 +29,7 @@
 const vmListMs = 2000;
 const operationsWaitMs = 10_000;
 const retryMs = 500;
+const sendersMs = 2000;
 /** An entry that is not on the VM list is waited for until it was silent this long, in milliseconds. */
 const silenceMs = 10_000;
 
@@ -43,6 +44,7 @@
 	#operations: readonly Operation[] = [];
 	#vms: readonly VmRecord[] | undefined;
 	#isTaken = false;
+	#refreshedAt = 0;
 
 	constructor(parts: TenureParts) {
 		this.#parts = parts;
@@ -133,6 +135,7 @@
 
 	async #advance(): Promise<void> {
 		try {
+			await this.#refreshSenders();
 			await this.#applyOperations();
 			await this.#repair.advance();
 		} catch (error) {
@@ -141,6 +144,16 @@
 		}
 	}
 
+	/** While sends of earlier holders may still arrive, looks whether these have released them. */
+	async #refreshSenders(): Promise<void> {
+		const now = this.#parts.options.timers.getNow();
+		const hasSenders = Object.values(this.#book.record.upstreams).some(({senders}) => senders.some(send => !send.startsWith(`${this.#parts.holder}#`)));
+		if (hasSenders && now - this.#refreshedAt >= sendersMs) {
+			this.#refreshedAt = now;
+			await this.#book.refresh();
+		}
+	}
+
 	/** Carries the operators' wishes into the record, then tells how far they are. */
 	async #applyOperations(): Promise<void> {
 		const progress = new Map<string, OperationProgress>();
