Fault other entries during a drain: long requests, freezes, cuts, a forgotten entry that wakes

Cause: neither the barrier nor the engines' drain order was red when taken out, as no cell met the gap they close. Ruled out: more random requests in every cell (slow, and a hit is chance). Cells bring the gap about themselves.

--- a/faults/fakes/domain.ts
+++ b/faults/fakes/domain.ts
@@ -63,6 +63,7 @@
 	readonly #options: FakeDomainOptions;
 	readonly #roles = new Map<string, EngineRole>();
 	readonly #stopped = new Set<string>();
+	#read: {readonly revision: number; readonly record: DomainRecord} | undefined;
 	#version = 0;
 
 	constructor(options: FakeDomainOptions) {
@@ -131,7 +132,11 @@
 	/** Reads the order record as it stands. */
 	readRecord(): DomainRecord | undefined {
 		const found = this.platform.values.get(storeKey.orders(domainName));
-		return found && JSON.parse(found.value) as DomainRecord;
+		if (found && this.#read?.revision !== found.revision) {
+			this.#read = {revision: found.revision, record: JSON.parse(found.value) as DomainRecord};
+		}
+
+		return this.#read?.record;
 	}
 
 	/** Moves time in small pieces until `check` holds. Throws when it does not within `limitMs`. */
--- a/faults/fakes/entry.ts
+++ b/faults/fakes/entry.ts
@@ -102,6 +102,7 @@
 	readonly #options: FakeEntryOptions;
 	readonly #timers: ProcessTimers;
 	readonly #running = new Map<string, number>();
+	#parsed: {readonly version: number; readonly deployment: Deployment} | undefined;
 	#version = 0;
 	#count = 0;
 
@@ -134,14 +135,38 @@
 			}
 		});
 		this.#timers.startInterval(workEveryMs, () => {
-			this.#startWork();
+			this.#startAnyWork();
+		});
+	}
+
+	/** Sends a request of `ms` milliseconds to an upstream, where it arrives a moment later. */
+	startWork(key: string, ms: number): void {
+		const id = `${this.vm}-work-${++this.#count}`;
+		this.#addRunning(key, 1);
+		this.#timers.startTimer(sendMs, () => {
+			const engine = this.#options.engines.get(key);
+			if (!engine?.startWork(id)) {
+				this.#addRunning(key, -1);
+				return;
+			}
+
+			this.#options.timers.startTimer(ms, () => {
+				engine.finishWork(id);
+				this.gate.run(() => {
+					this.#addRunning(key, -1);
+				});
+			});
 		});
 	}
 
 	/** Reads the text that this entry knows. */
 	getDeployment(): Deployment | undefined {
 		const fact = this.facts.get('configuration', '');
-		return fact && JSON.parse(fact.value.text) as Deployment;
+		if (fact && this.#parsed?.version !== fact.version) {
+			this.#parsed = {version: fact.version, deployment: JSON.parse(fact.value.text) as Deployment};
+		}
+
+		return this.#parsed?.deployment;
 	}
 
 	#createAuthority(): Authority {
@@ -191,31 +216,13 @@
 		});
 	}
 
-	/** Chooses an engine that takes work; the request arrives there a moment later. */
-	#startWork(): void {
+	/** Chooses an upstream that takes work, if there is one. */
+	#startAnyWork(): void {
 		const open = this.facts.list('upstream').filter(({key, value}) => value.state === upstreamState.serving && this.#options.engines.has(key));
 		const fact = open[Math.floor(this.#options.random() * open.length)];
-		if (!fact) {
-			return;
+		if (fact) {
+			this.startWork(fact.key, workMs);
 		}
-
-		const {key} = fact;
-		const id = `${this.vm}-work-${++this.#count}`;
-		this.#addRunning(key, 1);
-		this.#timers.startTimer(sendMs, () => {
-			const engine = this.#options.engines.get(key);
-			if (!engine?.startWork(id)) {
-				this.#addRunning(key, -1);
-				return;
-			}
-
-			this.#options.timers.startTimer(workMs, () => {
-				engine.finishWork(id);
-				this.gate.run(() => {
-					this.#addRunning(key, -1);
-				});
-			});
-		});
 	}
 
 	#addRunning(id: string, by: number): void {
--- a/faults/rows/authority.ts
+++ b/faults/rows/authority.ts
@@ -1,4 +1,7 @@
+import {listBarrierCells} from '../authority/barrier.js';
 import {isOrderStep, isWriteStep} from '../authority/inject.js';
+import {mechanism} from '../authority/mechanisms.js';
+import type {Mechanism} from '../authority/mechanisms.js';
 import {procedures, settling} from '../authority/procedures.js';
 import type {FaultedProcedure} from '../authority/procedures.js';
 import {runFault} from '../authority/run.js';
@@ -26,6 +29,7 @@
 	return [
 		...[...procedures, settling].flatMap(procedure => listProcedureCells(procedure, true)),
 		...procedures.flatMap(procedure => listProcedureCells(procedure, false)),
+		...listBarrierCells(),
 	];
 }
 
@@ -44,10 +48,26 @@
 				procedure, step, fault, isFenced,
 			}, context);
 		},
+		mechanisms: listMechanisms(procedure, step, fault, isFenced),
 		notApplicable: explainNotApplicable(step, fault),
 	};
 }
 
+/** What this cell is expected to fail without: a late order of a sender that lost its authority, or any order at all. */
+function listMechanisms(procedure: FaultedProcedure, step: string, fault: FaultName, isFenced: boolean): readonly Mechanism[] {
+	const found: Mechanism[] = procedure.name === 'withdraw a plain service' ? [] : [mechanism.intentionFirst];
+	const isLate = step.startsWith('send ') && (fault === faultName.freezePastLease || fault === faultName.pair);
+	if (isLate) {
+		found.push(isFenced ? mechanism.fence : mechanism.senders);
+	}
+
+	if (isFenced && fault === faultName.freezePastLease && step.startsWith('check the authority to ')) {
+		found.push(mechanism.leaseClock);
+	}
+
+	return found;
+}
+
 function explainNotApplicable(step: string, fault: FaultName): string | undefined {
 	if (fault === faultName.answerLost && !isWriteStep(step) && !isOrderStep(step)) {
 		return 'the step changes nothing outside the process';
