Type the engine client's outcomes truly and keep silent connections from poisoning calls

Cause: one pool served answers, control calls and orders; undici's keep-alive hint of the server let a connection idle for minutes be used again, reads of a body stopped early leaked their connection, and a refusal whose body broke lost its mark. Ruled out: retries by the pool (an order must go out once); renewing after every abort (a caller who leaves says nothing of the connection). The renewal of the control pool is not shown by a test: undici drops a connection that timed out by itself, and only calls side by side would meet the second silent one. Conclusion: orders go out on a connection of their own, reads are tried once more on a new one, and 'not run' is said only without a connection or by the engine's mark.

--- a/src/upstreams/enginehttp.ts
+++ b/src/upstreams/enginehttp.ts
@@ -1,8 +1,11 @@
-import {Buffer} from 'node:buffer';
-import {Pool} from 'undici';
+import type {Dispatcher} from 'undici';
 import {
 	BrokenAnswerError, ForeignAnswerError, NotRunError, OrderRefusedError, StaleFenceError, UnknownOutcomeError,
 } from '../errors/index.js';
+import type {TimerService} from '../timers/index.js';
+import {SystemTimers} from '../timers/index.js';
+import {defaultConnectionLimits, EngineConnections} from './connections.js';
+import type {ConnectionLimits, EngineCall} from './connections.js';
 import {EngineClient} from './engine.js';
 import type {
 	CacheEvents, EngineState, GenerateEvent, GenerateRequest, KvHandle, LoadReport, Order,
@@ -10,136 +13,207 @@
 import {readServerEvents} from './sse.js';
 import {enginePath, upstreamHeader} from './wire.js';
 
-const engineConnections = 256;
-const controlTimeoutMs = 2000;
+type Answer = {readonly status: number; readonly isNotRun: boolean; readonly text: string};
 
-type Method = 'GET' | 'POST';
-type Sent = {readonly method: Method; readonly path: string; readonly body: unknown; readonly signal: AbortSignal};
-
-/** A model engine over HTTP and server-sent events. */
+/**
+A model engine over HTTP and server-sent events. "Not run" is said only of a request for which no connection was
+there, or whose answer is marked so; any other lost answer is broken or unknown.
+*/
 export class HttpEngine extends EngineClient {
-	readonly #pool: Pool;
+	readonly #connections: EngineConnections;
+	readonly #limits: ConnectionLimits;
+	readonly #timers: TimerService;
 
 	/** Takes the engine's `address`, `host:port`. */
-	constructor(address: string) {
+	constructor(address: string, limits: Partial<ConnectionLimits> = {}, timers: TimerService = new SystemTimers()) {
 		super();
-		// A stream is silent while a long prompt is read: the time between events is bounded by serving, not here.
-		this.#pool = new Pool(`http://${address}`, {
-			connections: engineConnections, pipelining: 1, headersTimeout: 0, bodyTimeout: 0,
-		});
+		this.#limits = {...defaultConnectionLimits, ...limits};
+		this.#timers = timers;
+		this.#connections = new EngineConnections(address, this.#limits);
 	}
 
 	async * generate(request: GenerateRequest, signal: AbortSignal): AsyncGenerator<GenerateEvent> {
-		const response = await this.#open(enginePath.generate, request, signal);
+		let heardAt = this.#timers.getNow();
 		let {offset} = request;
+		let onEnd: (() => void) | undefined;
+		let events: AsyncGenerator<string> | undefined;
 		try {
-			for await (const data of readServerEvents(response.body)) {
-				const event = JSON.parse(data) as GenerateEvent;
-				if (event.id !== request.id || event.offset !== offset) {
-					throw new ForeignAnswerError(`expected ${request.id}@${offset}, got ${event.id}@${event.offset}`);
-				}
-
-				yield event;
+			const opened = await this.#connections.openStream({
+				method: 'POST', path: enginePath.generate, body: request, signal,
+			});
+			({onEnd} = opened);
+			await checkHead(opened.response);
+			events = readServerEvents(opened.response.body);
+			for (;;) {
+				const event = await readEvent(events, request.id, offset);
+				heardAt = this.#timers.getNow();
 				if (event.kind === 'end') {
+					// Read to the end of the body, so that the connection can be used again.
+					void readRest(events);
+					events = undefined;
+					yield event;
 					return;
 				}
 
+				yield event;
 				offset++;
 			}
 		} catch (error) {
-			throw error instanceof ForeignAnswerError ? error : new BrokenAnswerError(`the answer broke off at ${offset}`, {cause: error});
+			this.#checkDoubt(heardAt);
+			throw isTyped(error) ? error : new BrokenAnswerError(`the answer broke off at ${offset}`, {cause: error});
+		} finally {
+			onEnd?.();
+			// A reader that stops early closes the connection.
+			void events?.return(undefined);
 		}
-
-		throw new BrokenAnswerError(`the answer ended without its end marker at ${offset}`);
 	}
 
 	async cancel(id: string): Promise<void> {
-		await this.#call('POST', enginePath.cancel, {id});
+		await this.#read({method: 'POST', path: enginePath.cancel, body: {id}});
 	}
 
 	async readLoad(): Promise<LoadReport> {
-		return await this.#call('GET', enginePath.load) as LoadReport;
+		return await this.#read({method: 'GET', path: enginePath.load}) as LoadReport;
 	}
 
 	async readState(): Promise<EngineState> {
-		return await this.#call('GET', enginePath.state) as EngineState;
+		return await this.#read({method: 'GET', path: enginePath.state}) as EngineState;
 	}
 
 	async sendOrder(order: Order): Promise<EngineState> {
-		return await this.#call('POST', enginePath.orders, order) as EngineState;
+		const call: EngineCall = {method: 'POST', path: enginePath.orders, body: order};
+		// An order goes out once, on a connection that nothing can have lost track of.
+		const answer = await this.#connections.sendFresh(call, async response => readAnswer(response, enginePath.orders));
+		if (answer.status === 409) {
+			throw new StaleFenceError(answer.text);
+		}
+
+		if (answer.isNotRun || (answer.status >= 400 && answer.status < 500)) {
+			throw new OrderRefusedError(answer.text);
+		}
+
+		return parseAnswer(answer, enginePath.orders) as EngineState;
 	}
 
-	async exportKv(request: GenerateRequest): Promise<KvHandle> {
-		return await this.#call('POST', enginePath.exportKv, request) as KvHandle;
+	async exportKv(request: GenerateRequest, signal?: AbortSignal): Promise<KvHandle> {
+		return this.#callKv({
+			method: 'POST', path: enginePath.exportKv, body: request, signal,
+		});
 	}
 
-	async importKv(source: string, handle: string): Promise<KvHandle> {
-		return await this.#call('POST', enginePath.importKv, {source, handle}) as KvHandle;
+	async importKv(source: string, handle: string, signal?: AbortSignal): Promise<KvHandle> {
+		return this.#callKv({
+			method: 'POST', path: enginePath.importKv, body: {source, handle}, signal,
+		});
 	}
 
 	async readCacheEvents(afterSequence: number): Promise<CacheEvents> {
-		return await this.#call('GET', `${enginePath.cacheEvents}?after=${afterSequence}`) as CacheEvents;
+		return await this.#read({method: 'GET', path: `${enginePath.cacheEvents}?after=${afterSequence}`}) as CacheEvents;
 	}
 
 	/** Closes the connections. */
 	async close(): Promise<void> {
-		await this.#pool.destroy();
+		await this.#connections.close();
 	}
 
-	async #open(path: string, body: unknown, signal: AbortSignal) {
-		const response = await sendRequest(this.#pool, {
-			method: 'POST', path, body, signal,
-		});
-		if (response.statusCode === 200) {
-			return response;
-		}
+	/** Makes a call that has no effect when repeated: once more on a new connection when the first had no answer. */
+	async #read(call: EngineCall): Promise<unknown> {
+		try {
+			return await this.#sendRead(call);
+		} catch (error) {
+			if (!(error instanceof UnknownOutcomeError)) {
+				throw error;
+			}
 
-		const text = await response.body.text();
-		if (response.headers[upstreamHeader.notRun] === '1') {
-			throw new NotRunError(`the engine refused: ${text}`);
+			this.#connections.renewControls();
+			return this.#sendRead(call);
 		}
+	}
 
-		throw new BrokenAnswerError(`the engine failed with ${response.statusCode}: ${text}`);
+	async #sendRead(call: EngineCall): Promise<unknown> {
+		return parseAnswer(await readAnswer(await this.#connections.sendControl(call), call.path), call.path);
 	}
 
-	async #call(method: Method, path: string, body?: unknown): Promise<unknown> {
-		const response = await sendRequest(this.#pool, {
-			method, path, body, signal: AbortSignal.timeout(controlTimeoutMs),
-		});
-		let text: string;
+	async #callKv(call: EngineCall): Promise<KvHandle> {
+		const {response, onEnd} = await this.#connections.openStream(call);
 		try {
-			text = await response.body.text();
-		} catch (error) {
-			throw new UnknownOutcomeError(`${path} answered in part`, {cause: error});
+			return parseAnswer(await readAnswer(response, call.path), call.path) as KvHandle;
+		} finally {
+			onEnd();
 		}
+	}
 
-		if (response.statusCode === 409) {
-			throw new StaleFenceError(text);
+	#checkDoubt(heardAt: number): void {
+		if (this.#timers.getNow() - heardAt >= this.#limits.doubtMs) {
+			this.#connections.renewStreams();
 		}
+	}
+}
 
-		if (response.statusCode !== 200) {
-			throw new OrderRefusedError(`${path} answered ${response.statusCode}: ${text}`);
-		}
+async function checkHead(response: Dispatcher.ResponseData): Promise<void> {
+	if (response.statusCode === 200) {
+		return;
+	}
 
-		return JSON.parse(text) as unknown;
+	const answer = await readAnswer(response, enginePath.generate);
+	if (answer.isNotRun) {
+		throw new NotRunError(`the engine refused: ${answer.text}`);
 	}
+
+	throw new BrokenAnswerError(`the engine failed with ${answer.status}: ${answer.text}`);
 }
 
-async function sendRequest(pool: Pool, {method, path, body, signal}: Sent) {
+async function readEvent(events: AsyncGenerator<string>, id: string, offset: number): Promise<GenerateEvent> {
+	const turn = await events.next();
+	if (turn.done) {
+		throw new BrokenAnswerError(`the answer ended without its end marker at ${offset}`);
+	}
+
+	const event = JSON.parse(turn.value) as GenerateEvent;
+	if (event.id !== id || event.offset !== offset) {
+		throw new ForeignAnswerError(`expected ${id}@${offset}, got ${event.id}@${event.offset}`);
+	}
+
+	return event;
+}
+
+async function readRest(events: AsyncGenerator<string>): Promise<void> {
 	try {
-		return await pool.request({
-			method,
-			path,
-			headers: {'content-type': 'application/json'},
-			body: body === undefined ? undefined : Buffer.from(JSON.stringify(body)),
-			signal,
-		});
+		await events.next();
+	} catch {
+		// The answer is whole already; its connection is lost and nothing else.
+	}
+}
+
+async function readAnswer(response: Dispatcher.ResponseData, path: string): Promise<Answer> {
+	const isNotRun = response.headers[upstreamHeader.notRun] === '1';
+	try {
+		return {status: response.statusCode, isNotRun, text: await response.body.text()};
 	} catch (error) {
-		const {code} = error as {code?: string};
-		if (code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT') {
-			throw new NotRunError(`${path}: no connection`, {cause: error});
+		if (isNotRun) {
+			return {status: response.statusCode, isNotRun, text: ''};
 		}
 
-		throw new UnknownOutcomeError(`${path} had no answer`, {cause: error});
+		throw new UnknownOutcomeError(`${path} answered in part`, {cause: error});
+	}
+}
+
+function parseAnswer({status, isNotRun, text}: Answer, path: string): unknown {
+	if (isNotRun) {
+		throw new NotRunError(`${path} was refused: ${text}`);
 	}
+
+	if (status !== 200) {
+		throw new UnknownOutcomeError(`${path} answered ${status}: ${text}`);
+	}
+
+	try {
+		return JSON.parse(text) as unknown;
+	} catch (error) {
+		throw new UnknownOutcomeError(`${path} answered what is not JSON`, {cause: error});
+	}
+}
+
+function isTyped(error: unknown): boolean {
+	return error instanceof NotRunError || error instanceof ForeignAnswerError || error instanceof BrokenAnswerError;
 }
--- a/src/upstreams/index.ts
+++ b/src/upstreams/index.ts
@@ -8,5 +8,6 @@
 export type {ServiceAnswer, ServiceCall} from './service.js';
 export {enginePath, serviceLoadPath, upstreamHeader} from './wire.js';
 export {HttpEngine} from './enginehttp.js';
+export type {ConnectionLimits} from './connections.js';
 export {blockTokens, listPrefixes} from './prefixes.js';
 export type {PrefixSource} from './prefixes.js';
--- a/src/upstreams/sse.ts
+++ b/src/upstreams/sse.ts
@@ -1,7 +1,15 @@
+import {BrokenAnswerError} from '../errors/index.js';
+
 const eventEnd = '\n\n';
 const dataPrefix = 'data: ';
 
-/** Reads the data of each server-sent event of a body; an event that is cut off at the end is dropped. */
+/** Longest event that is taken. */
+const maxEventCharacters = 1_000_000;
+
+/**
+Reads the data of each server-sent event of a body; an event that is cut off at the end is dropped.
+Throws `BrokenAnswerError` when an event is too long.
+*/
 export async function * readServerEvents(body: AsyncIterable<Uint8Array>): AsyncGenerator<string> {
 	const decoder = new TextDecoder();
 	let text = '';
@@ -9,6 +17,10 @@
 		text += decoder.decode(chunk, {stream: true});
 		const events = text.split(eventEnd);
 		text = events.pop() ?? '';
+		if (text.length > maxEventCharacters) {
+			throw new BrokenAnswerError(`an event may have ${maxEventCharacters} characters`);
+		}
+
 		for (const event of events) {
 			const data = event.split('\n').find(line => line.startsWith(dataPrefix));
 			if (data !== undefined) {
--- /dev/null
+++ b/src/upstreams/test/enginehttp.test.ts
@@ -0,0 +1,229 @@
+import {createServer} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {
+	BrokenAnswerError, ForeignAnswerError, NotRunError, OrderRefusedError, StaleFenceError, UnknownOutcomeError,
+} from '../../errors/index.js';
+import {SystemTimers} from '../../timers/index.js';
+import {
+	Answer, defaultEngineOptions, engineEvent, EngineShell,
+} from '../../../standins/engine/index.js';
+import type {EngineControl, EngineOptions} from '../../../standins/engine/index.js';
+import {createRequest, listRows} from '../../../standins/engine/test/help.js';
+import {HttpEngine, orderKind} from '../index.js';
+import type {ConnectionLimits, GenerateRequest, Order} from '../index.js';
+
+const timeScale = 0.05;
+
+describe('an engine over HTTP', () => {
+	const closers: Array<() => Promise<void>> = [];
+
+	const start = async (options: Partial<EngineOptions> = {}, limits: Partial<ConnectionLimits> = {}) => {
+		const shell = new EngineShell(new SystemTimers(), {
+			...defaultEngineOptions, timeScale, graceMs: 100, ...options,
+		});
+		const listening = await shell.start('127.0.0.1:0');
+		const engine = new HttpEngine(listening.address, limits);
+		closers.push(async () => engine.close(), listening.close);
+		return {shell, engine, address: listening.address};
+	};
+
+	/** A server that reads what comes and does `onData` with the connection. */
+	const startRaw = async (onData: (socket: Socket) => void) => {
+		let received = 0;
+		const server: Server = createServer(socket => {
+			socket.on('error', () => undefined);
+			socket.on('data', () => {
+				received++;
+				onData(socket);
+			});
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const engine = new HttpEngine(`127.0.0.1:${(server.address() as AddressInfo).port}`, {controlMs: 200});
+		closers.push(async () => engine.close(), async () => {
+			server.close();
+		});
+		return {engine, countReceived: () => received};
+	};
+
+	const collect = async (engine: HttpEngine, request: GenerateRequest, signal = new AbortController().signal) => {
+		let text = '';
+		let count = 0;
+		let isWhole = false;
+		let failure: unknown;
+		try {
+			for await (const event of engine.generate(request, signal)) {
+				text += event.kind === 'token' ? event.text : '';
+				count += event.kind === 'token' ? 1 : 0;
+				isWhole = event.kind === 'end';
+			}
+		} catch (error) {
+			failure = error;
+		}
+
+		return {
+			text, count, isWhole, failure,
+		};
+	};
+
+	const getFailure = async (call: Promise<unknown>): Promise<unknown> => {
+		try {
+			await call;
+			return undefined;
+		} catch (error) {
+			return error;
+		}
+	};
+
+	const getText = (request: GenerateRequest) => {
+		const answer = new Answer(request);
+		return Array.from({length: answer.size}, (_item, offset) => answer.getEvent(offset)).map(event => event.kind === 'token' ? event.text : '').join('');
+	};
+
+	afterEach(async () => {
+		for (const close of closers.splice(0)) {
+			await close();
+		}
+	});
+
+	it('brings whole answers, and uses a connection again', async () => {
+		const {engine, shell} = await start({}, {streams: 1});
+		for (const id of ['r1', 'r2', 'r3']) {
+			const request = createRequest(id);
+			expect(await collect(engine, request)).to.include({text: getText(request), isWhole: true});
+		}
+
+		expect(shell.countAccepted()).to.equal(1);
+	});
+
+	it('says "not run" when nobody listens or when the engine says so', async () => {
+		const nobody = new HttpEngine('127.0.0.1:1');
+		closers.push(async () => nobody.close());
+		const {failure} = await collect(nobody, createRequest('r1'));
+		expect(failure).to.be.instanceOf(NotRunError);
+		expect(await getFailure(nobody.sendOrder({id: 'o1', fence: 1, kind: orderKind.seal}))).to.be.instanceOf(NotRunError);
+		const {engine, shell} = await start();
+		await engine.sendOrder({id: 'o1', fence: 1, kind: orderKind.drain});
+		const refused = await collect(engine, createRequest('r1'));
+		expect(refused.failure).to.be.instanceOf(NotRunError);
+		expect(await getFailure(engine.exportKv(createRequest('r1')))).to.be.instanceOf(NotRunError);
+		expect(listRows(shell.core, engineEvent.requestStarted)).to.have.length(0);
+	});
+
+	it('never says "not run" when the request may have arrived, and sends it once', async () => {
+		const {engine, countReceived} = await startRaw(socket => {
+			socket.destroy();
+		});
+		const {failure} = await collect(engine, createRequest('r1'));
+		expect(failure).to.be.instanceOf(BrokenAnswerError);
+		expect(countReceived()).to.equal(1);
+		expect(await getFailure(engine.sendOrder({id: 'o1', fence: 1, kind: orderKind.seal}))).to.be.instanceOf(UnknownOutcomeError);
+		expect(countReceived()).to.equal(2);
+	});
+
+	it('does not wait for ever for the answer of an order, and sends it once', async () => {
+		const {engine, countReceived} = await startRaw(() => undefined);
+		expect(await getFailure(engine.sendOrder({id: 'o1', fence: 1, kind: orderKind.seal}))).to.be.instanceOf(UnknownOutcomeError);
+		expect(countReceived()).to.equal(1);
+	});
+
+	it('tells a broken answer, and goes on with it at the offset', async () => {
+		const {engine, shell} = await start();
+		shell.applyControl({streams: [{breakAfter: 5}]});
+		const request = createRequest('r1');
+		const first = await collect(engine, request);
+		expect(first.failure).to.be.instanceOf(BrokenAnswerError);
+		const second = await collect(engine, {...request, offset: first.count});
+		expect(second.isWhole).to.equal(true);
+		expect(first.text + second.text).to.equal(getText(request));
+	});
+
+	const foreign: readonly EngineControl[] = [{streams: [{foreignAfter: 3}]}, {streams: [{repeatAfter: 3}]}];
+	for (const control of foreign) {
+		it(`passes on no event of another request or offset: ${JSON.stringify(control)}`, async () => {
+			const {engine, shell} = await start();
+			shell.applyControl(control);
+			const request = createRequest('r1');
+			const {failure, text} = await collect(engine, request);
+			expect(failure).to.be.instanceOf(ForeignAnswerError);
+			expect(getText(request).startsWith(text)).to.equal(true);
+		});
+	}
+
+	it('makes control calls by new connections when the old ones went silent', async () => {
+		const {engine, shell} = await start({}, {controlMs: 200});
+		await Promise.all([engine.readState(), engine.readLoad()]);
+		shell.applyControl({silence: true});
+		expect(await engine.readState()).to.include({phase: 'ready'});
+		expect(await engine.sendOrder({id: 'o1', fence: 3, kind: orderKind.seal})).to.include({fence: 3});
+		expect(await engine.readLoad()).to.include({running: 0});
+	});
+
+	it('leaves silent connections after the first answer that was given up', async () => {
+		const {engine, shell} = await start({}, {doubtMs: 100});
+		await Promise.all([1, 2, 3].map(async index => collect(engine, createRequest(`warm${index}`))));
+		shell.applyControl({silence: true});
+		const {failure} = await collect(engine, createRequest('r1'), AbortSignal.timeout(150));
+		expect(failure).to.be.instanceOf(BrokenAnswerError);
+		for (const id of ['r2', 'r3']) {
+			expect(await collect(engine, createRequest(id), AbortSignal.timeout(1000))).to.include({isWhole: true});
+		}
+	});
+
+	it('types the refusals of orders', async () => {
+		const {engine} = await start();
+		await engine.sendOrder({id: 'o1', fence: 3, kind: orderKind.seal});
+		expect(await getFailure(engine.sendOrder({id: 'o2', fence: 2, kind: orderKind.drain}))).to.be.instanceOf(StaleFenceError);
+		const bare: Order = {id: 'o3', fence: 3, kind: orderKind.configure};
+		expect(await getFailure(engine.sendOrder(bare))).to.be.instanceOf(OrderRefusedError);
+	});
+
+	it('refuses as not run above the bound on answers in progress', async () => {
+		const {engine, shell} = await start({}, {streams: 1});
+		const abort = new AbortController();
+		const first = collect(engine, createRequest('r1', {maxTokens: 4000}), abort.signal);
+		await sleep(20);
+		const second = await collect(engine, createRequest('r2'));
+		expect(second.failure).to.be.instanceOf(NotRunError);
+		abort.abort();
+		await first;
+		expect(listRows(shell.core, engineEvent.requestStarted).map(row => row.id)).to.deep.equal(['r1']);
+	});
+
+	it('closes the connection when its reader stops, so that the engine cancels', async () => {
+		const {engine, shell} = await start({graceMs: 20});
+		const events = engine.generate(createRequest('r1', {maxTokens: 4000}), new AbortController().signal);
+		const first = await events.next();
+		expect(first.value).to.include({kind: 'token', offset: 0});
+		await events.return(undefined);
+		await sleep(100);
+		expect(listRows(shell.core, engineEvent.requestCancelled).map(row => row.id)).to.deep.equal(['r1']);
+	});
+
+	it('cancels by id', async () => {
+		const {engine, shell} = await start();
+		const running = collect(engine, createRequest('r1', {maxTokens: 4000}));
+		await sleep(20);
+		await engine.cancel('r1');
+		const {failure} = await running;
+		expect(failure).to.be.instanceOf(BrokenAnswerError);
+		expect(listRows(shell.core, engineEvent.requestCancelled)).to.have.length(1);
+	});
+
+	it('moves a KV cache from one engine to another, and reads cache events', async () => {
+		const from = await start({cacheLagMs: 0});
+		const to = await start();
+		const request = createRequest('r1', {promptTokens: 2000});
+		const exported = await from.engine.exportKv(request);
+		const imported = await to.engine.importKv(from.address, exported.handle);
+		expect(imported.bytes).to.equal(exported.bytes);
+		expect(await collect(to.engine, {...request, kv: imported.handle})).to.include({text: getText(request), isWhole: true});
+		expect(await getFailure(to.engine.importKv(from.address, 'unknown'))).to.be.instanceOf(NotRunError);
+		const {events, incarnation} = await from.engine.readCacheEvents(3);
+		expect(events.map(event => event.sequence)).to.deep.equal([4, 5, 6, 7]);
+		expect(incarnation).to.equal(from.shell.core.getState().incarnation);
+	});
+});
--- a/standins/engine/shell.ts
+++ b/standins/engine/shell.ts
@@ -39,6 +39,7 @@
 	readonly faults = new EngineFaults();
 	readonly #sockets = new Set<Socket>();
 	readonly #silent = new WeakSet<Socket>();
+	#accepted = 0;
 
 	constructor(timers: TimerService, options: EngineOptions, loadWeights?: (bytes: number) => Promise<void>) {
 		this.core = new EngineCore(timers, options, loadWeights);
@@ -66,6 +67,7 @@
 		const listening = await startListening(app, address);
 		const server = app.server as Server;
 		server.on('connection', socket => {
+			this.#accepted++;
 			this.#sockets.add(socket);
 			socket.on('close', () => {
 				this.#sockets.delete(socket);
@@ -82,6 +84,11 @@
 		};
 	}
 
+	/** Counts the connections accepted since the start. */
+	countAccepted(): number {
+		return this.#accepted;
+	}
+
 	/** Switches faults on. */
 	applyControl(control: EngineControl): void {
 		this.faults.streams.push(...control.streams ?? []);
