Start whole deployments on loopback: examples, links that break, and a demo of both offices

Cause: the thin demo ran one engine and one entry at fixed ports, so two copies met and no domain ever had a peer. Ruled out: a configuration of its own for the rigs (the example texts are used, with the addresses replaced by free ones); ports printed by each program (an entry's settings name its ports before it starts). Seen: calls to application services answer 404 until that part lands; entries without the lease refuse until facts spread between entries.

--- a/rigs/demo.ts
+++ b/rigs/demo.ts
@@ -1,61 +1,52 @@
 #!/usr/bin/env node
-import {mkdtempSync, writeFileSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
-import {Rig, waitForOk, waitForServing} from './rig.js';
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import {parseDeployment, serviceKind} from '../src/deployment/index.js';
+import {engineEvent} from '../standins/engine/index.js';
+import {
+	collectChat, readEngineJournal, runChat, sendServiceCall,
+} from './calls.js';
+import {RunningDeployment} from './deployment.js';
+import {waitForServing} from './rig.js';
 import {createChat, createClient} from './wire.js';
 
-/** Starts a thin deployment on loopback and sends one request through it. */
-const text = `[deployment]
-name = "umuhora"
-domains = ["kigali-1"]
-
-[services.contracts]
-kind = "model"
-model = "contracts"
-version = "1"
-deadline_ms = 30000
-
-[[upstreams]]
-id = "engine-1"
-service = "contracts"
-domain = "kigali-1"
-address = "127.0.0.1:7101"
-pieces = 64
-`;
-const rig = new Rig();
+/** Starts one of the deployments of `examples/` on loopback and sends requests through it: `npm run demo -- office`. */
+const name = process.argv[2] ?? 'umuhora';
+const text = readFileSync(`examples/${name}.toml`, 'utf8');
+const parsed = parseDeployment(text);
+const model = parsed.services.find(service => service.kind === serviceKind.model)!;
+const modelName = model.kind === serviceKind.model ? model.model : '';
+const application = parsed.services.find(service => service.kind === serviceKind.application)!;
+const [method = 'POST', path = '/refunds'] = ((application.kind === serviceKind.application ? application.nonRepeatable[0] : undefined) ?? '').split(' ');
+const deployment = new RunningDeployment({text, entriesPerDomain: 2});
 try {
-	rig.start('dist/standins/platform/main.js', ['127.0.0.1:7000']);
-	rig.start('dist/standins/engine/main.js', ['127.0.0.1:7101']);
-	await waitForOk('http://127.0.0.1:7000/vms');
-	await waitForOk('http://127.0.0.1:7101/journal');
-	await fetch('http://127.0.0.1:7000/kv/configuration', {
-		method: 'PUT',
-		body: JSON.stringify({value: JSON.stringify({version: 1, text, hash: ''}), expectedRevision: 0}),
-	});
-	const file = path.join(mkdtempSync(path.join(tmpdir(), 'crocus-')), 'entry.toml');
-	writeFileSync(file, `vm = "vm-1"
-domain = "kigali-1"
-http = "127.0.0.1:8001"
-peer = "127.0.0.1:9001"
-platform = "http://127.0.0.1:7000"
-secret = "a secret of the demo"
-`);
-	rig.start('dist/src/entry/main.js', [file]);
-	await waitForOk('http://127.0.0.1:8001/readyz');
-	const client = createClient('http://127.0.0.1:8001', 'cafe-12');
-	const chat = createChat('contracts', 'Is the deposit late?', 20);
-	// At a first start the engine takes work once the domain's authority has seen how it is set up.
-	await waitForServing(async () => client.chat.completions.create(chat));
-	const whole = await client.chat.completions.create(chat);
-	const stream = await client.chat.completions.create({...chat, stream: true});
-	let streamed = '';
-	for await (const chunk of stream) {
-		streamed += chunk.choices[0]?.delta.content ?? '';
+	console.log(`${name}: starts the platform, ${parsed.upstreams.length} upstreams and ${parsed.domains.length * 2} entries`);
+	await deployment.start();
+	const [entry, other] = deployment.entries;
+	// At a first start an engine takes work once its domain's authority has seen how it is set up.
+	const client = createClient(entry!.origin, 'cafe-12');
+	await waitForServing(async () => client.chat.completions.create(createChat(modelName, 'ready?', 4)));
+	const whole = await collectChat(entry!.origin, {model: modelName, prompt: 'Is the deposit late?', maxTokens: 20});
+	console.log(`${entry!.vm} whole:   `, whole.text);
+	const streamed = await runChat(entry!.origin, {model: modelName, prompt: 'Is the deposit late?', maxTokens: 20});
+	console.log(`${entry!.vm} streamed:`, streamed.text);
+	const read = await runChat(entry!.origin, {model: modelName, prompt: 'clause '.repeat(4000), maxTokens: 20});
+	console.log(`${entry!.vm} 7,000-token dossier: first token after ${Math.round(read.firstMs)} ms, whole after ${Math.round(read.totalMs)} ms`);
+	await printCalls(entry!.origin, other!.origin);
+	for (const {upstream, origin} of deployment.upstreams.filter(({upstream}) => upstream.service === model.name)) {
+		const rows = await readEngineJournal(origin);
+		console.log(`${upstream.id}: ${rows.filter(row => row.event === engineEvent.requestEnded).length} requests ended, ${rows.filter(row => row.event === engineEvent.requestCut).length} cut`);
 	}
-
-	console.log('whole   ', whole.choices[0]?.message.content);
-	console.log('streamed', streamed);
 } finally {
-	await rig.close();
+	await deployment.close();
+}
+
+async function printCalls(origin: string, other: string): Promise<void> {
+	const looked = await sendServiceCall(origin, `${application.name}/schedules/12`);
+	console.log(`schedule: ${looked.status} ${looked.body}`);
+	const body = {amount: 500};
+	for (const at of [origin, other]) {
+		const answer = await sendServiceCall(at, `${application.name}${path}`, body, 'key-1');
+		console.log(`${method} ${path} with one key: ${answer.status} ${answer.body}`);
+	}
 }
--- /dev/null
+++ b/rigs/deployment.ts
@@ -0,0 +1,199 @@
+import type {ChildProcess} from 'node:child_process';
+import {createHash} from 'node:crypto';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {parseDeployment, serviceKind} from '../src/deployment/index.js';
+import type {Deployment, Upstream} from '../src/deployment/index.js';
+import {storeKey} from '../src/store/index.js';
+import {Link} from './link.js';
+import {findFreeAddresses} from './ports.js';
+import {Rig, waitForOk} from './rig.js';
+
+/** How a deployment is started. */
+export type DeploymentOptions = {
+	/** The operators' text; the addresses in it are replaced by free ones of loopback. */
+	readonly text: string;
+	readonly entriesPerDomain: number;
+	/** Factor on every time of the engines' own work. */
+	readonly timeScale: number;
+	/** Whether a {@link Link} stands between the entries and each upstream. */
+	readonly isLinked: boolean;
+	/** Time that an entry leaves the balancer at a stop, in milliseconds. */
+	readonly balancerWaitMs: number;
+};
+
+const defaultOptions: Omit<DeploymentOptions, 'text'> = {
+	entriesPerDomain: 2, timeScale: 0.1, isLinked: false, balancerWaitMs: 300,
+};
+
+/** A running upstream. */
+export type RunningUpstream = {
+	readonly upstream: Upstream;
+	/** Origin of the process itself, for its journal and control. */
+	readonly origin: string;
+	readonly link: Link | undefined;
+	child: ChildProcess;
+};
+
+/** A running entry. */
+export type RunningEntry = {
+	readonly vm: string;
+	readonly domain: string;
+	/** Origin of the callers' side. */
+	readonly origin: string;
+	readonly http: string;
+	readonly peer: string;
+	/** Its settings file. */
+	readonly file: string;
+	child: ChildProcess;
+};
+
+/**
+A whole deployment as separate processes on loopback: the platform, its upstreams and some entries in each domain.
+
+@example
+```
+const deployment = new RunningDeployment({text});
+await deployment.start();
+await deployment.close();
+```
+*/
+export class RunningDeployment {
+	readonly entries: RunningEntry[] = [];
+	readonly upstreams: RunningUpstream[] = [];
+	/** Origin of the platform. */
+	platform = '';
+	/** The text with the addresses that it runs at. */
+	text: string;
+	readonly #options: DeploymentOptions;
+	readonly #rig = new Rig();
+	readonly #folder = mkdtempSync(path.join(tmpdir(), 'crocus-'));
+
+	constructor(options: Partial<DeploymentOptions> & {readonly text: string}) {
+		this.#options = {...defaultOptions, ...options};
+		this.text = options.text;
+	}
+
+	/** Starts everything and returns when every entry has the configuration. */
+	async start(): Promise<void> {
+		const deployment = parseDeployment(this.text);
+		const entryCount = deployment.domains.length * this.#options.entriesPerDomain;
+		const addresses = await findFreeAddresses(1 + deployment.upstreams.length + (2 * entryCount));
+		const take = () => addresses.pop()!;
+		this.#startPlatform(take());
+		for (const upstream of deployment.upstreams) {
+			await this.#startUpstream(deployment, upstream, take());
+		}
+
+		await waitForOk(`${this.platform}/vms`);
+		await Promise.all(this.upstreams.map(async ({origin}) => waitForOk(`${origin}/journal`)));
+		await this.#writeConfiguration();
+		for (const domain of deployment.domains) {
+			for (let index = 1; index <= this.#options.entriesPerDomain; index++) {
+				this.#addEntry(`${domain}-vm-${index}`, domain, take(), take());
+			}
+		}
+
+		await this.#writeVms();
+		await Promise.all(this.entries.map(async entry => waitForOk(`${entry.origin}/readyz`)));
+	}
+
+	/** Starts an entry's program again, with an empty memory. */
+	resumeEntry(entry: RunningEntry): void {
+		entry.child = this.#rig.start('dist/src/entry/main.js', [entry.file]);
+	}
+
+	/** Finds a running upstream by its id in the text. */
+	getUpstream(id: string): RunningUpstream {
+		const found = this.upstreams.find(({upstream}) => upstream.id === id);
+		if (!found) {
+			throw new RangeError(`the text has no upstream ${id}`);
+		}
+
+		return found;
+	}
+
+	/** Ends every process and removes the settings files. */
+	async close(): Promise<void> {
+		await this.#rig.close();
+		await Promise.all(this.upstreams.map(async ({link}) => link?.close()));
+		rmSync(this.#folder, {recursive: true});
+	}
+
+	#startPlatform(address: string): void {
+		this.platform = `http://${address}`;
+		this.#rig.start('dist/standins/platform/main.js', [address]);
+	}
+
+	async #startUpstream(deployment: Deployment, upstream: Upstream, address: string): Promise<void> {
+		const service = deployment.services.find(({name}) => name === upstream.service);
+		const link = this.#options.isLinked ? new Link(address) : undefined;
+		await link?.start();
+		this.text = this.text.replace(`"${upstream.address}"`, `"${link?.address ?? address}"`);
+		let child: ChildProcess;
+		if (service?.kind === serviceKind.model) {
+			child = this.#rig.start('dist/standins/engine/main.js', [
+				address,
+				'--model',
+				service.model,
+				'--version',
+				service.version,
+				'--adapters',
+				service.adapters.join(','),
+				'--pieces',
+				String(upstream.pieces),
+				'--time-scale',
+				String(this.#options.timeScale),
+				'--weights',
+				this.platform,
+				...upstream.fenced ? [] : ['--unfenced'],
+			]);
+		} else {
+			child = this.#rig.start('dist/standins/service/main.js', [address]);
+		}
+
+		this.upstreams.push({
+			upstream, origin: `http://${address}`, link, child,
+		});
+	}
+
+	#addEntry(vm: string, domain: string, http: string, peer: string): void {
+		const file = path.join(this.#folder, `${vm}.toml`);
+		writeFileSync(file, `vm = "${vm}"
+domain = "${domain}"
+http = "${http}"
+peer = "${peer}"
+platform = "${this.platform}"
+secret = "a secret of a deployment on loopback"
+balancerWaitMs = ${this.#options.balancerWaitMs}
+`);
+		const child = this.#rig.start('dist/src/entry/main.js', [file]);
+		this.entries.push({
+			vm, domain, origin: `http://${http}`, http, peer, file, child,
+		});
+	}
+
+	async #writeConfiguration(): Promise<void> {
+		const {text} = this;
+		const hash = createHash('sha256').update(text).digest('hex');
+		const value = JSON.stringify({
+			version: 1, text, hash, operation: 'start',
+		});
+		await sendPut(`${this.platform}/kv/${storeKey.configuration}`, {value, expectedRevision: 0});
+	}
+
+	async #writeVms(): Promise<void> {
+		const vms = this.entries.map(({vm, domain, http, peer}) => ({
+			vm, domain, http, peer, state: 'live',
+		}));
+		await sendPut(`${this.platform}/vms`, {vms});
+	}
+}
+
+async function sendPut(url: string, body: unknown): Promise<void> {
+	const response = await fetch(url, {method: 'PUT', body: JSON.stringify(body)});
+	if (!response.ok) {
+		throw new RangeError(`${url} answered ${response.status}`);
+	}
+}
--- /dev/null
+++ b/rigs/link.ts
@@ -0,0 +1,133 @@
+import {createServer, connect} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+
+/** What a link does to the connections through it. */
+export const linkState = {
+	open: 'open',
+	/** Cut both ways: connections are closed and none is taken. */
+	cut: 'cut',
+	/** Everything is taken and nothing arrives, either way, on old and new connections. */
+	silent: 'silent',
+	/** Nothing arrives at the target; what it sends arrives. */
+	silentOut: 'silent to the target',
+	/** What is sent arrives at the target; nothing comes back. */
+	silentBack: 'silent from the target',
+} as const;
+
+/** See {@link linkState}. */
+export type LinkState = (typeof linkState)[keyof typeof linkState];
+
+type Pair = {readonly near: Socket; readonly far: Socket; isLost: boolean};
+
+/**
+A TCP link to one process, which a test cuts or makes silent.
+
+@example
+```
+const link = new Link('127.0.0.1:7101');
+await link.start();
+link.state = linkState.silent;
+```
+*/
+export class Link {
+	/** Where it listens, `host:port`. */
+	address = '';
+	readonly #pairs = new Set<Pair>();
+	readonly #target: string;
+	readonly #server = createServer(near => {
+		this.#onConnection(near);
+	});
+
+	#state: LinkState = linkState.open;
+
+	/** Takes the target's address, `host:port`. */
+	constructor(target: string) {
+		this.#target = target;
+	}
+
+	get state(): LinkState {
+		return this.#state;
+	}
+
+	set state(state: LinkState) {
+		this.#state = state;
+		if (state === linkState.cut) {
+			this.#abortPairs();
+		}
+	}
+
+	/** Listens on a free port of loopback. */
+	async start(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+		const {address, port} = this.#server.address() as AddressInfo;
+		this.address = `${address}:${port}`;
+	}
+
+	/** Makes every connection that is open now silent for good; new ones work. */
+	forgetOpen(): void {
+		for (const pair of this.#pairs) {
+			pair.isLost = true;
+		}
+	}
+
+	/** Counts the open connections. */
+	countOpen(): number {
+		return this.#pairs.size;
+	}
+
+	/** Closes everything. */
+	async close(): Promise<void> {
+		this.#abortPairs();
+		await new Promise(resolve => {
+			this.#server.close(resolve);
+		});
+	}
+
+	#abortPairs(): void {
+		for (const {near, far} of this.#pairs) {
+			near.destroy();
+			far.destroy();
+		}
+	}
+
+	#onConnection(near: Socket): void {
+		if (this.#state === linkState.cut) {
+			near.destroy();
+			return;
+		}
+
+		const [host, port] = this.#target.split(':');
+		const far = connect({host, port: Number(port)});
+		const pair: Pair = {near, far, isLost: false};
+		this.#pairs.add(pair);
+		const {silent, silentOut, silentBack} = linkState;
+		this.#connectWay(near, far, () => pair.isLost || this.#state === silent || this.#state === silentOut);
+		this.#connectWay(far, near, () => pair.isLost || this.#state === silent || this.#state === silentBack);
+		near.on('close', () => {
+			this.#pairs.delete(pair);
+		});
+	}
+
+	#connectWay(from: Socket, to: Socket, isLost: () => boolean): void {
+		from.setNoDelay(true);
+		from.on('data', data => {
+			if (!isLost() && !to.write(data)) {
+				from.pause();
+				to.once('drain', () => {
+					from.resume();
+				});
+			}
+		});
+		// An end that is lost on the way leaves the other side waiting, as bytes do.
+		from.on('close', () => {
+			if (!isLost()) {
+				to.destroy();
+			}
+		});
+		from.on('error', () => {
+			from.destroy();
+		});
+	}
+}
--- /dev/null
+++ b/rigs/test/link.test.ts
@@ -0,0 +1,102 @@
+import {connect, createServer} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {Link, linkState} from '../link.js';
+
+const waitMs = 30;
+
+describe('a link', () => {
+	let server: Server;
+	let link: Link;
+	let received: string;
+	const sockets: Socket[] = [];
+
+	beforeEach(async () => {
+		received = '';
+		server = createServer(socket => {
+			sockets.push(socket);
+			socket.on('error', () => undefined);
+			socket.on('data', data => {
+				received += data.toString();
+				socket.write(`got ${data.toString()}`);
+			});
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		link = new Link(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+		await link.start();
+	});
+
+	afterEach(async () => {
+		await link.close();
+		for (const socket of sockets.splice(0)) {
+			socket.destroy();
+		}
+
+		server.close();
+	});
+
+	const open = () => {
+		const [host, port] = link.address.split(':');
+		const socket = connect({host, port: Number(port)});
+		sockets.push(socket);
+		const seen = {socket, text: '', isClosed: false};
+		socket.on('data', data => {
+			seen.text += data.toString();
+		});
+		socket.on('error', () => undefined);
+		socket.on('close', () => {
+			seen.isClosed = true;
+		});
+		return seen;
+	};
+
+	const rows = [
+		{
+			state: linkState.open, received: 'a', text: 'got a', isClosed: false,
+		},
+		{
+			state: linkState.cut, received: '', text: '', isClosed: true,
+		},
+		{
+			state: linkState.silent, received: '', text: '', isClosed: false,
+		},
+		{
+			state: linkState.silentOut, received: '', text: '', isClosed: false,
+		},
+		{
+			state: linkState.silentBack, received: 'a', text: '', isClosed: false,
+		},
+	];
+	const checkRow = async (row: (typeof rows)[number]) => {
+		const before = open();
+		await sleep(waitMs);
+		link.state = row.state;
+		const after = open();
+		before.socket.write('a');
+		await sleep(waitMs);
+		expect(before).to.include({text: row.text, isClosed: row.isClosed});
+		expect(received).to.equal(row.received);
+		after.socket.write('a');
+		await sleep(waitMs);
+		expect(after).to.include({text: row.text, isClosed: row.isClosed});
+	};
+
+	for (const row of rows) {
+		it(`that is ${row.state} does so to open and new connections`, async () => checkRow(row));
+	}
+
+	it('that forgot its open connections carries new ones', async () => {
+		const before = open();
+		await sleep(waitMs);
+		link.forgetOpen();
+		const after = open();
+		before.socket.write('a');
+		after.socket.write('b');
+		await sleep(waitMs);
+		expect(before).to.include({text: '', isClosed: false});
+		expect(after.text).to.equal('got b');
+	});
+});
