Spread facts between entries over a tree inside each failure domain

Cause: entries know nothing of each other; barriers and decisions of other parts need facts within seconds. Ruled out: flooding over four links each (three copies of each fact, over 6 KB/s at 76 entries and 120 engines) and a hub to all (far over).

--- a/src/feed/index.ts
+++ b/src/feed/index.ts
@@ -5,3 +5,18 @@
 } from './facts.js';
 export {FactTable} from './table.js';
 export type {FactListener} from './table.js';
+export {messageKind} from './messages.js';
+export type {
+	BeatMessage, DigestMessage, FactsMessage, HelloMessage, NeedMessage, PeerMessage, TextMessage, WireFact,
+} from './messages.js';
+export {PeerLink, PeerNetwork} from './port.js';
+export type {LinkHandlers} from './port.js';
+export {computeRank, hashText, sortByRank} from './rendezvous.js';
+export {
+	beatPeriodMs, Feed, silenceBoundMs,
+} from './feed.js';
+export type {FeedOptions} from './feed.js';
+export {FeedHub} from './hub.js';
+export type {HubOptions} from './hub.js';
+export {listTargets} from './targets.js';
+export type {Neighbor} from './targets.js';
--- a/src/feed/table.ts
+++ b/src/feed/table.ts
@@ -1,7 +1,7 @@
 import type {Fact, FactKind} from './facts.js';
 
-/** Called with each fact that the table took in. */
-export type FactListener = (fact: Fact) => void;
+/** Called with each fact that the table took in and the one that it replaced. */
+export type FactListener = (fact: Fact, known: Fact | undefined) => void;
 
 /**
 The facts an entry knows. Late, crossed and repeated facts do no harm: of two with one kind and key the higher version holds.
@@ -27,7 +27,7 @@
 
 		facts.set(fact.key, fact);
 		for (const listener of this.#listeners) {
-			listener(fact);
+			listener(fact, known);
 		}
 
 		return true;
--- /dev/null
+++ b/src/feed/test/hub.test.ts
@@ -0,0 +1,129 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {createRecords, FakeEntry} from '../../../faults/fakes/fleet.js';
+import {FakeWires} from '../../../faults/fakes/network.js';
+import {FakePlatform} from '../../../faults/fakes/store.js';
+import {ManualTimers} from '../../timers/index.js';
+import {FactTable} from '../index.js';
+
+const settleMs = 12_000;
+/** The brief's bound for a configuration to be everywhere. */
+const spreadBoundMs = 5000;
+
+async function startFleet(count: number, domains: readonly string[]) {
+	const timers = new ManualTimers();
+	const platform = new FakePlatform(timers);
+	const wires = new FakeWires(timers);
+	platform.vms = createRecords(count, domains);
+	const entries = platform.vms.map(record => new FakeEntry({
+		vm: record.vm, domain: record.domain, platform, wires, timers,
+	}));
+	for (const entry of entries) {
+		await entry.start();
+	}
+
+	await timers.advance(settleMs);
+	return {
+		timers, platform, wires, entries,
+	};
+}
+
+function publishState(entry: FakeEntry, version: number): void {
+	entry.facts.merge({
+		kind: 'upstream', key: 'e1', version, value: {state: 'closing'},
+	});
+}
+
+describe('FeedHub', function () {
+	this.timeout(60_000);
+
+	it('makes one tree in a failure domain, over a few links each', async () => {
+		const {entries} = await startFleet(24, ['a']);
+		const roots = new Set(entries.map(entry => entry.hub.feed.tree.beacon.root));
+		expect(roots.size).to.equal(1);
+		expect(entries.filter(entry => entry.hub.feed.tree.parent === undefined)).to.have.length(1);
+		const links = entries.reduce((sum, entry) => sum + entry.hub.feed.countLinks(), 0);
+		expect(links / entries.length).to.be.at.most(5);
+	});
+
+	it('spreads a fact to every entry of every failure domain, and repeats next to nothing', async () => {
+		const {entries, timers, wires} = await startFleet(24, ['a', 'b']);
+		let sent = 0;
+		wires.onSent = (_from, _to, message) => {
+			sent += message.kind === 'facts' ? message.facts.filter(fact => fact.kind === 'upstream').length : 0;
+		};
+
+		publishState(entries[5]!, 1);
+		await timers.advance(spreadBoundMs);
+		expect(entries.filter(entry => entry.facts.get('upstream', 'e1')?.version !== 1)).to.have.length(0);
+		expect(sent).to.be.below(2 * entries.length);
+	});
+
+	it('goes on when the root is killed, and the others choose another', async () => {
+		const {entries, timers} = await startFleet(12, ['a']);
+		const {root} = entries[0]!.hub.feed.tree.beacon;
+		const rest = entries.filter(entry => entry.vm !== root);
+		entries.find(entry => entry.vm === root)!.abort();
+		publishState(rest[0]!, 1);
+		await timers.advance(spreadBoundMs);
+		expect(rest.filter(entry => entry.facts.get('upstream', 'e1')?.version !== 1)).to.have.length(0);
+		await timers.advance(spreadBoundMs);
+		expect(new Set(rest.map(entry => entry.hub.feed.tree.beacon.root)).size).to.equal(1);
+	});
+
+	it('replaces connections that went silent', async () => {
+		const {entries, timers, wires} = await startFleet(6, ['a']);
+		for (const entry of entries) {
+			wires.setSilent(entry.address);
+		}
+
+		publishState(entries[0]!, 1);
+		await timers.advance(2 * spreadBoundMs);
+		expect(entries.filter(entry => entry.facts.get('upstream', 'e1')?.version !== 1)).to.have.length(0);
+	});
+
+	it('joins cut-off parts again and brings each what the other learned', async () => {
+		const {entries, timers, wires} = await startFleet(8, ['a', 'b']);
+		const [left, right] = ['a', 'b'].map(domain => entries.filter(entry => entry.membership.own.createFact().domain === domain));
+		for (const from of left!) {
+			for (const to of right!) {
+				wires.setFault(from.address, to.address, 'cut');
+				wires.setFault(to.address, from.address, 'cut');
+			}
+		}
+
+		publishState(left![0]!, 3);
+		await timers.advance(20_000);
+		expect(right!.every(entry => entry.facts.get('upstream', 'e1') === undefined)).to.equal(true);
+		wires.faults.clear();
+		await timers.advance(20_000);
+		expect(entries.filter(entry => entry.facts.get('upstream', 'e1')?.version !== 3)).to.have.length(0);
+	});
+});
+
+describe('FactTable', () => {
+	it('ends the same whatever the order, repeats or lateness of facts', () => {
+		const fact = fc.record({
+			kind: fc.constant('upstream' as const),
+			key: fc.constantFrom('e1', 'e2', 'e3'),
+			version: fc.nat(20),
+		}).map(made => ({...made, value: {state: made.version % 2 === 0 ? 'serving' as const : 'closing' as const}}));
+		fc.assert(fc.property(fc.array(fact), fc.infiniteStream(fc.nat()), (facts, keys) => {
+			const straight = new FactTable();
+			const crossed = new FactTable();
+			for (const item of facts) {
+				straight.merge(item);
+			}
+
+			const shuffled = [...facts, ...facts].map(item => ({item, key: Number(keys.next().value)})).toSorted((a, b) => a.key - b.key);
+			for (const {item} of shuffled) {
+				const before = crossed.get(item.kind, item.key)?.version ?? -1;
+				crossed.merge(item);
+				expect(crossed.get(item.kind, item.key)!.version).to.be.at.least(before);
+			}
+
+			const list = (table: FactTable) => table.list('upstream').toSorted((a, b) => a.key.localeCompare(b.key));
+			expect(list(crossed)).to.deep.equal(list(straight));
+		}), {seed: 1});
+	});
+});
--- /dev/null
+++ b/src/peers/shapes.ts
@@ -0,0 +1,143 @@
+import {z} from 'zod';
+import {BadFrameError} from '../errors/index.js';
+import {messageKind, upstreamState} from '../feed/index.js';
+import type {FactKind, PeerMessage, WireFact} from '../feed/index.js';
+import {vmState} from '../store/index.js';
+
+const maxTextLength = 256;
+const maxItems = 20_000;
+const maxConfigurationLength = 1_048_576;
+
+/** Codes on the wire: the place in the list. New ones are added at the end. */
+const messageKinds = [messageKind.hello, messageKind.beat, messageKind.facts, messageKind.digest, messageKind.need, messageKind.text] as const;
+const factKinds = ['configuration', 'upstream', 'load', 'member', 'demand'] as const satisfies readonly FactKind[];
+const roles = ['prefill', 'decode', 'mixed'] as const;
+const vmStates = [vmState.live, vmState.leaving] as const;
+
+const text = z.string().max(maxTextLength);
+const count = z.number().nonnegative();
+const version = z.int().nonnegative();
+const createCode = (list: readonly unknown[]) => z.int().min(0).max(list.length - 1);
+const factKind = createCode(factKinds).transform(index => factKinds[index]!);
+
+const loadShape = z.tuple([count, count, createCode(roles), count, count, count, count, count, count])
+	.transform(([sequence, incarnation, role, running, waiting, prefillTokens, decodeTokens, piecesUsed, pieces]) => ({
+		sequence, incarnation, role: roles[role]!, running, waiting, prefillTokens, decodeTokens, piecesUsed, pieces,
+	}));
+const memberShape = z.tuple([text, text, text, text, version, createCode(vmStates), version, z.record(text, z.tuple([version, z.int()]))])
+	.transform(([vm, domain, http, peer, incarnation, state, configuration, closed]) => ({
+		vm,
+		domain,
+		http,
+		peer,
+		incarnation,
+		state: vmStates[state]!,
+		configuration,
+		closed: Object.fromEntries(Object.entries(closed).map(([key, [seen, running]]) => [key, {version: seen, running}])),
+	}));
+const setupShape = z.looseObject({
+	role: z.enum(roles), model: text, version: text, adapters: z.array(text).max(maxTextLength),
+});
+const valueShapes = {
+	configuration: z.strictObject({hash: text}),
+	upstream: z.looseObject({state: z.enum(Object.values(upstreamState)), setup: setupShape.optional()}),
+	load: loadShape,
+	member: memberShape,
+	demand: z.looseObject({requestsPerSecond: count, promptTokensPerSecond: count, outputTokensPerSecond: count}),
+} as const satisfies Record<FactKind, z.ZodType>;
+
+const messageShapes = {
+	hello: z.tuple([text, text]).transform(([vm, domain]) => ({vm, domain})),
+	beat: z.tuple([text, version, version, z.boolean(), version]).transform(([root, sequence, hops, isChild, check]) => ({
+		root, sequence, hops, isChild, check,
+	})),
+	facts: z.tuple([z.array(z.tuple([factKind, text, version, z.unknown()])).max(maxItems)]).transform(([facts]) => ({
+		facts: facts.map(([kind, key, factVersion, value]) => {
+			const fact: WireFact = {
+				kind, key, version: factVersion, value: valueShapes[kind].parse(value),
+			};
+			return fact;
+		}),
+	})),
+	digest: z.tuple([z.array(z.tuple([factKind, text, version])).max(maxItems), z.boolean()]).transform(([versions, isAnswerWanted]) => ({
+		versions: versions.map(([kind, key, factVersion]) => ({kind, key, version: factVersion})), isAnswerWanted,
+	})),
+	need: z.tuple([version]).transform(([wanted]) => ({version: wanted})),
+	text: z.tuple([version, text, z.string().max(maxConfigurationLength)]).transform(([sent, hash, body]) => ({version: sent, hash, text: body})),
+} as const;
+
+/** Turns a message into the short arrays that travel. */
+export function toWire(message: PeerMessage): unknown[] {
+	return [messageKinds.indexOf(message.kind), ...toFields(message)];
+}
+
+/** Checks what was decoded and turns it into a message. Throws `BadFrameError`. */
+export function parseWire(value: unknown): PeerMessage {
+	const [index, ...fields] = Array.isArray(value) ? value as unknown[] : [];
+	const kind = typeof index === 'number' ? messageKinds[index] : undefined;
+	if (kind === undefined) {
+		throw new BadFrameError('a message of an unknown kind');
+	}
+
+	try {
+		const message: unknown = {kind, ...messageShapes[kind].parse(fields)};
+		return message as PeerMessage;
+	} catch (error) {
+		throw new BadFrameError(`a message ${kind} of a wrong shape`, {cause: error});
+	}
+}
+
+function toFields(message: PeerMessage): unknown[] {
+	switch (message.kind) {
+		case messageKind.hello: {
+			return [message.vm, message.domain];
+		}
+
+		case messageKind.beat: {
+			return [message.root, message.sequence, message.hops, message.isChild, message.check];
+		}
+
+		case messageKind.facts: {
+			return [message.facts.map(fact => [factKinds.indexOf(fact.kind), fact.key, fact.version, toWireValue(fact)])];
+		}
+
+		case messageKind.digest: {
+			return [message.versions.map(fact => [factKinds.indexOf(fact.kind), fact.key, fact.version]), message.isAnswerWanted];
+		}
+
+		case messageKind.need: {
+			return [message.version];
+		}
+
+		case messageKind.text: {
+			return [message.version, message.hash, message.text];
+		}
+	}
+}
+
+function toWireValue({kind, value}: WireFact): unknown {
+	if (kind === 'load') {
+		const load = value as z.infer<typeof loadShape>;
+		return [
+			load.sequence,
+			load.incarnation,
+			roles.indexOf(load.role),
+			load.running,
+			load.waiting,
+			load.prefillTokens,
+			load.decodeTokens,
+			load.piecesUsed,
+			load.pieces,
+		];
+	}
+
+	if (kind === 'member') {
+		const member = value as z.infer<typeof memberShape>;
+		const closed = Object.fromEntries(Object.entries(member.closed).map(([key, {version: seen, running}]) => [key, [seen, running]]));
+		return [
+			member.vm, member.domain, member.http, member.peer, member.incarnation, vmStates.indexOf(member.state), member.configuration, closed,
+		];
+	}
+
+	return value;
+}
--- /dev/null
+++ b/src/peers/test/tcp.test.ts
@@ -0,0 +1,117 @@
+import {Buffer} from 'node:buffer';
+import {connect, createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import type {PeerLink, PeerMessage} from '../../feed/index.js';
+import {Metrics} from '../../metrics/index.js';
+import {TcpNetwork} from '../index.js';
+
+const waitMs = 5000;
+const turnMs = 5;
+
+async function findAddress(): Promise<string> {
+	const server = createServer();
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	await new Promise(resolve => {
+		server.close(resolve);
+	});
+	return `127.0.0.1:${port}`;
+}
+
+async function waitFor(isDone: () => boolean): Promise<void> {
+	for (let waited = 0; !isDone() && waited < waitMs; waited += turnMs) {
+		await sleep(turnMs);
+	}
+
+	expect(isDone()).to.equal(true);
+}
+
+describe('TcpNetwork', () => {
+	const metrics = new Metrics();
+	const network = new TcpNetwork(metrics);
+	const received: PeerMessage[] = [];
+	const links: PeerLink[] = [];
+	let closed = 0;
+	let address = '';
+
+	before(async () => {
+		address = await findAddress();
+		await network.serve(address, link => {
+			links.push(link);
+			return {
+				onMessage(message) {
+					received.push(message);
+					link.send(message);
+				},
+				onClose() {
+					closed++;
+				},
+			};
+		});
+	});
+
+	after(async () => {
+		await network.close();
+	});
+
+	it('carries messages both ways, a large one in one piece', async () => {
+		const answers: PeerMessage[] = [];
+		const link = network.open(address, {
+			onMessage(message) {
+				answers.push(message);
+			},
+			onClose() {/* Not of interest here. */},
+		});
+		const text = Array.from({length: 60_000}, (_, index) => `${index * 7919}`).join(' ').slice(0, 400_000);
+		const messages: PeerMessage[] = [
+			{kind: 'hello', vm: 'vm-1', domain: 'd'},
+			{
+				kind: 'text', version: 1, hash: 'h', text,
+			},
+			{kind: 'need', version: 2},
+		];
+		for (const message of messages) {
+			link.send(message);
+		}
+
+		await waitFor(() => answers.length === messages.length);
+		expect(received).to.deep.equal(messages);
+		expect(answers).to.deep.equal(messages);
+		expect(await metrics.format()).to.match(/crocus_peer_bytes_total\{direction="sent"\} [1-9]/v);
+		link.close();
+		await waitFor(() => closed === 1);
+	});
+
+	it('counts a bad or too long frame and closes that connection', async () => {
+		const [host, port] = address.split(':');
+		for (const bytes of [Buffer.from([0, 0, 0, 3, 1, 2, 3]), Buffer.from([0x7F, 0, 0, 0])]) {
+			const socket = connect({host, port: Number(port)});
+			const ended = new Promise<void>(resolve => {
+				socket.once('close', () => {
+					resolve();
+				});
+			});
+			socket.on('error', () => {/* A reset is an end too. */});
+			socket.write(bytes);
+			await ended;
+		}
+
+		const text = await metrics.format();
+		expect(text).to.include('crocus_dropped_total{kind="bad_frame"} 1');
+		expect(text).to.include('crocus_dropped_total{kind="long_frame"} 1');
+	});
+
+	it('says that a connection could not be opened', async () => {
+		const nobody = await findAddress();
+		await new Promise<void>(resolve => {
+			network.open(nobody, {
+				onMessage() {/* Nobody is there. */},
+				onClose: resolve,
+			});
+		});
+	});
+});
