--- a/src/errors/errors.ts
+++ b/src/errors/errors.ts
@@ -31,6 +31,12 @@
 /** An engine refused an order for another reason than the fencing number. */
 export const OrderRefusedError = createClass('OrderRefusedError', {});
 
+/** An operation was not taken in; `reason` is one of the operations' refusals. */
+export const OperationRefusedError = createClass('OperationRefusedError', {reason: 'conflict'});
+
+/** An order may not go out yet: earlier sends to the engine may still arrive. */
+export const OrderBlockedError = createClass('OrderBlockedError', {senders: [] as readonly string[]});
+
 /** The text of the deployment or of a process's settings is not valid; nothing was applied. */
 export const InvalidTextError = createClass('InvalidTextError', {problems: [] as readonly TextProblem[]});
 
@@ -47,7 +53,22 @@
 export const UnknownOutcomeError = createClass('UnknownOutcomeError', {});
 
 /** The caller's request is malformed; it was not run. */
-export const BadRequestError = createClass('BadRequestError', {});
+export const BadRequestError = createClass('BadRequestError', {problems: [] as readonly TextProblem[]});
+
+/** An answer stayed silent for longer than its limit; the connection may be dead. */
+export const SilentAnswerError = createClass('SilentAnswerError', {});
+
+/** The deadline passed after the request was sent; `retryAfterMs` says when to come back. */
+export const DeadlineError = createClass('DeadlineError', {retryAfterMs: 1000});
+
+/** The caller closed its connection. */
+export const CallerGoneError = createClass('CallerGoneError', {});
+
+/** The caller took its answer too slowly and was ended. */
+export const SlowCallerError = createClass('SlowCallerError', {});
+
+/** A call with the same idempotency key is in progress; whether it runs is not known yet. */
+export const KeyPendingError = createClass('KeyPendingError', {retryAfterMs: 1000});
 
 /** A message from a peer is malformed, too long or too deep. */
 export const BadFrameError = createClass('BadFrameError', {});
