Start membership and the feed in each entry

Cause: the barrier and the decisions wait for member facts that nobody published; each entry was alone. Ruled out: publishing a state of leaving by a call at the stop; it is read from the stop's phase instead, so that no part has to be told. Conclusion: entries find each other by the platform's list or by the new setting seeds.

--- a/src/deployment/index.ts
+++ b/src/deployment/index.ts
@@ -4,3 +4,4 @@
 	ApplicationService, CallerLimits, Deployment, EngineRole, ModelService, Service, ServiceKind, Upstream,
 } from './types.js';
 export {parseDeployment} from './parse.js';
+export {computeTextHash} from './hash.js';
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -16,6 +16,7 @@
 	addCallerRoutes, createCallers, setServerTimeouts, subscribeSignals,
 } from './callers.js';
 import {createDecisions} from './decisions.js';
+import {startFeed} from './feed.js';
 import type {EntryParts} from './parts.js';
 import type {GracefulStop} from './stop.js';
 
@@ -35,6 +36,7 @@
 	});
 	setServerTimeouts(app.server as Server);
 	subscribeSignals(callers, app.server as Server);
+	await startFeed(callers);
 	startAuthority(callers);
 	return callers.stop;
 }
--- a/src/entry/feed.ts
+++ b/src/entry/feed.ts
@@ -1,11 +1,33 @@
 import {FeedHub} from '../feed/index.js';
-import type {PeerNetwork} from '../feed/index.js';
+import {computeTextHash} from '../deployment/index.js';
 import {Membership} from '../membership/index.js';
 import {TcpNetwork} from '../peers/index.js';
 import type {EntryParts} from './parts.js';
+import {stopPhase} from './stop.js';
+import type {GracefulStop} from './stop.js';
 
 /** What the feed's parts are made from. */
-export type FeedParts = Pick<EntryParts, 'settings' | 'timers' | 'facts' | 'metrics' | 'history' | 'router' | 'vms' | 'getDeployment'>;
+export type FeedParts = EntryParts & {readonly stop: GracefulStop};
+
+/** The running feed of an entry. */
+export type EntryFeed = {readonly membership: Membership; readonly hub: FeedHub};
+
+/** Publishes this entry's standing and starts the feed to the others; a stop ends both last. */
+export async function startFeed(parts: FeedParts): Promise<EntryFeed> {
+	const membership = createMembership(parts);
+	const hub = createHub(parts, membership);
+	membership.start();
+	await hub.start();
+	parts.stop.addLastTask({
+		name: 'leave the other entries',
+		async run() {
+			membership.publish();
+			membership.stop();
+			await hub.stop();
+		},
+	});
+	return {membership, hub};
+}
 
 /** Makes this entry's membership over the parts. */
 export function createMembership(parts: FeedParts): Membership {
@@ -16,6 +38,7 @@
 		history: parts.history,
 		vms: parts.vms,
 		router: parts.router,
+		isLeaving: () => parts.stop.phase !== stopPhase.serving,
 		getConfiguration: () => parts.facts.get('configuration', '')?.version ?? 0,
 		isNear(id) {
 			const upstream = parts.getDeployment()?.upstreams.find(upstream => upstream.id === id);
@@ -25,21 +48,17 @@
 }
 
 /** Makes the feed between this entry and the others, not yet started. */
-export function createHub(parts: FeedParts, membership: Membership, options: {
-	readonly isText: (text: string, hash: string) => boolean;
-	readonly seeds: readonly string[];
-	readonly network?: PeerNetwork;
-}): FeedHub {
+export function createHub(parts: FeedParts, membership: Membership): FeedHub {
 	return new FeedHub({
 		vm: parts.settings.vm,
 		domain: parts.settings.domain,
 		peer: parts.settings.peer,
-		seeds: options.seeds,
+		seeds: parts.settings.seeds,
 		facts: parts.facts,
-		network: options.network ?? new TcpNetwork(parts.metrics),
+		network: new TcpNetwork(parts.metrics),
 		timers: parts.timers,
 		metrics: parts.metrics,
 		listNeighbors: () => membership.listNeighbors(),
-		isText: options.isText,
+		isText: (text, hash) => computeTextHash(text) === hash,
 	});
 }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -93,12 +93,6 @@
 		}
 	}
 
-	/** Says that this entry is leaving; it goes on acknowledging until stopped. */
-	startLeave(): void {
-		this.own.state = vmState.leaving;
-		this.publish();
-	}
-
 	/** Publishes the own fact of this moment. */
 	publish(): void {
 		this.#mustPublish = false;
--- a/src/membership/own.ts
+++ b/src/membership/own.ts
@@ -1,6 +1,5 @@
 import type {FactTable, MemberFact} from '../feed/index.js';
 import {upstreamState} from '../feed/index.js';
-import type {VmState} from '../store/index.js';
 import {vmState} from '../store/index.js';
 import type {TimerService} from '../timers/index.js';
 
@@ -15,13 +14,14 @@
 	readonly router: {readonly isOpen: (upstream: string) => boolean; readonly countRunning: (upstream: string) => number};
 	/** Version of the configuration in force, 0 when none is. */
 	readonly getConfiguration: () => number;
+	/** Says whether this entry is on its way out. */
+	readonly isLeaving?: () => boolean;
 	/** Says whether entries of this failure domain use the upstream; when unknown, they may. */
 	readonly isNear: (upstream: string) => boolean;
 };
 
 /** The entry's own member fact: its versions and incarnations only rise, also over restarts. */
 export class OwnMember {
-	state: VmState = vmState.live;
 	readonly #options: OwnOptions;
 	#incarnation: number;
 	#version: number;
@@ -63,7 +63,14 @@
 	createFact(): MemberFact {
 		const {vm, domain, http, peer} = this.#options;
 		return {
-			vm, domain, http, peer, incarnation: this.#incarnation, state: this.state, configuration: this.#options.getConfiguration(), closed: this.#listClosed(),
+			vm,
+			domain,
+			http,
+			peer,
+			incarnation: this.#incarnation,
+			state: this.#options.isLeaving?.() ? vmState.leaving : vmState.live,
+			configuration: this.#options.getConfiguration(),
+			closed: this.#listClosed(),
 		};
 	}
 
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -15,6 +15,8 @@
 	peer: address,
 	/** The platform's service, such as `http://127.0.0.1:7000`. */
 	platform: z.url(),
+	/** Where to find others while the platform's list can't be read. */
+	seeds: z.array(address).max(64).default([]),
 	/** Key that all entries share; it signs the ids with which a stream is resumed. */
 	secret: z.string().min(16),
 	/** At a stop: time for the balancer to see that the entry is not ready, in milliseconds. */
