--- a/src/upstreams/index.ts
+++ b/src/upstreams/index.ts
@@ -8,6 +8,7 @@
 export type {ServiceAnswer, ServiceCall} from './service.js';
 export {enginePath, serviceLoadPath, upstreamHeader} from './wire.js';
 export {HttpEngine} from './enginehttp.js';
+export type {ConnectionLimits} from './connections.js';
 export {readServerEvents} from './sse.js';
 export {isNeverSent} from './sent.js';
 export {blockTokens, listPrefixes} from './prefixes.js';
