--- a/faults/authority/inject.ts
+++ b/faults/authority/inject.ts
@@ -27,13 +27,13 @@
 
 	readonly #actions: Partial<Record<FaultName, (entry: FakeEntry) => Promise<void> | void>> = {
 		[faultName.killBefore]: entry => {
-			this.#kill(entry);
+			this.#abort(entry);
 		},
 		[faultName.freeze]: entry => {
-			this.#freeze(entry, shortFreezeMs);
+			this.#stop(entry, shortFreezeMs);
 		},
 		[faultName.freezePastLease]: entry => {
-			this.#freeze(entry, longFreezeMs);
+			this.#stop(entry, longFreezeMs);
 		},
 		[faultName.platformDown]: () => {
 			this.#setStores(true, 0);
@@ -43,15 +43,15 @@
 		},
 		[faultName.cutPlatform]: entry => {
 			entry.store.isDown = true;
-			this.#heal(() => {
+			this.#startHeal(() => {
 				entry.store.isDown = false;
 			});
 		},
 		[faultName.cutPeers]: entry => {
-			this.#cut(entry);
+			this.#stopFeed(entry);
 		},
 		[faultName.answerLost]: entry => {
-			this.#loseAnswer(entry);
+			this.#stopAnswer(entry);
 		},
 		[faultName.crossedAnswer]: entry => {
 			this.#sendLate(entry);
@@ -59,9 +59,9 @@
 		[faultName.engineCrash]: () => {
 			this.domain?.engines.get('e1')?.abort(crashMs);
 		},
-		[faultName.operatorRace]: async () => this.#race(),
+		[faultName.operatorRace]: async () => this.#askBoth(),
 		[faultName.pair]: entry => {
-			this.#freeze(entry, longFreezeMs);
+			this.#stop(entry, longFreezeMs);
 			this.domain?.engines.get('e1')?.abort(crashMs);
 		},
 	};
@@ -83,7 +83,7 @@
 	async onAfter(entry: FakeEntry, step: Step): Promise<void> {
 		if (this.#isDue(step) && this.#fault === faultName.killAfter) {
 			this.hit = entry;
-			this.#kill(entry);
+			this.#abort(entry);
 		}
 	}
 
@@ -100,18 +100,18 @@
 		await run(entry);
 	}
 
-	#kill(entry: FakeEntry): void {
+	#abort(entry: FakeEntry): void {
 		this.domain?.abort(entry);
 	}
 
-	#freeze(entry: FakeEntry, ms: number): void {
+	#stop(entry: FakeEntry, ms: number): void {
 		entry.gate.stop();
 		this.domain?.timers.startTimer(ms, () => {
 			entry.gate.resume();
 		});
 	}
 
-	#heal(heal: () => void): void {
+	#startHeal(heal: () => void): void {
 		this.domain?.timers.startTimer(outageMs, heal);
 	}
 
@@ -122,15 +122,15 @@
 		}
 
 		if (isDown || delayMs > 0) {
-			this.#heal(() => {
+			this.#startHeal(() => {
 				this.#setStores(false, 0);
 			});
 		}
 	}
 
-	#cut(entry: FakeEntry): void {
+	#stopFeed(entry: FakeEntry): void {
 		entry.isCut = true;
-		this.#heal(() => {
+		this.#startHeal(() => {
 			entry.isCut = false;
 			for (const other of this.domain?.entries ?? []) {
 				if (other !== entry) {
@@ -140,7 +140,7 @@
 		});
 	}
 
-	#loseAnswer(entry: FakeEntry): void {
+	#stopAnswer(entry: FakeEntry): void {
 		if (!isOrderStep(this.#step)) {
 			entry.store.lostAnswers = 1;
 			return;
@@ -158,7 +158,7 @@
 		}
 	}
 
-	async #race(): Promise<void> {
+	async #askBoth(): Promise<void> {
 		const asked = [operationKind.drain, operationKind.withdraw].map(async (kind, index) => this.#tryAsk(`race-${index}`, kind));
 		await Promise.all(asked);
 	}
--- a/faults/authority/procedures.ts
+++ b/faults/authority/procedures.ts
@@ -5,7 +5,7 @@
 export type FaultedProcedure = {
 	readonly name: string;
 	/** Done, and settled, before a fault is armed. */
-	readonly prepare?: (domain: FakeDomain) => Promise<void>;
+	readonly open?: (domain: FakeDomain) => Promise<void>;
 	readonly start: (domain: FakeDomain) => Promise<void>;
 	readonly steps: readonly string[];
 };
@@ -28,7 +28,7 @@
 		async start(domain) {
 			domain.setText('2');
 			await domain.timers.advance(900);
-			killHolder(domain);
+			abortHolder(domain);
 		},
 		steps: ['read the record to take over', 'raise the fence to take over', 'read the engine'],
 	},
@@ -55,7 +55,7 @@
 	},
 	{
 		name: 'resume',
-		async prepare(domain) {
+		async open(domain) {
 			await domain.ask('1', operationKind.drain, 'e1');
 		},
 		async start(domain) {
@@ -65,7 +65,7 @@
 	},
 	{
 		name: 'replace',
-		async prepare(domain) {
+		async open(domain) {
 			await domain.ask('1', operationKind.drain, 'e2');
 		},
 		async start(domain) {
@@ -96,7 +96,7 @@
 	},
 	{
 		name: 'repair a restarted engine',
-		async prepare(domain) {
+		async open(domain) {
 			domain.setText('2');
 		},
 		async start(domain) {
@@ -131,7 +131,7 @@
 };
 
 /** Kills the entry that holds the authority. */
-export function killHolder(domain: FakeDomain): void {
+export function abortHolder(domain: FakeDomain): void {
 	const holder = domain.findHolder();
 	if (holder) {
 		domain.abort(holder);
--- a/faults/authority/run.ts
+++ b/faults/authority/run.ts
@@ -37,7 +37,7 @@
 		void domain.stopWithdrawn();
 	});
 	await domain.start();
-	await procedure.prepare?.(domain);
+	await procedure.open?.(domain);
 	await domain.waitFor('the preparation', async () => domain.isSettled(), settleMs);
 	injector.isArmed = true;
 	await procedure.start(domain);
--- a/src/authority/book.ts
+++ b/src/authority/book.ts
@@ -74,12 +74,12 @@
 
 	/** Makes one change and returns the revision that it got. */
 	async update(change: RecordChange): Promise<number> {
-		return this.#push(change);
+		return this.#add(change);
 	}
 
 	/** Reads the record anew, as an earlier holder may have released its sends there. */
-	async refresh(): Promise<void> {
-		await this.#push();
+	async readAgain(): Promise<void> {
+		await this.#add();
 	}
 
 	/** Refuses every later change of this term. */
@@ -87,7 +87,7 @@
 		this.#isLost = true;
 	}
 
-	async #push(change?: RecordChange): Promise<number> {
+	async #add(change?: RecordChange): Promise<number> {
 		if (this.#waiting.length >= maxWaiting) {
 			throw new StoreConflictError(`${maxWaiting} changes of the order record wait`);
 		}
--- a/src/authority/tenure.ts
+++ b/src/authority/tenure.ts
@@ -135,7 +135,7 @@
 
 	async #advance(): Promise<void> {
 		try {
-			await this.#refreshSenders();
+			await this.#readSenders();
 			await this.#applyOperations();
 			await this.#repair.advance();
 		} catch (error) {
@@ -145,12 +145,12 @@
 	}
 
 	/** While sends of earlier holders may still arrive, looks whether these have released them. */
-	async #refreshSenders(): Promise<void> {
+	async #readSenders(): Promise<void> {
 		const now = this.#parts.options.timers.getNow();
 		const hasSenders = Object.values(this.#book.record.upstreams).some(({senders}) => senders.some(send => !send.startsWith(`${this.#parts.holder}#`)));
 		if (hasSenders && now - this.#refreshedAt >= sendersMs) {
 			this.#refreshedAt = now;
-			await this.#book.refresh();
+			await this.#book.readAgain();
 		}
 	}
 
