Serve application calls with three outcomes, and claim idempotency keys in the store before the send

Cause: calls of application services had no path; a keyed call must run at most once across entries and kills. Ruled out: saying 'ran: no' for a pending key: the first call may be running; it says 'unknown'.

--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -2,22 +2,33 @@
 import process from 'node:process';
 import type {Polka} from 'polka';
 import {serviceKind} from '../deployment/index.js';
+import type {Upstream} from '../deployment/index.js';
 import {NotRunError, refusalReason} from '../errors/index.js';
 import {createModelList, relayPath, RequestIds} from '../serving/index.js';
+import {Claims} from '../claims/index.js';
+import {upstreamHeader} from '../upstreams/index.js';
+import type {ServiceClient} from '../upstreams/index.js';
+import {serveCall} from './calls.js';
 import {serveChat} from './chat.js';
 import {sendFailure, sendJson} from './http.js';
 import type {EntryParts} from './parts.js';
 import {serveRelay, serveRelayCancel} from './relay.js';
+import {serveRelayedCall} from './relaycalls.js';
+import {ServiceClients} from './services.js';
 import {GracefulStop, stopPhase} from './stop.js';
 
 /** Most requests in progress in one process. */
 const maxRunning = 10_000;
 const refusalPauseMs = 1000;
+/** At a stop: longest wait for the store to take the ends of claims, in milliseconds. */
+const claimsWaitMs = 10_000;
 
 /** What the callers' side needs beside the entry's parts. */
 export type CallerParts = EntryParts & {
 	readonly ids: RequestIds;
 	readonly stop: GracefulStop;
+	readonly claims: Claims;
+	readonly getService: (upstream: Upstream) => ServiceClient;
 	/** Draws a number from 0 up to 1. */
 	readonly pick: () => number;
 };
@@ -26,11 +37,22 @@
 
 /** Puts together the callers' side. */
 export function createCallers(parts: EntryParts): CallerParts {
+	const {timers, history, store, metrics, settings} = parts;
+	const pick = () => Math.random();
+	const services = new ServiceClients(parts, pick);
+	const claims = new Claims({
+		store, timers, metrics, pick,
+	});
+	const stop = new GracefulStop({timers, history, balancerWaitMs: settings.balancerWaitMs});
+	stop.addLastTask({
+		name: 'settle the claims',
+		async run() {
+			const left = await claims.finish(claimsWaitMs);
+			history.record({subject: 'process', kind: 'claims', detail: `${left} ends of claims not written; they are reported as unknown`});
+		},
+	});
 	return {
-		...parts,
-		ids: new RequestIds(parts.settings.secret),
-		stop: new GracefulStop({timers: parts.timers, history: parts.history, balancerWaitMs: parts.settings.balancerWaitMs}),
-		pick: () => Math.random(),
+		...parts, ids: new RequestIds(settings.secret), stop, claims, pick, getService: upstream => services.get(upstream),
 	};
 }
 
@@ -51,6 +73,8 @@
 		sendJson(response, 200, createModelList(listModels(parts), 0));
 	});
 	app.post('/v1/chat/completions', wrapRequest(parts, 'chat', serveChat));
+	app.use('/services', wrapRequest(parts, 'call', serveCall));
+	app.use(relayPath.services, wrapRequest(parts, 'relayed call', serveRelayedCall));
 	app.post(relayPath.generate, wrapRequest(parts, 'relay', serveRelay));
 	app.post(relayPath.cancel, wrapRequest(parts, 'relay cancel', serveRelayCancel));
 }
@@ -91,6 +115,11 @@
 /** Counts a request as in progress until its answer is flushed or its connection is gone; refuses it when there is no room. */
 function wrapRequest(parts: CallerParts, kind: string, serve: Serve) {
 	return async (request: IncomingMessage, response: ServerResponse) => {
+		const id = request.headers[upstreamHeader.requestId];
+		if (id !== undefined) {
+			response.setHeader(upstreamHeader.requestId, id);
+		}
+
 		if (!parts.stop.isOpen) {
 			refuse(parts, response, refusalReason.draining);
 			return;
--- a/src/entry/http.ts
+++ b/src/entry/http.ts
@@ -6,6 +6,8 @@
 import type {RefusalReason} from '../errors/index.js';
 import type {Metrics} from '../metrics/index.js';
 import {createErrorBody, decideOutcome, decideRefusal} from '../serving/index.js';
+import type {Refusal} from '../serving/index.js';
+import {upstreamHeader} from '../upstreams/index.js';
 
 const maxBodyBytes = 8_000_000;
 const refusalReasons = new Set<string>(Object.values(refusalReason));
@@ -63,7 +65,7 @@
 		return;
 	}
 
-	sendJson(response, refusal.status, createErrorBody(refusal), createHeaders(error, refusal.retryAfterMs));
+	sendJson(response, refusal.status, createErrorBody(refusal), createHeaders(error, refusal));
 }
 
 /** Counts a request that was not answered whole. */
@@ -76,9 +78,10 @@
 	}
 }
 
-function createHeaders(error: unknown, retryAfterMs: number | undefined): Readonly<Record<string, string>> {
+function createHeaders(error: unknown, {ran, retryAfterMs}: Refusal): Readonly<Record<string, string>> {
 	const isDraining = error instanceof NotRunError && error.reason === refusalReason.draining;
 	return {
+		...(ran === 'no' ? {[upstreamHeader.notRun]: '1'} : {}),
 		...(retryAfterMs === undefined ? {} : {'retry-after': String(Math.ceil(retryAfterMs / 1000))}),
 		// A balancer that reuses connections must come to another entry.
 		...(isDraining ? {connection: 'close'} : {}),
--- a/src/entry/placements.ts
+++ b/src/entry/placements.ts
@@ -37,7 +37,7 @@
 }
 
 /** Finds an entry of another failure domain to relay through: `host:port` of its HTTP side. */
-export function findEntry(parts: CallerParts, domain: string): string | undefined {
+export function findEntry(parts: Pick<CallerParts, 'facts' | 'pick'>, domain: string): string | undefined {
 	const members = parts.facts.list('member').map(({value}) => value);
 	const live = members.filter(member => member.domain === domain && member.state === vmState.live);
 	return live.at(Math.floor(parts.pick() * live.length))?.http;
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -5,13 +5,12 @@
 import {runProcedure} from '../procedures/index.js';
 import type {Work} from '../routing/index.js';
 import {
-	createErrorBody, createProof, decideRefusal, isProof, relayHeader, serveRelayed,
+	createProof, decideRefusal, isProof, relayHeader, serveRelayed,
 } from '../serving/index.js';
-import {upstreamHeader} from '../upstreams/index.js';
 import type {GenerateRequest} from '../upstreams/index.js';
 import type {CallerParts} from './callers.js';
 import {CallerStream} from './callerstream.js';
-import {countFailure, readJson, sendJson} from './http.js';
+import {readJson, sendFailure, sendJson} from './http.js';
 import {createStreamParts} from './placements.js';
 
 const relayCaller = 'relay';
@@ -69,16 +68,13 @@
 	return upstream;
 }
 
-/** Sends the failure of a relayed request; one that was not run says so in a header as an upstream does. */
+/** Sends the failure of a relayed request; only one that was not run says so, as an upstream does. */
 export function sendRelayFailure(parts: CallerParts, response: ServerResponse, error: unknown): void {
-	countFailure(error, parts.metrics);
-	if (response.headersSent || response.destroyed) {
-		response.destroy();
-		return;
+	if (!response.headersSent && decideRefusal(error).ran !== 'no') {
+		response.setHeader(relayHeader.unknown, '1');
 	}
 
-	const refusal = decideRefusal(error);
-	sendJson(response, refusal.status, createErrorBody(refusal), refusal.ran === 'no' ? {[upstreamHeader.notRun]: '1'} : {});
+	sendFailure(response, error, parts.metrics);
 }
 
 function findService(parts: CallerParts, upstream: Upstream): ModelService {
--- /dev/null
+++ b/src/entry/services.ts
@@ -0,0 +1,66 @@
+import type {Upstream} from '../deployment/index.js';
+import {NotRunError, refusalReason} from '../errors/index.js';
+import {createProof, relayHeader, relayPath} from '../serving/index.js';
+import {HttpService} from '../upstreams/index.js';
+import type {ServiceCall, ServiceClient, ServiceRelay} from '../upstreams/index.js';
+import type {EntryParts} from './parts.js';
+import {findEntry} from './placements.js';
+
+const maxClients = 256;
+
+/** The clients of application services, one for each way to an instance; the longest unused are closed. */
+export class ServiceClients {
+	readonly #clients = new Map<string, HttpService>();
+	readonly #parts: EntryParts;
+	readonly #pick: () => number;
+
+	constructor(parts: EntryParts, pick: () => number) {
+		this.#parts = parts;
+		this.#pick = pick;
+	}
+
+	/** Gives the client of an instance; one of another failure domain is reached through an entry there. Throws `NotRunError`. */
+	get(upstream: Upstream): ServiceClient {
+		if (upstream.domain === this.#parts.settings.domain) {
+			return this.#getClient(upstream.address, () => new HttpService(upstream.address));
+		}
+
+		const via = findEntry({...this.#parts, pick: this.#pick}, upstream.domain);
+		if (via === undefined) {
+			throw new NotRunError(`no entry of ${upstream.domain} is known`, {props: {reason: refusalReason.noUpstream}});
+		}
+
+		return this.#getClient(`${via} ${upstream.id}`, () => new HttpService(via, this.#createRelay(upstream)));
+	}
+
+	#createRelay(upstream: Upstream): ServiceRelay {
+		const {secret} = this.#parts.settings;
+		return {
+			probePath: '/healthz',
+			unknownHeader: relayHeader.unknown,
+			wrapCall: (call: ServiceCall) => ({
+				...call,
+				path: `${relayPath.services}${call.path}`,
+				headers: {
+					...call.headers,
+					[relayHeader.upstream]: upstream.id,
+					[relayHeader.proof]: createProof(secret, upstream.id, call.id),
+					...(call.isRepeatable ? {} : {[relayHeader.once]: '1'}),
+				},
+			}),
+		};
+	}
+
+	#getClient(key: string, create: () => HttpService): HttpService {
+		const client = this.#clients.get(key) ?? create();
+		this.#clients.delete(key);
+		this.#clients.set(key, client);
+		const [oldest] = this.#clients;
+		if (this.#clients.size > maxClients && oldest) {
+			this.#clients.delete(oldest[0]);
+			void oldest[1].close();
+		}
+
+		return client;
+	}
+}
--- a/src/serving/index.ts
+++ b/src/serving/index.ts
@@ -22,3 +22,13 @@
 export type {
 	ChunkWriter, CompletionHead, ErrorBody, ErrorParticulars, Ran, Usage,
 } from './wire.js';
+export {
+	callOutcome, createOutcome, sendOnce, sendRepeatable, serveOnce, serveRepeatable,
+} from './call.js';
+export type {
+	CallJob, CallOutcome, CallParts, DoneOutcome, NotRunOutcome, UnknownOutcome,
+} from './call.js';
+export {serveKeyed} from './keyedcall.js';
+export type {ClaimPort, KeyedJob, KeyedParts} from './keyedcall.js';
+export type {WholeAnswer} from './wholeanswer.js';
+export {isRepeatable, selectHeaders} from './calls.js';
--- a/src/serving/relayauth.ts
+++ b/src/serving/relayauth.ts
@@ -7,10 +7,10 @@
 	upstream: 'x-crocus-upstream',
 	/** Proof that the sender knows the deployment's secret. */
 	proof: 'x-crocus-proof',
-	/** Milliseconds left to the deadline. */
-	left: 'x-crocus-left-ms',
 	/** Present when the call may not be repeated. */
 	once: 'x-crocus-once',
+	/** On an answer: nobody knows whether the call ran. */
+	unknown: 'x-crocus-unknown',
 } as const;
 
 /** Paths at which an entry takes requests from entries of other failure domains. */
--- /dev/null
+++ b/src/serving/test/call.test.ts
@@ -0,0 +1,103 @@
+import {Buffer} from 'node:buffer';
+import {expect} from 'chai';
+import {CallWorld} from '../../../faults/fakes/callworld.js';
+import {createServiceAnswer, serviceFault} from '../../../faults/fakes/services.js';
+import type {ServiceFault} from '../../../faults/fakes/services.js';
+import {isRepeatable} from '../index.js';
+
+const ranFaults: readonly ServiceFault[] = [serviceFault.answerLost, serviceFault.answerCut, serviceFault.foreign, serviceFault.silent];
+const notRunFaults: readonly ServiceFault[] = [serviceFault.refuse, serviceFault.connectFails];
+
+describe('a call that may not be repeated', () => {
+	for (const fault of ranFaults) {
+		it(`is never sent again after "${fault}", and reported as unknown`, async () => {
+			const world = new CallWorld();
+			world.getService('s1').faults.push(fault);
+			const record = await world.settle(world.first.start());
+			expect(record.outcome?.kind).to.equal('unknown');
+			expect(world.runs).to.have.lengthOf(1);
+			expect(world.first.router.countRunning('s1')).to.equal(0);
+		});
+	}
+
+	for (const fault of notRunFaults) {
+		it(`is tried elsewhere after "${fault}", and runs once`, async () => {
+			const world = new CallWorld();
+			world.getService('s1').faults.push(fault);
+			const record = await world.settle(world.first.start());
+			expect(record.outcome?.kind).to.equal('done');
+			expect(world.runs).to.have.lengthOf(1);
+		});
+	}
+
+	it('meets no silent connection of the pool', async () => {
+		const world = new CallWorld();
+		world.getService('s1').silentPooled = 2;
+		const record = await world.settle(world.first.start());
+		expect(record.outcome?.kind).to.equal('done');
+	});
+
+	it('is not sent to an instance that closed after it was chosen', async () => {
+		const world = new CallWorld();
+		world.first.publish('s2', 'closing', 1);
+		const record = world.first.start({
+			hooks: {
+				onBefore(step) {
+					if (step.name === 'send the call') {
+						world.first.publish('s1', 'closing', 1);
+					}
+				},
+			},
+		});
+		await world.settle(record);
+		expect(record.outcome?.kind).to.equal('not_run');
+		expect(world.runs).to.have.lengthOf(0);
+	});
+
+	it('keeps within the retry budget', async () => {
+		const world = new CallWorld();
+		world.first.router.retriesLeft = 0;
+		world.getService('s1').faults.push(serviceFault.refuse);
+		const record = await world.settle(world.first.start());
+		expect(record.outcome?.kind).to.equal('not_run');
+	});
+});
+
+describe('a call that may be repeated', () => {
+	for (const fault of [...ranFaults.filter(fault => fault !== serviceFault.silent), ...notRunFaults]) {
+		it(`gets its whole answer from another instance after "${fault}"`, async () => {
+			const world = new CallWorld();
+			world.getService('s1').faults.push(fault);
+			const record = await world.settle(world.first.start({isRepeatable: true}));
+			const {outcome} = record;
+			expect(outcome?.kind === 'done' && Buffer.from(outcome.answer.body).toString()).to.equal(createServiceAnswer('refund 7', world.runs.length));
+		});
+	}
+
+	it('is given up at its deadline', async () => {
+		const world = new CallWorld();
+		world.getService('s1').faults.push(serviceFault.silent);
+		const record = world.first.start({isRepeatable: true});
+		await world.timers.advance(4999);
+		expect(record.isSettled).to.equal(false);
+		await world.timers.advance(1);
+		expect(record.outcome?.kind).to.equal('unknown');
+		expect(world.timers.countPending()).to.equal(0);
+	});
+});
+
+describe('isRepeatable', () => {
+	const service = {nonRepeatable: ['POST /refunds', 'PUT /holds']};
+
+	for (const path of ['/refunds', '/refunds/', '//refunds', '/Refunds', '/refunds?x=1', '/%72efunds', '/refunds/7', '/./refunds', '/x/../refunds']) {
+		it(`does not repeat POST ${path}`, () => {
+			expect(isRepeatable(service, 'POST', path)).to.equal(false);
+		});
+	}
+
+	for (const [method, path] of [['GET', '/refunds'], ['POST', '/refundsx'], ['POST', '/holds'], ['POST', '/']] as const) {
+		it(`repeats ${method} ${path}`, () => {
+			expect(isRepeatable(service, method, path)).to.equal(true);
+		});
+	}
+});
--- /dev/null
+++ b/src/serving/wholeanswer.ts
@@ -0,0 +1,38 @@
+import {Buffer} from 'node:buffer';
+import {BrokenAnswerError} from '../errors/index.js';
+import type {ServiceAnswer} from '../upstreams/index.js';
+
+/** Largest answer of a service, in bytes; it is held until it is whole. */
+const maxAnswerBytes = 16_000_000;
+
+/** An answer of a service, read to its end. */
+export type WholeAnswer = {
+	readonly status: number;
+	readonly headers: Readonly<Record<string, string>>;
+	readonly body: Uint8Array;
+};
+
+/** Reads an answer to its end. Throws `BrokenAnswerError` when it stops early or is too large to be held. */
+export async function readAnswer(answer: Promise<ServiceAnswer>): Promise<WholeAnswer> {
+	const {status, headers, body} = await answer;
+	const chunks: Uint8Array[] = [];
+	let size = 0;
+	try {
+		for await (const chunk of body as AsyncIterable<Uint8Array>) {
+			size += chunk.length;
+			if (size > maxAnswerBytes) {
+				break;
+			}
+
+			chunks.push(chunk);
+		}
+	} catch (error) {
+		throw new BrokenAnswerError('the answer broke off', {cause: error});
+	}
+
+	if (size > maxAnswerBytes) {
+		throw new BrokenAnswerError(`the answer has more than ${maxAnswerBytes} bytes`);
+	}
+
+	return {status, headers, body: Buffer.concat(chunks)};
+}
--- /dev/null
+++ b/src/upstreams/liveconnection.ts
@@ -0,0 +1,68 @@
+import type {Socket} from 'node:net';
+import {buildConnector, Client} from 'undici';
+import {NotRunError} from '../errors/index.js';
+
+const connectTimeoutMs = 1000;
+const probeTimeoutMs = 500;
+
+/** The connector's own error when a client asks for a second socket. */
+const onlySocketCode = 'CROCUS_ONLY_SOCKET';
+
+/**
+One socket to an upstream. The client on it never opens another, so that what was handed to it can't be sent again
+over a new connection behind our back.
+*/
+export class LiveConnection {
+	readonly client: Client;
+	#socket: Socket | undefined;
+	#isLost = false;
+
+	constructor(address: string) {
+		const connect = buildConnector({timeout: connectTimeoutMs});
+		this.client = new Client(`http://${address}`, {
+			pipelining: 1,
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			connect: (options, callback) => {
+				if (this.#socket) {
+					callback(Object.assign(new Error('the connection was lost'), {code: onlySocketCode}), null);
+					return;
+				}
+
+				connect(options, (...[error, socket]) => {
+					if (error) {
+						callback(error, null);
+						return;
+					}
+
+					this.#socket = socket;
+					socket.once('close', () => {
+						this.#isLost = true;
+					});
+					callback(null, socket);
+				});
+			},
+		});
+	}
+
+	/** Whether the socket is there and nobody has closed it. */
+	get isOpen(): boolean {
+		return this.#socket !== undefined && !this.#isLost && !this.#socket.destroyed && this.#socket.writable;
+	}
+
+	/** Asks for `path` and waits for the answer. Throws `NotRunError`: only the probe was sent. */
+	async probe(path: string, signal: AbortSignal): Promise<void> {
+		try {
+			const limit = AbortSignal.any([signal, AbortSignal.timeout(probeTimeoutMs)]);
+			const response = await this.client.request({method: 'GET', path, signal: limit});
+			await response.body.dump();
+		} catch (error) {
+			throw new NotRunError('the connection does not answer', {cause: error});
+		}
+	}
+
+	/** Closes the socket. */
+	close(): void {
+		void this.client.destroy();
+	}
+}
--- /dev/null
+++ b/src/upstreams/servicehttp.ts
@@ -0,0 +1,204 @@
+import {Buffer} from 'node:buffer';
+import {Pool} from 'undici';
+import type {Dispatcher} from 'undici';
+import {
+	BrokenAnswerError, ForeignAnswerError, NotRunError, UnknownOutcomeError,
+} from '../errors/index.js';
+import {LiveConnection} from './liveconnection.js';
+import {isNeverSent} from './sent.js';
+import {ServiceClient, ServiceConnection} from './service.js';
+import type {ServiceAnswer, ServiceCall} from './service.js';
+import {serviceLoadPath, upstreamHeader} from './wire.js';
+
+const connections = 64;
+const connectTimeoutMs = 1000;
+const maxIdle = 16;
+const loadTimeoutMs = 1000;
+
+/** How a call goes out when it is relayed by another entry. */
+export type ServiceRelay = {
+	/** Path that shows whether the relaying entry answers. */
+	readonly probePath: string;
+	/** Turns a call into the one that the relaying entry takes. */
+	readonly wrapCall: (call: ServiceCall) => ServiceCall;
+	/** Header with which the relaying entry says that nobody knows whether the call ran. */
+	readonly unknownHeader: string;
+};
+
+/** An application service over HTTP. */
+export class HttpService extends ServiceClient {
+	readonly #address: string;
+	readonly #relay: ServiceRelay | undefined;
+	readonly #pool: Pool;
+	readonly #idle: LiveConnection[] = [];
+
+	/** Takes the instance's `address`, `host:port`, or that of the entry that relays to it. */
+	constructor(address: string, relay?: ServiceRelay) {
+		super();
+		this.#address = address;
+		this.#relay = relay;
+		// The time for an answer is bounded by the call's deadline, not here.
+		this.#pool = new Pool(`http://${address}`, {
+			connections, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: {timeout: connectTimeoutMs},
+		});
+	}
+
+	async call(call: ServiceCall, signal: AbortSignal): Promise<ServiceAnswer> {
+		return sendCall(this.#pool, call, {signal, relay: this.#relay});
+	}
+
+	async open(signal: AbortSignal): Promise<ServiceConnection> {
+		const probePath = this.#relay?.probePath ?? serviceLoadPath;
+		for (let idle = this.#idle.pop(); idle; idle = this.#idle.pop()) {
+			if (await isAnswering(idle, probePath, signal)) {
+				return this.#createConnection(idle);
+			}
+
+			idle.close();
+		}
+
+		const fresh = new LiveConnection(this.#address);
+		try {
+			await fresh.probe(probePath, signal);
+		} catch (error) {
+			fresh.close();
+			throw error;
+		}
+
+		return this.#createConnection(fresh);
+	}
+
+	async readLoad(): Promise<number> {
+		try {
+			const {body} = await this.#pool.request({method: 'GET', path: serviceLoadPath, signal: AbortSignal.timeout(loadTimeoutMs)});
+			return (await body.json() as {running: number}).running;
+		} catch (error) {
+			throw new UnknownOutcomeError('the service does not say its load', {cause: error});
+		}
+	}
+
+	/** Closes the connections. */
+	async close(): Promise<void> {
+		for (const idle of this.#idle) {
+			idle.close();
+		}
+
+		await this.#pool.destroy();
+	}
+
+	#createConnection(live: LiveConnection): ServiceConnection {
+		return new HttpServiceConnection(live, this.#relay, () => {
+			if (live.isOpen && this.#idle.length < maxIdle) {
+				this.#idle.push(live);
+			} else {
+				live.close();
+			}
+		});
+	}
+}
+
+class HttpServiceConnection extends ServiceConnection {
+	#isClean = true;
+	readonly #live: LiveConnection;
+	readonly #relay: ServiceRelay | undefined;
+	readonly #onFree: () => void;
+
+	constructor(live: LiveConnection, relay: ServiceRelay | undefined, onFree: () => void) {
+		super();
+		this.#live = live;
+		this.#relay = relay;
+		this.#onFree = onFree;
+	}
+
+	async call(call: ServiceCall, signal: AbortSignal): Promise<ServiceAnswer> {
+		if (!this.#live.isOpen) {
+			throw new NotRunError('the connection was lost before the call');
+		}
+
+		this.#isClean = false;
+		const answer = await sendCall(this.#live.client, call, {signal, relay: this.#relay, isSent: true});
+		answer.body.once('end', () => {
+			this.#isClean = true;
+		});
+		return answer;
+	}
+
+	close(): void {
+		if (this.#isClean) {
+			this.#onFree();
+		} else {
+			this.#live.close();
+		}
+	}
+}
+
+type SendOptions = {
+	readonly signal: AbortSignal;
+	readonly relay: ServiceRelay | undefined;
+	/** The call is on a live socket: no error proves any more that nothing was sent. */
+	readonly isSent?: boolean;
+};
+
+async function sendCall(dispatcher: Dispatcher, call: ServiceCall, {signal, relay, isSent = false}: SendOptions): Promise<ServiceAnswer> {
+	const {method, path, headers, body, id} = relay ? relay.wrapCall(call) : call;
+	let response: Dispatcher.ResponseData;
+	try {
+		response = await dispatcher.request({
+			method,
+			path,
+			headers: {...headers, [upstreamHeader.requestId]: id},
+			body: body.length > 0 ? Buffer.from(body) : undefined,
+			signal,
+			idempotent: call.isRepeatable,
+		});
+	} catch (error) {
+		throw !isSent && isNeverSent(error)
+			? new NotRunError('no connection to the service', {cause: error})
+			: new UnknownOutcomeError('the service gave no answer', {cause: error});
+	}
+
+	const answer = {status: response.statusCode, headers: selectHeaders(response.headers), body: response.body};
+	await checkAnswer(answer, call, relay);
+	return answer;
+}
+
+async function checkAnswer(answer: ServiceAnswer, call: ServiceCall, relay: ServiceRelay | undefined): Promise<void> {
+	const echoed = answer.headers[upstreamHeader.requestId];
+	if (echoed !== call.id) {
+		answer.body.destroy();
+		throw new ForeignAnswerError(`expected the answer to ${call.id}, got that to ${echoed ?? 'nothing'}`);
+	}
+
+	if (answer.headers[upstreamHeader.notRun] === '1') {
+		await readText(answer);
+		throw new NotRunError('the service did not take the call');
+	}
+
+	if (relay && answer.headers[relay.unknownHeader] !== undefined) {
+		await readText(answer);
+		throw new UnknownOutcomeError('the relaying entry does not know whether the call ran');
+	}
+}
+
+async function readText(answer: ServiceAnswer): Promise<void> {
+	try {
+		for await (const _chunk of answer.body) {
+			// The reason is in the status and the headers.
+		}
+	} catch (error) {
+		throw new BrokenAnswerError('the refusal broke off', {cause: error});
+	}
+}
+
+function selectHeaders(headers: Dispatcher.ResponseData['headers']): Readonly<Record<string, string>> {
+	return Object.fromEntries(Object.entries(headers).flatMap(([name, value]) => value === undefined ? [] : [[name, String(value)]]));
+}
+
+async function isAnswering(live: LiveConnection, path: string, signal: AbortSignal): Promise<boolean> {
+	try {
+		await live.probe(path, signal);
+		return live.isOpen;
+	} catch {
+		return false;
+	}
+}
