Test the callers' side over HTTP with the official client, stand-ins and two entries

Cause: the adapters were not run by any test. Seen red first: a crossed answer of a service ended the process: undici's destroyed body emits an error that nobody heard ('says unknown after a crossed answer', uncaught AbortError); the body's error is now heard.

--- /dev/null
+++ b/src/entry/test/calls.test.ts
@@ -0,0 +1,104 @@
+import {expect} from 'chai';
+import {request as sendRequest} from 'undici';
+import type {ServiceShell} from '../../../standins/service/index.js';
+import {EntryRig} from './rig.js';
+import type {RigEntry} from './rig.js';
+
+async function post(entry: RigEntry, key?: string, body = '{"amount":5}') {
+	const answer = await sendRequest(`http://${entry.address}/services/refunds/refunds?x=1`, {
+		method: 'POST', headers: {authorization: 'Bearer clerk-3', ...(key === undefined ? {} : {'idempotency-key': key})}, body,
+	});
+	return {status: answer.statusCode, headers: answer.headers, body: await answer.body.json() as {ran?: string; error?: {ran: string; code: string}}};
+}
+
+class CallSetup {
+	rig!: EntryRig;
+	first!: RigEntry;
+	second!: RigEntry;
+	service!: ServiceShell;
+}
+
+describe('/services', () => {
+	const setup = new CallSetup();
+
+	const countRuns = () => setup.service.journal.list().filter(row => row.event === 'run').length;
+
+	beforeEach(async () => {
+		const rig = new EntryRig();
+		setup.rig = rig;
+		setup.service = await rig.startService('s1', 'd1');
+		setup.first = await rig.startEntry('vm-1', 'd1');
+		setup.second = await rig.startEntry('vm-2', 'd2');
+		setup.second.router.only = rig.getUpstream('s1');
+		rig.publishMembers();
+	});
+
+	afterEach(async () => {
+		await setup.rig.close();
+	});
+
+	it('gives the same answer to a repeat through an entry of another domain, and runs once', async () => {
+		const one = await post(setup.first, 'k1');
+		const again = await post(setup.second, 'k1');
+		expect(one.status).to.equal(200);
+		expect(again.body).to.deep.equal(one.body);
+		expect(countRuns()).to.equal(1);
+		const conflict = await post(setup.second, 'k1', '{"amount":6}');
+		expect([conflict.status, conflict.body.error?.code, conflict.body.error?.ran]).to.deep.equal([409, 'key_conflict', 'no']);
+	});
+
+	it('reaches an instance of another domain through an entry there', async () => {
+		const answer = await post(setup.second, 'k1');
+		expect(answer.status).to.equal(200);
+		expect(countRuns()).to.equal(1);
+		expect(setup.second.router.countRunning('s1') + setup.first.router.countRunning('s1')).to.equal(0);
+	});
+
+	it('meets no connection that went silent in the pool', async () => {
+		await post(setup.first);
+		setup.service.applyControl({silence: true});
+		const answer = await post(setup.first);
+		expect(answer.status).to.equal(200);
+		expect(countRuns()).to.equal(2);
+	});
+
+	for (const [name, control] of Object.entries({'a lost answer': {loseAnswers: 1}, 'a cut answer': {cutAnswers: 1}, 'a crossed answer': {foreign: 1}})) {
+		for (const isRelayed of [false, true]) {
+			it(`says "unknown" after ${name}${isRelayed ? ' through a relay' : ''}, and never sends it again`, async () => {
+				setup.service.applyControl(control);
+				const answer = await post(isRelayed ? setup.second : setup.first, 'k1');
+				expect([answer.status, answer.body.error?.ran]).to.deep.equal([502, 'unknown']);
+				expect(countRuns()).to.equal(1);
+				const again = await post(setup.first, 'k1');
+				expect([again.status, again.body.error?.ran]).to.deep.equal([502, 'unknown']);
+				expect(countRuns()).to.equal(1);
+			});
+		}
+	}
+
+	it('says "not run" when the service refuses, also through a relay', async () => {
+		setup.service.applyControl({refuse: 8});
+		for (const entry of [setup.first, setup.second]) {
+			const answer = await post(entry);
+			expect([answer.status, answer.body.error?.ran]).to.deep.equal([503, 'no']);
+		}
+
+		expect(countRuns()).to.equal(0);
+	});
+
+	it('refuses a keyed call at once while the store is down, as not run', async () => {
+		setup.first.store.isDown = true;
+		const answer = await post(setup.first, 'k1');
+		expect([answer.status, answer.body.error?.code, answer.body.error?.ran]).to.deep.equal([503, 'store_down', 'no']);
+		expect(countRuns()).to.equal(0);
+	});
+
+	it('tries a call that may be repeated again', async () => {
+		setup.service.applyControl({loseAnswers: 1});
+		const other = await setup.rig.startService('s2', 'd1');
+		const answer = await sendRequest(`http://${setup.first.address}/services/refunds/schedules/3`);
+		expect(answer.statusCode).to.equal(200);
+		await answer.body.dump();
+		expect(countRuns() + other.journal.list().length).to.equal(2);
+	});
+});
--- /dev/null
+++ b/src/entry/test/wire.ts
@@ -0,0 +1,80 @@
+import OpenAI from 'openai';
+import {request as sendRequest} from 'undici';
+import type {ErrorBody} from '../../serving/index.js';
+
+/** Most tokens of the tests' answers. */
+export const maxTokens = 40;
+
+/** Text of the tests' one message. */
+export const content = 'Is the deposit late?';
+
+/** Body of the tests' chat request. */
+export const chat = {model: 'contracts', messages: [{role: 'user' as const, content}], max_completion_tokens: maxTokens};
+
+/** A body in which three fields are malformed. */
+export const malformedChat = {model: 7, messages: [{role: 'robot', content: 'x'}], max_tokens: -1};
+
+/** A body that differs from {@link chat}. */
+export const otherChat = {...chat, max_completion_tokens: maxTokens + 1};
+
+type Chunk = {
+	readonly choices?: ReadonlyArray<{readonly delta: {readonly content?: string}; readonly finish_reason: string | null}>;
+	readonly error?: ErrorBody['error'];
+};
+
+/** What came of a posted request. */
+export type Posted = {
+	readonly status: number;
+	readonly headers: Readonly<Record<string, unknown>>;
+	readonly text: string;
+	/** Whether the connection was cut before the answer's end. */
+	readonly isCut: boolean;
+	readonly error: ErrorBody['error'] | undefined;
+};
+
+/** Makes the official client. */
+export function createClient(address: string): OpenAI {
+	return new OpenAI({baseURL: `http://${address}/v1`, apiKey: 'cafe-12', maxRetries: 0});
+}
+
+/** Posts a chat request and reads what comes. */
+export async function sendChat(address: string, body: unknown, headers: Record<string, string> = {}): Promise<Posted> {
+	const response = await sendRequest(`http://${address}/v1/chat/completions`, {
+		method: 'POST', headers: {authorization: 'Bearer cafe-12', 'content-type': 'application/json', ...headers}, body: JSON.stringify(body),
+	});
+	let text = '';
+	let isCut = false;
+	try {
+		for await (const chunk of response.body) {
+			text += String(chunk);
+		}
+	} catch {
+		isCut = true;
+	}
+
+	const error = text.startsWith('{') ? (JSON.parse(text) as Partial<ErrorBody>).error : undefined;
+	return {
+		status: response.statusCode, headers: response.headers, text, isCut, error,
+	};
+}
+
+/** Takes a streamed answer apart. */
+export function parseStream(stream: string) {
+	const events = stream.split('\n\n').filter(Boolean);
+	const chunks = events.map(event => /^data: (?<data>.*)$/mv.exec(event)?.groups?.data ?? '').filter(data => data.startsWith('{'))
+		.map(data => JSON.parse(data) as Chunk);
+	return {
+		/** The event ids, absent for chunks that have none. */
+		ids: events.map(event => /^id: (?<id>.*)$/mv.exec(event)?.groups?.id),
+		/** The texts, chunk by chunk. */
+		texts: chunks.map(chunk => chunk.choices?.[0]?.delta.content ?? ''),
+		text: chunks.map(chunk => chunk.choices?.[0]?.delta.content ?? '').join(''),
+		isWhole: stream.endsWith('data: [DONE]\n\n'),
+		error: chunks.at(-1)?.error,
+	};
+}
+
+/** Reads the finish reason of a chunk or choice. */
+export function getFinish(choice: {readonly finish_reason?: string | null} | undefined): string | undefined {
+	return choice?.finish_reason ?? undefined;
+}
--- a/src/upstreams/servicehttp.ts
+++ b/src/upstreams/servicehttp.ts
@@ -165,6 +165,8 @@
 async function checkAnswer(answer: ServiceAnswer, call: ServiceCall, relay: ServiceRelay | undefined): Promise<void> {
 	const echoed = answer.headers[upstreamHeader.requestId];
 	if (echoed !== call.id) {
+		// Destroying a body that nobody reads emits an error, and one that nobody hears ends the process.
+		answer.body.on('error', () => undefined);
 		answer.body.destroy();
 		throw new ForeignAnswerError(`expected the answer to ${call.id}, got that to ${echoed ?? 'nothing'}`);
 	}
