--- a/faults/fakes/callworld.ts
+++ b/faults/fakes/callworld.ts
@@ -71,7 +71,7 @@
 		};
 		const serve = isRepeatable ? serveRepeatable : serveOnce;
 		const record: CallRecord = {outcome: undefined, error: undefined, isSettled: false};
-		void fillRecord(record, async () => runProcedure(key === undefined ? serve(job, parts) : serveKeyed(job, parts), hooks));
+		void runInto(record, async () => runProcedure(key === undefined ? serve(job, parts) : serveKeyed(job, parts), hooks));
 		return record;
 	}
 
@@ -113,7 +113,7 @@
 	}
 }
 
-async function fillRecord(record: CallRecord, run: () => Promise<CallOutcome>): Promise<void> {
+async function runInto(record: CallRecord, run: () => Promise<CallOutcome>): Promise<void> {
 	try {
 		record.outcome = await run();
 	} catch (error) {
--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -54,7 +54,7 @@
 
 @example
 ```
-const {decision, claim} = await claims.claim(call);
+const {decision, claim} = await claims.take(call);
 if (decision.result === 'taken') {
 	await claims.settle(claim, {state: 'done', answer});
 }
@@ -82,7 +82,7 @@
 	Claims a call's key. Throws `NotRunError` (`store_down`) when the store does not answer in time, and
 	`NotRunError` (`queue_full`) when too many claims wait.
 	*/
-	async claim(call: ClaimCall): Promise<Claimed> {
+	async take(call: ClaimCall): Promise<Claimed> {
 		if (this.#waiting >= maxWaiting) {
 			throw new NotRunError('too many claims wait for the store', {props: {reason: refusalReason.queueFull}});
 		}
--- a/src/claims/test/claims.test.ts
+++ b/src/claims/test/claims.test.ts
@@ -39,7 +39,7 @@
 			service: 's', key: 'k', parts: ['POST'], leftMs: 1000,
 		};
 		const [one, other] = await Promise.all([
-			world.first.claims.claim({...call, caller: 'a'}), world.second.claims.claim({...call, caller: 'b'}), world.timers.advance(100),
+			world.first.claims.take({...call, caller: 'a'}), world.second.claims.take({...call, caller: 'b'}), world.timers.advance(100),
 		]);
 		expect(one.claim.key).not.to.equal(other.claim.key);
 		expect(other.decision.result).to.equal('taken');
@@ -115,7 +115,7 @@
 		const call = {
 			service: 's', caller: 'a', key: 'k', leftMs: 60_000,
 		};
-		const asked = Array.from({length: 50}, async (_, index) => world.first.claims.claim({...call, parts: [String(index)]}));
+		const asked = Array.from({length: 50}, async (_, index) => world.first.claims.take({...call, parts: [String(index)]}));
 		await world.timers.advance(200);
 		const results = await Promise.all(asked);
 		expect(results.filter(({decision}) => decision.result === 'taken')).to.have.lengthOf(1);
--- a/src/entry/test/calls.test.ts
+++ b/src/entry/test/calls.test.ts
@@ -4,7 +4,7 @@
 import {EntryRig} from './rig.js';
 import type {RigEntry} from './rig.js';
 
-async function post(entry: RigEntry, key?: string, body = '{"amount":5}') {
+async function sendRefund(entry: RigEntry, key?: string, body = '{"amount":5}') {
 	const answer = await sendRequest(`http://${entry.address}/services/refunds/refunds?x=1`, {
 		method: 'POST', headers: {authorization: 'Bearer clerk-3', ...(key === undefined ? {} : {'idempotency-key': key})}, body,
 	});
@@ -38,26 +38,26 @@
 	});
 
 	it('gives the same answer to a repeat through an entry of another domain, and runs once', async () => {
-		const one = await post(setup.first, 'k1');
-		const again = await post(setup.second, 'k1');
+		const one = await sendRefund(setup.first, 'k1');
+		const again = await sendRefund(setup.second, 'k1');
 		expect(one.status).to.equal(200);
 		expect(again.body).to.deep.equal(one.body);
 		expect(countRuns()).to.equal(1);
-		const conflict = await post(setup.second, 'k1', '{"amount":6}');
+		const conflict = await sendRefund(setup.second, 'k1', '{"amount":6}');
 		expect([conflict.status, conflict.body.error?.code, conflict.body.error?.ran]).to.deep.equal([409, 'key_conflict', 'no']);
 	});
 
 	it('reaches an instance of another domain through an entry there', async () => {
-		const answer = await post(setup.second, 'k1');
+		const answer = await sendRefund(setup.second, 'k1');
 		expect(answer.status).to.equal(200);
 		expect(countRuns()).to.equal(1);
 		expect(setup.second.router.countRunning('s1') + setup.first.router.countRunning('s1')).to.equal(0);
 	});
 
 	it('meets no connection that went silent in the pool', async () => {
-		await post(setup.first);
+		await sendRefund(setup.first);
 		setup.service.applyControl({silence: true});
-		const answer = await post(setup.first);
+		const answer = await sendRefund(setup.first);
 		expect(answer.status).to.equal(200);
 		expect(countRuns()).to.equal(2);
 	});
@@ -66,10 +66,10 @@
 		for (const isRelayed of [false, true]) {
 			it(`says "unknown" after ${name}${isRelayed ? ' through a relay' : ''}, and never sends it again`, async () => {
 				setup.service.applyControl(control);
-				const answer = await post(isRelayed ? setup.second : setup.first, 'k1');
+				const answer = await sendRefund(isRelayed ? setup.second : setup.first, 'k1');
 				expect([answer.status, answer.body.error?.ran]).to.deep.equal([502, 'unknown']);
 				expect(countRuns()).to.equal(1);
-				const again = await post(setup.first, 'k1');
+				const again = await sendRefund(setup.first, 'k1');
 				expect([again.status, again.body.error?.ran]).to.deep.equal([502, 'unknown']);
 				expect(countRuns()).to.equal(1);
 			});
@@ -79,7 +79,7 @@
 	it('says "not run" when the service refuses, also through a relay', async () => {
 		setup.service.applyControl({refuse: 8});
 		for (const entry of [setup.first, setup.second]) {
-			const answer = await post(entry);
+			const answer = await sendRefund(entry);
 			expect([answer.status, answer.body.error?.ran]).to.deep.equal([503, 'no']);
 		}
 
@@ -88,7 +88,7 @@
 
 	it('refuses a keyed call at once while the store is down, as not run', async () => {
 		setup.first.store.isDown = true;
-		const answer = await post(setup.first, 'k1');
+		const answer = await sendRefund(setup.first, 'k1');
 		expect([answer.status, answer.body.error?.code, answer.body.error?.ran]).to.deep.equal([503, 'store_down', 'no']);
 		expect(countRuns()).to.equal(0);
 	});
--- a/src/serving/keyedcall.ts
+++ b/src/serving/keyedcall.ts
@@ -18,7 +18,7 @@
 
 /** The claims that a keyed call needs. */
 export type ClaimPort = {
-	readonly claim: (call: ClaimCall) => Promise<Claimed>;
+	readonly take: (call: ClaimCall) => Promise<Claimed>;
 	readonly settle: (claim: Claim, end: ClaimEnd) => Promise<void>;
 };
 
@@ -36,7 +36,7 @@
 export function * serveKeyed(job: KeyedJob, parts: KeyedParts): Procedure<CallOutcome> {
 	let claimed: Claimed;
 	try {
-		claimed = yield * callStep('claim the key', async () => parts.claims.claim(createClaimCall(job, parts)));
+		claimed = yield * callStep('claim the key', async () => parts.claims.take(createClaimCall(job, parts)));
 	} catch (error) {
 		return createOutcome(error);
 	}
--- a/src/upstreams/liveconnection.ts
+++ b/src/upstreams/liveconnection.ts
@@ -51,7 +51,7 @@
 	}
 
 	/** Asks for `path` and waits for the answer. Throws `NotRunError`: only the probe was sent. */
-	async probe(path: string, signal: AbortSignal): Promise<void> {
+	async checkAnswer(path: string, signal: AbortSignal): Promise<void> {
 		try {
 			const limit = AbortSignal.any([signal, AbortSignal.timeout(probeTimeoutMs)]);
 			const response = await this.client.request({method: 'GET', path, signal: limit});
--- a/src/upstreams/servicehttp.ts
+++ b/src/upstreams/servicehttp.ts
@@ -59,7 +59,7 @@
 
 		const fresh = new LiveConnection(this.#address);
 		try {
-			await fresh.probe(probePath, signal);
+			await fresh.checkAnswer(probePath, signal);
 		} catch (error) {
 			fresh.close();
 			throw error;
@@ -198,7 +198,7 @@
 
 async function isAnswering(live: LiveConnection, path: string, signal: AbortSignal): Promise<boolean> {
 	try {
-		await live.probe(path, signal);
+		await live.checkAnswer(path, signal);
 		return live.isOpen;
 	} catch {
 		return false;
