--- a/src/entry/test/rig.ts
+++ b/src/entry/test/rig.ts
@@ -14,6 +14,7 @@
 import {Metrics} from '../../metrics/index.js';
 import {LeastInFlightRouter} from '../../routing/index.js';
 import type {Placement, Work} from '../../routing/index.js';
+import type {EntrySettings} from '../../settings/index.js';
 import {SystemTimers} from '../../timers/index.js';
 import type {TimerService} from '../../timers/index.js';
 import {HttpEngine} from '../../upstreams/index.js';
@@ -99,7 +100,7 @@
 		const parts = createCallers({
 			settings: {
 				vm, domain, http: anyPort, peer: anyPort, platform: 'http://127.0.0.1:1', secret: 'a secret of the tests', balancerWaitMs: 50,
-			},
+			} as EntrySettings,
 			timers,
 			store,
 			vms: new FakeVmList(this.platform),
