--- a/src/entry/test/rig.ts
+++ b/src/entry/test/rig.ts
@@ -14,7 +14,6 @@
 import {Metrics} from '../../metrics/index.js';
 import {LeastInFlightRouter} from '../../routing/index.js';
 import type {Placement, Work} from '../../routing/index.js';
-import type {EntrySettings} from '../../settings/index.js';
 import {SystemTimers} from '../../timers/index.js';
 import type {TimerService} from '../../timers/index.js';
 import {HttpEngine} from '../../upstreams/index.js';
@@ -99,8 +98,8 @@
 		const router = new RigRouter(facts, service => this.upstreams.filter(upstream => upstream.service === service && upstream.domain === domain));
 		const parts = createCallers({
 			settings: {
-				vm, domain, http: anyPort, peer: anyPort, platform: 'http://127.0.0.1:1', secret: 'a secret of the tests', balancerWaitMs: 50,
-			} as EntrySettings,
+				vm, domain, http: anyPort, peer: anyPort, platform: 'http://127.0.0.1:1', secret: 'a secret of the tests', balancerWaitMs: 50, seeds: [],
+			},
 			timers,
 			store,
 			vms: new FakeVmList(this.platform),
