Collect loads and demand, and plan roles from them

Cause: the router knew no engine's load and nobody planned roles. Ruled out: one entry summing a domain's demand from engines' loads (work refused would be missing); every entry of a large domain telling its demand (27 services x 76 entries is over the feed's budget), so at most four of a domain tell. Conclusion: wired behind EntryParts.decisions; planChange is for the authority.

--- a/src/entry/decisions.ts
+++ b/src/entry/decisions.ts
@@ -1,7 +1,12 @@
 import process from 'node:process';
-import type {Deployment} from '../deployment/index.js';
+import type {Deployment, Upstream} from '../deployment/index.js';
+import {computeLocalShare} from '../fairness/index.js';
 import type {FactTable} from '../feed/index.js';
-import {DemandMeter} from '../loads/index.js';
+import {
+	DemandMeter, DemandReporter, DemandView, LoadCollector,
+} from '../loads/index.js';
+import type {Metrics} from '../metrics/index.js';
+import {FleetRolePlanner, RolePlanner} from '../planning/index.js';
 import {computeScore, RandomSource} from '../rates/index.js';
 import {
 	createPolicy, FleetView, LeastInFlightRouter, RoundRobinRouter,
@@ -9,6 +14,7 @@
 import type {Router} from '../routing/index.js';
 import type {EntrySettings} from '../settings/index.js';
 import type {TimerService} from '../timers/index.js';
+import type {EngineClient} from '../upstreams/index.js';
 
 /**
 The policies that a run of the load tool can ask for by the environment's `CROCUS_POLICY`, so that baselines run in the
@@ -32,32 +38,113 @@
 	readonly settings: EntrySettings;
 	readonly timers: TimerService;
 	readonly facts: FactTable;
+	readonly metrics: Metrics;
 	readonly getDeployment: () => Deployment | undefined;
+	readonly getEngine: (upstream: Upstream) => EngineClient;
 };
 
 /** The decisions of an entry. */
 export type Decisions = {
 	readonly router: Router;
+	readonly planner: RolePlanner;
+	/** Begins to collect loads and to tell demand; the result ends that. */
+	readonly start: () => () => void;
 };
 
 /** Puts the decisions of an entry together. */
-export function createDecisions({settings, timers, facts, getDeployment}: DecisionOptions): Decisions {
-	const view = new FleetView(facts, getDeployment, settings.domain);
+export function createDecisions(options: DecisionOptions): Decisions {
+	const {settings, timers, facts, getDeployment} = options;
 	const name = process.env.CROCUS_POLICY;
-	if (name === policyName.roundRobin || name === policyName.leastInFlight) {
-		const list = (service: string) => view.listUpstreams(service);
-		return {router: name === policyName.roundRobin ? new RoundRobinRouter(facts, list) : new LeastInFlightRouter(facts, list)};
-	}
-
-	const random = new RandomSource(computeScore(settings.vm, String(timers.getWall())));
-	const {router} = createPolicy({
+	const view = new FleetView(facts, getDeployment, settings.domain);
+	const meter = new DemandMeter(timers);
+	const demand = new DemandView({
+		timers, facts, view, vm: settings.vm,
+	});
+	const {router, speeds, prefixes} = createPolicy({
 		timers,
-		random,
+		random: new RandomSource(computeScore(settings.vm, String(timers.getWall()))),
 		facts,
 		view,
-		demand: new DemandMeter(timers),
-		getLocalShare: () => 1 / view.countEntries(),
+		demand: meter,
+		getLocalShare: createShare(timers, () => computeShare(view, demand, meter)),
 		hasAdmission: name !== policyName.noAdmission,
 	});
-	return {router};
+	const planner = new FleetRolePlanner({
+		timers, facts, view, speeds, demand,
+	});
+	const collector = new LoadCollector({
+		...options, view, prefixes, vm: settings.vm,
+	});
+	const reporter = new DemandReporter({
+		timers, facts, view, vm: settings.vm,
+	}, meter);
+	return {
+		router: createBaseline(name, facts, view) ?? router,
+		planner: isPlanning(name) ? planner : new StillPlanner(),
+		start() {
+			const timersOfParts = [collector.start(), reporter.start()];
+			const stopPlanner = planner.start();
+			return () => {
+				stopPlanner();
+				for (const timer of timersOfParts) {
+					timer.cancel();
+				}
+			};
+		},
+	};
+}
+
+/** Plans no changes: for runs that measure what changes of role are worth. */
+class StillPlanner extends RolePlanner {
+	planChange(): undefined {
+		return undefined;
+	}
+}
+
+function isPlanning(name: string | undefined): boolean {
+	return name === undefined || name === policyName.full || name === policyName.noAdmission;
+}
+
+function createBaseline(name: string | undefined, facts: FactTable, view: FleetView): Router | undefined {
+	const list = (service: string) => view.listUpstreams(service);
+	if (name === policyName.roundRobin) {
+		return new RoundRobinRouter(facts, list);
+	}
+
+	return name === policyName.leastInFlight ? new LeastInFlightRouter(facts, list) : undefined;
+}
+
+const shareAgeMs = 1000;
+
+/** Returns a function that computes the part of the callers' limits at most once a second. */
+function createShare(timers: TimerService, compute: () => number): () => number {
+	let share = 1;
+	let at = Number.NEGATIVE_INFINITY;
+	return () => {
+		const now = timers.getNow();
+		if (now - at > shareAgeMs) {
+			share = compute();
+			at = now;
+		}
+
+		return share;
+	};
+}
+
+/** Computes this entry's part of the callers' limits from the live entries and from what it was asked for. */
+function computeShare(view: FleetView, demand: DemandView, meter: DemandMeter): number {
+	const domains = view.deployment?.domains ?? [];
+	let entries = 0;
+	for (const domain of domains) {
+		entries += view.listMembers(domain).length;
+	}
+
+	let own = 0;
+	let total = 0;
+	for (const service of meter.listServices()) {
+		own += meter.compute(service).requestsPerSecond;
+		total += demand.compute(service).requestsPerSecond;
+	}
+
+	return computeLocalShare(entries, own, total);
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -23,6 +23,7 @@
 export async function startEntry(settings: EntrySettings): Promise<void> {
 	const parts = createParts(settings);
 	void watchConfiguration(parts);
+	parts.decisions.start();
 	const [host, port] = settings.http.split(':');
 	const app = polka();
 	app.get('/healthz', (_request, response) => {
@@ -58,23 +59,28 @@
 		return parsed?.deployment;
 	};
 
+	const getEngine = (upstream: Upstream) => {
+		const engine = engines.get(upstream.address) ?? new HttpEngine(upstream.address);
+		engines.set(upstream.address, engine);
+		return engine;
+	};
+
+	const metrics = new Metrics();
+	const decisions = createDecisions({
+		settings, timers, facts, metrics, getDeployment, getEngine,
+	});
 	return {
 		settings,
 		timers,
 		store: new HttpStore(settings.platform),
 		vms: new HttpVmList(settings.platform),
 		facts,
-		metrics: new Metrics(),
+		metrics,
 		history: new History(timers),
-		...createDecisions({
-			settings, timers, facts, getDeployment,
-		}),
+		router: decisions.router,
+		decisions,
 		getDeployment,
-		getEngine(upstream: Upstream) {
-			const engine = engines.get(upstream.address) ?? new HttpEngine(upstream.address);
-			engines.set(upstream.address, engine);
-			return engine;
-		},
+		getEngine,
 	};
 }
 
--- a/src/feed/facts.ts
+++ b/src/feed/facts.ts
@@ -57,7 +57,7 @@
 	readonly load: LoadReport;
 	/** Key is the VM. */
 	readonly member: MemberFact;
-	/** Key is `domain/service`. */
+	/** Key is `domain/service/vm`: what one entry was asked for. */
 	readonly demand: DemandFact;
 };
 
--- a/src/routing/speeds.ts
+++ b/src/routing/speeds.ts
@@ -57,6 +57,11 @@
 		};
 	}
 
+	/** Reads the speeds of a role in a service. */
+	getRoleSpeeds(service: string, role: EngineRole): Speeds {
+		return {prefill: this.#getRolePrefill(service, role), gap: this.#getRoleGap(service, role)};
+	}
+
 	#getRolePrefill(service: string, role: EngineRole): Line {
 		for (const seen of listRoles(role)) {
 			const fit = this.#learned.get(`${service}/${seen}`)?.prefill;
