--- /dev/null
+++ b/bench/figures.ts
@@ -0,0 +1,107 @@
+import {build} from 'hdr-histogram-js';
+import type {Histogram} from 'hdr-histogram-js';
+import type {Job} from './mix.js';
+
+const usPerMs = 1000;
+
+/** How one job ended, as the caller saw it; times in milliseconds at time scale 1. */
+export type JobResult = {
+	readonly job: Job;
+	/** Why it was refused, if it was. */
+	readonly refusal?: string;
+	/** Whether the whole answer came by its deadline. */
+	readonly isOnTime: boolean;
+	readonly tokens: number;
+	readonly firstTokenMs?: number;
+	readonly gapsMs: readonly number[];
+};
+
+/** What a run measured. */
+export type RunFigures = {
+	readonly offered: number;
+	readonly onTime: number;
+	/** Whole answers on time a second. */
+	readonly goodput: number;
+	readonly goodputReading: number;
+	readonly goodputWriting: number;
+	readonly refusals: Readonly<Record<string, number>>;
+	readonly retries: number;
+	readonly roleChanges: number;
+	/** Requests prefilled on another engine than the one that decoded. */
+	readonly apart: number;
+	/** Tokens generated for answers that were not on time, as a part of all. */
+	readonly uselessShare: number;
+	/** Answers on time of the worst caller as a part of what it asked for, against the mean of all callers. */
+	readonly worstCaller: number;
+	readonly firstTokenMs: Percentiles;
+	readonly betweenTokensMs: Percentiles;
+};
+
+/** The 50th, 95th and 99th of 100. */
+export type Percentiles = {readonly p50: number; readonly p95: number; readonly p99: number};
+
+/** Works out a run's figures from its jobs. */
+export function computeFigures(results: readonly JobResult[], seconds: number, {roleChanges, retries, apart}: {readonly roleChanges: number; readonly retries: number; readonly apart: number}): RunFigures {
+	const onTime = results.filter(result => result.isOnTime);
+	const first = build();
+	const gaps = build();
+	const refusals: Record<string, number> = {};
+	let tokens = 0;
+	let useless = 0;
+	for (const result of results) {
+		tokens += result.tokens;
+		useless += result.isOnTime ? 0 : result.tokens;
+		if (result.refusal !== undefined) {
+			refusals[result.refusal] = (refusals[result.refusal] ?? 0) + 1;
+		}
+
+		if (result.firstTokenMs !== undefined) {
+			first.recordValue(Math.max(1, Math.round(result.firstTokenMs * usPerMs)));
+		}
+
+		for (const gap of result.gapsMs) {
+			gaps.recordValue(Math.max(1, Math.round(gap * usPerMs)));
+		}
+	}
+
+	return {
+		offered: results.length,
+		onTime: onTime.length,
+		goodput: onTime.length / seconds,
+		goodputReading: onTime.filter(result => result.job.isReading).length / seconds,
+		goodputWriting: onTime.filter(result => !result.job.isReading).length / seconds,
+		refusals,
+		retries,
+		roleChanges,
+		apart,
+		uselessShare: tokens > 0 ? useless / tokens : 0,
+		worstCaller: computeWorstCaller(results),
+		firstTokenMs: getPercentiles(first),
+		betweenTokensMs: getPercentiles(gaps),
+	};
+}
+
+/** Answers on time of the caller with the fewest, against an equal share: the least of what it asked for and the mean. */
+function computeWorstCaller(results: readonly JobResult[]): number {
+	const callers = new Map<string, {offered: number; onTime: number}>();
+	for (const {job, isOnTime} of results) {
+		const caller = callers.get(job.caller) ?? {offered: 0, onTime: 0};
+		caller.offered++;
+		caller.onTime += isOnTime ? 1 : 0;
+		callers.set(job.caller, caller);
+	}
+
+	const all = [...callers.values()];
+	let sum = 0;
+	for (const {onTime} of all) {
+		sum += onTime;
+	}
+
+	const equal = sum / Math.max(1, all.length);
+	return Math.min(1, ...all.map(({offered, onTime}) => onTime / Math.max(1, Math.min(offered, equal))));
+}
+
+function getPercentiles(histogram: Histogram): Percentiles {
+	const read = (percentile: number) => histogram.totalCount > 0 ? histogram.getValueAtPercentile(percentile) / usPerMs : 0;
+	return {p50: read(50), p95: read(95), p99: read(99)};
+}
--- /dev/null
+++ b/bench/model.ts
@@ -0,0 +1,303 @@
+import {engineRole} from '../src/deployment/index.js';
+import type {Deployment, EngineRole, Upstream} from '../src/deployment/index.js';
+import {createDecisions} from '../src/entry/decisions.js';
+import type {Decisions, PolicyName} from '../src/entry/decisions.js';
+import {NotRunError} from '../src/errors/index.js';
+import {FactTable, upstreamState} from '../src/feed/index.js';
+import type {Fact} from '../src/feed/index.js';
+import {Metrics} from '../src/metrics/index.js';
+import {RandomSource} from '../src/rates/index.js';
+import type {Choice, Placement, Work} from '../src/routing/index.js';
+import {placementOutcome} from '../src/routing/index.js';
+import {ManualTimers} from '../src/timers/index.js';
+import {enginePhase, listPrefixes, orderKind} from '../src/upstreams/index.js';
+import type {GenerateEvent} from '../src/upstreams/index.js';
+import {defaultEngineOptions, EngineCore, LocalEngine} from '../standins/engine/index.js';
+import {computeFigures} from './figures.js';
+import type {JobResult, RunFigures} from './figures.js';
+import type {Job} from './mix.js';
+
+/** What a run in this process is made of. */
+export type ModelOptions = {
+	readonly deployment: Deployment;
+	readonly policy: PolicyName;
+	readonly jobs: readonly Job[];
+	readonly durationMs: number;
+	readonly deadlineMs: number;
+	readonly firstTokenMs: number;
+	readonly entriesPerDomain: number;
+	readonly seed: number;
+	readonly createChoice?: (random: RandomSource) => Choice;
+	/** Roles at the start, one for each engine; mixed when absent. */
+	readonly roles?: readonly EngineRole[];
+};
+
+type Entry = {readonly vm: string; readonly domain: string; readonly facts: FactTable; readonly decisions: Decisions};
+
+const feedDelayMs = 100;
+const authorityPeriodMs = 1000;
+const charactersPerToken = 4;
+const topicTokens = 1024;
+
+/** Policies over engines' stand-ins in one process and one manual clock; feed and authority are reduced to their effects. */
+export class Model {
+	readonly #timers = new ManualTimers();
+	readonly #options: ModelOptions;
+	readonly #engines = new Map<string, LocalEngine>();
+	readonly #entries: Entry[] = [];
+	readonly #results: JobResult[] = [];
+	readonly #random: RandomSource;
+	readonly #changing = new Set<string>();
+	#versions = 1;
+	#roleChanges = 0;
+	#retries = 0;
+	#apart = 0;
+
+	constructor(options: ModelOptions) {
+		this.#options = options;
+		this.#random = new RandomSource(options.seed);
+		for (const [index, upstream] of options.deployment.upstreams.entries()) {
+			const role = options.roles?.[index] ?? engineRole.mixed;
+			const core = new EngineCore(this.#timers, {...defaultEngineOptions, pieces: upstream.pieces, setup: {...defaultEngineOptions.setup, role}});
+			this.#engines.set(upstream.id, new LocalEngine(core, address => this.#engines.get(address)?.core));
+		}
+
+		for (const domain of options.deployment.domains) {
+			for (let index = 0; index < options.entriesPerDomain; index++) {
+				this.#entries.push(this.#createEntry(`${domain}-vm-${index}`, domain));
+			}
+		}
+	}
+
+	/** Runs every job and returns the figures. */
+	async run(): Promise<RunFigures> {
+		const {jobs, durationMs, deadlineMs} = this.#options;
+		this.#publishMembers();
+		this.#timers.startInterval(authorityPeriodMs, () => {
+			this.#planChanges();
+		});
+		for (const job of jobs) {
+			this.#timers.startTimer(job.at, () => {
+				void this.#serveJob(job);
+			});
+		}
+
+		await this.#timers.advance(durationMs + deadlineMs + 1000);
+		for (const engine of this.#engines.values()) {
+			engine.core.close();
+		}
+
+		return computeFigures(this.#results, durationMs / 1000, {roleChanges: this.#roleChanges, retries: this.#retries, apart: this.#apart});
+	}
+
+	#createEntry(vm: string, domain: string): Entry {
+		const facts = new FactTable();
+		const decisions = createDecisions({
+			settings: {vm, domain},
+			timers: this.#timers,
+			facts,
+			metrics: new Metrics(),
+			getDeployment: () => this.#options.deployment,
+			getEngine: upstream => this.#engines.get(upstream.id)!,
+			policy: this.#options.policy,
+			seed: this.#random.pickIndex(1e9),
+			createChoice: this.#options.createChoice,
+		});
+		facts.subscribe(fact => {
+			this.#timers.startTimer(feedDelayMs, () => {
+				this.#passOn(fact, domain);
+			});
+		});
+		decisions.start();
+		return {
+			vm, domain, facts, decisions,
+		};
+	}
+
+	#passOn(fact: Fact, domain: string): void {
+		for (const entry of this.#entries) {
+			if (fact.kind !== 'load' || entry.domain === domain) {
+				entry.facts.merge(fact);
+			}
+		}
+	}
+
+	#publishMembers(): void {
+		for (const {vm, domain, facts} of this.#entries) {
+			facts.merge({
+				kind: 'member',
+				key: vm,
+				version: 1,
+				value: {
+					vm, domain, http: vm, peer: vm, incarnation: 1, state: 'live', configuration: 1, closed: {},
+				},
+			});
+		}
+	}
+
+	#planChanges(): void {
+		for (const domain of this.#options.deployment.domains) {
+			const authority = this.#entries.find(entry => entry.domain === domain);
+			const change = authority?.decisions.planner.planChange();
+			if (authority && change && !this.#changing.has(change.upstream)) {
+				void this.#changeRole(authority, change.upstream, change.role);
+			}
+		}
+	}
+
+	async #changeRole(authority: Entry, upstream: string, role: 'prefill' | 'decode' | 'mixed'): Promise<void> {
+		this.#changing.add(upstream);
+		this.#roleChanges++;
+		const {core} = this.#engines.get(upstream)!;
+		const {model, version, adapters} = core.getState();
+		const setup = {
+			role, model, version, adapters,
+		};
+		this.#publishState(authority, upstream, {state: upstreamState.closing});
+		await this.#timers.sleep(feedDelayMs * 2);
+		while (this.#entries.some(entry => entry.decisions.router.countRunning(upstream) > 0)) {
+			await this.#timers.sleep(feedDelayMs);
+		}
+
+		core.applyOrder({
+			id: `order-${this.#versions}`, fence: 1, kind: orderKind.configure, target: setup,
+		});
+		while (core.getState().phase !== enginePhase.ready) {
+			await this.#timers.sleep(feedDelayMs);
+		}
+
+		this.#publishState(authority, upstream, {state: upstreamState.serving, setup});
+		this.#changing.delete(upstream);
+	}
+
+	#publishState(authority: Entry, key: string, value: (Fact<'upstream'>)['value']): void {
+		this.#versions++;
+		authority.facts.merge({
+			kind: 'upstream', key, version: this.#versions, value,
+		});
+	}
+
+	async #serveJob(job: Job): Promise<void> {
+		const entry = this.#entries[this.#random.pickIndex(this.#entries.length)]!;
+		const prompt = createPrompt(job);
+		const {router} = entry.decisions;
+		const now = this.#timers.getNow();
+		const work: Work = {
+			id: `${job.at}`, caller: job.caller, service: 'contracts', model: 'contracts', version: '1', promptTokens: job.promptTokens, maxTokens: job.maxTokens, prefixes: listPrefixes({model: 'contracts', version: '1', prompt}), priority: 0, firstTokenDue: now + this.#options.firstTokenMs, due: now + this.#options.deadlineMs,
+		};
+		const track = new JobTrack(job, now, this.#timers);
+		const excluded = new Set<string>();
+		for (;;) {
+			let placement: Placement;
+			try {
+				placement = router.choosePlacement(work, excluded);
+			} catch (error) {
+				this.#results.push(track.finish(false, error instanceof NotRunError ? error.reason : 'error'));
+				return;
+			}
+
+			router.onSent(work, placement);
+			this.#apart += placement.prefill ? 1 : 0;
+			const outcome = await this.#tryPlacement(entry, {work, placement, prompt}, track);
+			router.onEnd(work, placement, outcome);
+			if (outcome === placementOutcome.done || outcome === placementOutcome.cancelled || !router.tryRetry(work.service)) {
+				this.#results.push(track.finish(outcome === placementOutcome.done));
+				return;
+			}
+
+			this.#retries++;
+			excluded.add(placement.upstream.id);
+		}
+	}
+
+	async #tryPlacement(entry: Entry, {work, placement, prompt}: {readonly work: Work; readonly placement: Placement; readonly prompt: string}, track: JobTrack) {
+		const abort = new AbortController();
+		const timer = this.#timers.startTimer(work.due - this.#timers.getNow(), () => {
+			abort.abort();
+		});
+		const request = {...work, prompt, offset: track.tokens};
+		const engine = this.#engines.get(placement.upstream.id)!;
+		try {
+			let kv: string | undefined;
+			if (placement.prefill) {
+				const exported = await this.#engines.get(placement.prefill.id)!.exportKv(request);
+				kv = (await engine.importKv(placement.prefill.id, exported.handle)).handle;
+			}
+
+			if (abort.signal.aborted) {
+				return placementOutcome.cancelled;
+			}
+
+			for await (const event of engine.generate({...request, kv}, abort.signal)) {
+				track.onEvent(event);
+				entry.decisions.router.onTokens(work, placement, event.kind === 'token' ? 1 : 0);
+			}
+
+			return placementOutcome.done;
+		} catch (error) {
+			if (abort.signal.aborted) {
+				await engine.cancel(work.id);
+				return placementOutcome.cancelled;
+			}
+
+			return error instanceof NotRunError ? placementOutcome.notRun : placementOutcome.broken;
+		} finally {
+			timer.cancel();
+		}
+	}
+}
+
+class JobTrack {
+	tokens = 0;
+	#firstAt: number | undefined;
+	#lastAt = 0;
+	readonly #gaps: number[] = [];
+
+	constructor(private readonly job: Job, private readonly startedAt: number, private readonly timers: ManualTimers) {}
+
+	onEvent(event: GenerateEvent): void {
+		if (event.kind === 'end') {
+			return;
+		}
+
+		const now = this.timers.getNow();
+		this.tokens++;
+		if (this.#firstAt === undefined) {
+			this.#firstAt = now;
+		} else {
+			this.#gaps.push(now - this.#lastAt);
+		}
+
+		this.#lastAt = now;
+	}
+
+	finish(isOnTime: boolean, refusal?: string): JobResult {
+		return {
+			job: this.job, refusal, isOnTime, tokens: this.tokens, firstTokenMs: this.#firstAt === undefined ? undefined : this.#firstAt - this.startedAt, gapsMs: this.#gaps,
+		};
+	}
+}
+
+function createPrompt(job: Job): string {
+	const shared = `topic ${job.topic} `.padEnd(topicTokens * charactersPerToken, 'the deposit ledger of the cafe ');
+	const own = `job ${job.at} `.padEnd(job.promptTokens * charactersPerToken, 'clause of the contract with the hauler ');
+	return job.isReading ? (shared + own).slice(0, job.promptTokens * charactersPerToken) : own.slice(0, job.promptTokens * charactersPerToken);
+}
+
+/** Makes a deployment of six engines in three failure domains. */
+export function createDeployment(goodputWeight: number, deadlineMs: number): Deployment {
+	const domains = ['d-1', 'd-2', 'd-3'];
+	const upstreams: Upstream[] = Array.from({length: 6}, (_value, index) => ({
+		id: `engine-${index}`, service: 'contracts', domain: domains[index % 3]!, address: `engine-${index}`, fenced: true, pieces: 64,
+	}));
+	return {
+		name: 'model',
+		goodputWeight,
+		domains,
+		callers: {requestsPerSecond: 1000, tokensPerSecond: 1e9},
+		services: [{
+			kind: 'model', name: 'contracts', dependsOn: [], model: 'contracts', version: '1', adapters: [], deadlineMs, firstTokenMs: 900, betweenTokensMs: 54, floor: {prefill: 1, decode: 1},
+		}],
+		upstreams,
+	};
+}
--- /dev/null
+++ b/bench/scenarios.ts
@@ -0,0 +1,29 @@
+import type {Phase} from './mix.js';
+
+/** A run: its phases and what is done to it meanwhile. */
+export type Scenario = {
+	readonly phases: readonly Phase[];
+	/** Whether an engine crashes and an entry is killed during the shift. */
+	readonly hasFaults?: boolean;
+};
+
+/** Requests a second that the six engines of a deployment serve in a calm mix with little queueing. */
+const calmRate = 14;
+const calmReading = 0.35;
+const minuteMs = 60_000;
+
+const shifting: readonly Phase[] = [
+	{durationMs: minuteMs, requestsPerSecond: 14, readingShare: 0.35},
+	{durationMs: 2.5 * minuteMs, requestsPerSecond: 22, readingShare: 0.9},
+	{durationMs: 2.5 * minuteMs, requestsPerSecond: 45, readingShare: 0.03},
+	{durationMs: 2.5 * minuteMs, requestsPerSecond: 22, readingShare: 0.9},
+];
+
+/** The scenarios by name. */
+export const scenarios: Readonly<Record<string, Scenario>> = {
+	calm: {phases: [{durationMs: 2 * minuteMs, requestsPerSecond: calmRate, readingShare: calmReading}]},
+	shifting: {phases: shifting},
+	overload2: {phases: [{durationMs: minuteMs, requestsPerSecond: 2 * calmRate, readingShare: calmReading}]},
+	overload5: {phases: [{durationMs: minuteMs, requestsPerSecond: 5 * calmRate, readingShare: calmReading}]},
+	faults: {phases: shifting, hasFaults: true},
+};
--- a/src/entry/decisions.ts
+++ b/src/entry/decisions.ts
@@ -11,7 +11,7 @@
 import {
 	createPolicy, FleetView, LeastInFlightRouter, RoundRobinRouter,
 } from '../routing/index.js';
-import type {Router} from '../routing/index.js';
+import type {Choice, Router} from '../routing/index.js';
 import type {EntrySettings} from '../settings/index.js';
 import type {TimerService} from '../timers/index.js';
 import type {EngineClient} from '../upstreams/index.js';
@@ -35,12 +35,16 @@
 
 /** What the decisions are made from. */
 export type DecisionOptions = {
-	readonly settings: EntrySettings;
+	readonly settings: Pick<EntrySettings, 'vm' | 'domain'>;
 	readonly timers: TimerService;
 	readonly facts: FactTable;
 	readonly metrics: Metrics;
 	readonly getDeployment: () => Deployment | undefined;
 	readonly getEngine: (upstream: Upstream) => EngineClient;
+	/** For runs that compare: the policy, in place of the environment's, the seed and the way of choosing. */
+	readonly policy?: PolicyName;
+	readonly seed?: number;
+	readonly createChoice?: (random: RandomSource) => Choice;
 };
 
 /** The decisions of an entry. */
@@ -54,7 +58,8 @@
 /** Puts the decisions of an entry together. */
 export function createDecisions(options: DecisionOptions): Decisions {
 	const {settings, timers, facts, getDeployment} = options;
-	const name = process.env.CROCUS_POLICY;
+	const name = options.policy ?? process.env.CROCUS_POLICY;
+	const random = new RandomSource(options.seed ?? computeScore(settings.vm, String(timers.getWall())));
 	const view = new FleetView(facts, getDeployment, settings.domain);
 	const meter = new DemandMeter(timers);
 	const demand = new DemandView({
@@ -62,7 +67,8 @@
 	});
 	const {router, speeds, prefixes} = createPolicy({
 		timers,
-		random: new RandomSource(computeScore(settings.vm, String(timers.getWall()))),
+		random,
+		choice: options.createChoice?.(random),
 		facts,
 		view,
 		demand: meter,
--- a/src/fairness/gate.ts
+++ b/src/fairness/gate.ts
@@ -30,11 +30,6 @@
 		return this.#parts.shares.tryPass(caller, cost);
 	}
 
-	/** Counts an admitted request. */
-	onAdmitted(cost: number): void {
-		this.#parts.shares.onAdmitted(cost);
-	}
-
 	/** Counts a request refused for want of capacity. */
 	onRefused(): void {
 		this.#parts.shares.onRefused();
--- a/src/fairness/shares.ts
+++ b/src/fairness/shares.ts
@@ -3,27 +3,30 @@
 import type {TimerService} from '../timers/index.js';
 
 const halfLifeMs = 3000;
-const recomputeMs = 250;
+const updatePeriodMs = 250;
 const longestTable = 8192;
-/** Growth of the capacity taken for given, at each recomputation without a refusal. */
-const growth = 1.05;
-/** Refusals in a recomputation's time, as a part of the requests, that count as overload. */
-const overloadShare = 0.02;
+/**
+Part of the requests that admission refuses under overload. It is not brought to nothing, so that the shares never
+keep work from engines that could take it.
+*/
+const refusedShare = 0.15;
+const stepFactor = 1.08;
+/** Requests that a step looks at, at the least. */
+const fewestRequests = 8;
 
 /**
-Equal shares under overload: when work has to be refused, callers who ask for more than their equal share of what gets
-through are refused first, with the chance that brings them down to it. Costs are in milliseconds of an engine.
+Equal shares under overload: while admission refuses much of what passes here, the share that a caller may ask for
+sinks, and whoever asks for more is refused first, with the chance that brings it down to the share; otherwise the
+share rises until it binds nobody. Costs are in milliseconds of an engine.
 */
 export class FairShares {
 	readonly #timers: TimerService;
 	readonly #random: RandomSource;
 	readonly #offered = new Map<string, DecayedSum>();
-	readonly #admitted = new DecayedSum(halfLifeMs);
-	#capacity = Number.POSITIVE_INFINITY;
 	#share = Number.POSITIVE_INFINITY;
-	#requests = 0;
+	#passed = 0;
 	#refused = 0;
-	#computedAt = 0;
+	#updatedAt = 0;
 
 	constructor(timers: TimerService, random: RandomSource) {
 		this.#timers = timers;
@@ -46,17 +49,13 @@
 			this.#offered.delete(this.#offered.keys().next().value!);
 		}
 
-		this.#requests++;
-		if (now - this.#computedAt >= recomputeMs) {
+		if (now - this.#updatedAt >= updatePeriodMs && this.#passed >= fewestRequests) {
 			this.#updateShare(now);
 		}
 
-		return this.#random.pickUnit() * offered.computeRate(now) <= this.#share;
-	}
-
-	/** Counts a request that was admitted. */
-	onAdmitted(cost: number): void {
-		this.#admitted.add(cost, this.#timers.getNow());
+		const isPassing = this.#random.pickUnit() * offered.computeRate(now) <= this.#share;
+		this.#passed += isPassing ? 1 : 0;
+		return isPassing;
 	}
 
 	/** Counts a request that passed here and was then refused for want of capacity. */
@@ -65,36 +64,13 @@
 	}
 
 	#updateShare(now: number): void {
-		if (this.#refused > this.#requests * overloadShare) {
-			this.#capacity = Math.min(this.#capacity, Math.max(this.#admitted.computeRate(now), 1));
-		} else {
-			this.#capacity *= growth;
-		}
-
-		const rates = [...this.#offered.values()].map(offered => offered.computeRate(now)).filter(rate => rate > 0);
-		this.#share = computeEqualShare(rates, this.#capacity);
-		if (this.#share === Number.POSITIVE_INFINITY) {
-			this.#capacity = Number.POSITIVE_INFINITY;
-		}
-
-		this.#requests = 0;
+		const rates = [...this.#offered.values()].map(offered => offered.computeRate(now));
+		const highest = Math.max(...rates);
+		const isOver = this.#refused > this.#passed * refusedShare;
+		const share = Math.min(this.#share, highest) * (isOver ? 1 / stepFactor : stepFactor);
+		this.#share = share > highest ? Number.POSITIVE_INFINITY : share;
+		this.#passed = 0;
 		this.#refused = 0;
-		this.#computedAt = now;
+		this.#updatedAt = now;
 	}
 }
-
-/** Finds the share such that callers, each held to it, ask for `capacity` together. */
-function computeEqualShare(rates: readonly number[], capacity: number): number {
-	let left = capacity;
-	const sorted = rates.toSorted((first, second) => first - second);
-	for (const [index, rate] of sorted.entries()) {
-		const share = left / (sorted.length - index);
-		if (rate > share) {
-			return share;
-		}
-
-		left -= rate;
-	}
-
-	return Number.POSITIVE_INFINITY;
-}
--- a/src/loads/demandfacts.ts
+++ b/src/loads/demandfacts.ts
@@ -85,15 +85,15 @@
 		});
 	}
 
-	/** Computes the demand for a service over all domains, and drops what is stale. */
-	compute(service: string): DemandFact {
+	/** Computes the demand for a service, in one domain or over all, and drops what is stale. */
+	compute(service: string, wanted?: string): DemandFact {
 		const {facts, view} = this.#parts;
 		this.#forgetStale();
 		const sum = {requestsPerSecond: 0, promptTokensPerSecond: 0, outputTokensPerSecond: 0};
 		const tellers = this.#countTellers(service);
 		for (const {key, value} of facts.list('demand')) {
 			const [domain = '', name] = key.split('/');
-			if (name !== service) {
+			if (name !== service || (wanted !== undefined && wanted !== domain)) {
 				continue;
 			}
 
--- a/src/planning/fleet.ts
+++ b/src/planning/fleet.ts
@@ -5,7 +5,7 @@
 import type {DemandView} from '../loads/index.js';
 import type {FleetView, SpeedTable} from '../routing/index.js';
 import type {TimerService} from '../timers/index.js';
-import {listCandidates} from './candidates.js';
+import {compareCandidates, listCandidates} from './candidates.js';
 import type {Candidate, PlannedEngine} from './candidates.js';
 import type {EngineRates} from './capacity.js';
 import {Forecast} from './forecast.js';
@@ -20,14 +20,14 @@
 const samplePeriodMs = 1000;
 /** A closing upstream that takes longer than this was not closed for a change of role. */
 const longestChangeMs = 60_000;
-/** Answers in progress at which an engine's decode speed is read where its own limit is not known. */
-const usualRunning = 8;
-const mostRunning = 48;
+
+/** Time that a domain waits for each other one whose change is worth more, in milliseconds. */
+const rankMs = 3000;
 
 /** Setting from fewest changes (0) to highest goodput (1), turned into thresholds. */
-const leastWorth = {atGoodput: 0.02, atFewest: 0.1};
-const steadyMs = {atGoodput: 2000, atFewest: 10_000};
-const pauseMs = {atGoodput: 4000, atFewest: 40_000};
+const leastWorth = {atGoodput: 0.01, atFewest: 0.05};
+const steadyMs = {atGoodput: 1000, atFewest: 10_000};
+const pauseMs = {atGoodput: 1000, atFewest: 30_000};
 
 /** What the planner decides from. */
 export type PlannerParts = {
@@ -47,7 +47,7 @@
 	readonly #parts: PlannerParts;
 	readonly #forecast: Forecast;
 	readonly #changing = new Map<string, number>();
-	#wanted: {readonly key: string; readonly since: number} | undefined;
+	#wantedSince: number | undefined;
 	#lastChangeAt = Number.NEGATIVE_INFINITY;
 
 	constructor(parts: PlannerParts) {
@@ -74,35 +74,34 @@
 	/** Takes in the demand of this moment. */
 	updateDemand(): void {
 		for (const service of this.#listServices()) {
-			const {promptTokensPerSecond: prompt, outputTokensPerSecond: output} = this.#parts.demand.compute(service.name);
-			this.#forecast.update(service.name, {prompt, output});
+			for (const domain of this.#listDomains()) {
+				const {promptTokensPerSecond: prompt, outputTokensPerSecond: output} = this.#parts.demand.compute(service.name, domain);
+				this.#forecast.update(`${domain}/${service.name}`, {prompt, output});
+			}
 		}
 	}
 
 	planChange(): RoleChange | undefined {
 		const best = this.#isStill() ? undefined : this.#findBest();
 		if (!best) {
-			this.#wanted = undefined;
+			this.#wantedSince = undefined;
 			return undefined;
 		}
 
-		const {engine, role, before, after, worth} = best;
 		const now = this.#parts.timers.getNow();
-		const key = `${engine.role}/${role}`;
-		if (this.#wanted?.key !== key) {
-			this.#wanted = {key, since: now};
-		}
-
-		if (now - this.#wanted.since < this.#computeLimit(steadyMs) || engine.domain !== this.#parts.view.domain) {
+		this.#wantedSince ??= now;
+		// Other domains' authorities know slightly other figures: who ranks lower waits longer instead of for ever.
+		if (now - this.#wantedSince < this.#computeLimit(steadyMs) + (best.rank * rankMs)) {
 			return undefined;
 		}
 
-		this.#wanted = undefined;
+		const {engine, role, before, after, worth} = best.candidate;
+		this.#wantedSince = undefined;
 		this.#lastChangeAt = now;
 		return {
 			upstream: engine.id,
 			role,
-			reason: `answers in time ${formatShare(before)} as ${engine.role}, ${formatShare(after)} as ${role}; worth ${formatShare(worth)} of the next ${windowMs / 1000} s`,
+			reason: `answers of ${engine.domain} in time ${formatShare(before)} as ${engine.role}, ${formatShare(after)} as ${role}; worth ${formatShare(worth)} of all in the next ${windowMs / 1000} s`,
 		};
 	}
 
@@ -115,31 +114,33 @@
 
 	#isCutOff(): boolean {
 		const {view} = this.#parts;
-		const others = (view.deployment?.domains ?? []).filter(domain => domain !== view.domain);
+		const others = this.#listDomains().filter(domain => domain !== view.domain);
 		return others.length > 0 && others.every(domain => view.listMembers(domain).length === 0);
 	}
 
-	#findBest(): Candidate | undefined {
-		const least = this.#computeLimit(leastWorth);
+	/** Finds the best change of this domain, and how many other domains have a better one. */
+	#findBest(): {readonly candidate: Candidate; readonly rank: number} | undefined {
 		const haste = this.#getGoodputWeight();
-		let best: Candidate | undefined;
-		for (const service of this.#listServices()) {
-			const demand = this.#forecast.compute(service.name, haste);
-			const engines = this.#listEngines(service);
-			// A domain out of sight serves on, and its engines count, but only those in sight can move.
-			const first = listCandidates(service, engines, demand, changeMs / windowMs).find(({engine}) => this.#isInSight(engine.domain));
-			if (first && first.worth >= least && (!best || first.worth > best.worth)) {
-				best = first;
-			}
-		}
-
-		return best;
+		const least = this.#computeLimit(leastWorth);
+		const candidates = this.#listServices().flatMap(service => listCandidates({
+			service,
+			engines: this.#listEngines(service),
+			demands: new Map(this.#listDomains().map(domain => [domain, this.#forecast.compute(`${domain}/${service.name}`, haste)])),
+			awayShare: changeMs / windowMs,
+		})).filter(candidate => candidate.worth >= least && this.#isInSight(candidate.engine.domain)).toSorted(compareCandidates);
+		const index = candidates.findIndex(candidate => candidate.engine.domain === this.#parts.view.domain);
+		const candidate = candidates[index];
+		return candidate && {candidate, rank: new Set(candidates.slice(0, index).map(({engine}) => engine.domain)).size};
 	}
 
 	#isInSight(domain: string): boolean {
 		return domain === this.#parts.view.domain || this.#parts.view.listMembers(domain).length > 0;
 	}
 
+	#listDomains(): readonly string[] {
+		return this.#parts.view.deployment?.domains ?? [];
+	}
+
 	#listServices(): ModelService[] {
 		return this.#parts.view.deployment?.services.filter(service => service.kind === serviceKind.model) ?? [];
 	}
@@ -162,13 +163,9 @@
 
 	/** Reads an engine's learned speeds as tokens a second; engines of more pieces count for as much more. */
 	#computeRates(service: ModelService, upstream: Upstream, role: EngineRole, meanPieces: number): EngineRates {
-		const {prefill, gap} = this.#parts.speeds.getRoleSpeeds(service.name, role);
+		const {prefill, decode} = this.#parts.speeds.getPeaks(service.name, role);
 		const size = upstream.pieces / meanPieces;
-		const running = gap.slope > 0 ? Math.min(mostRunning, Math.max(1, (service.betweenTokensMs - gap.base) / gap.slope)) : usualRunning;
-		return {
-			prefill: size * 1000 / prefill.slope,
-			decode: size * 1000 * running / (gap.base + (gap.slope * running)),
-		};
+		return {prefill: size * prefill * 1000, decode: size * decode * 1000};
 	}
 
 	#onUpstream(id: string): void {
--- a/src/rates/index.ts
+++ b/src/rates/index.ts
@@ -2,5 +2,6 @@
 export {DecayedSum} from './decayed.js';
 export {LineFit} from './line.js';
 export type {Line} from './line.js';
+export {Peak} from './peak.js';
 export {RandomSource} from './random.js';
 export {computeScore, highestScore, selectOwners} from './rendezvous.js';
--- a/src/routing/create.ts
+++ b/src/routing/create.ts
@@ -47,11 +47,11 @@
 		return picture;
 	};
 
-	const speeds = new SpeedTable();
+	const speeds = new SpeedTable(timers);
 	const prefixes = new PrefixTable();
 	const health = new HealthTable(timers, random);
 	const flights = new Flights({
-		timers, speeds, health, getPicture, getRole: upstream => view.getRole(upstream),
+		timers, speeds, health, getPicture, getRole: upstream => view.getRole(upstream), countEntries: () => view.countEntries(),
 	});
 	const callers = new CallerGate({
 		limiter: new CallerLimiter(timers),
--- a/src/routing/flights.ts
+++ b/src/routing/flights.ts
@@ -28,6 +28,7 @@
 	readonly health: HealthTable;
 	readonly getPicture: (upstream: string) => EnginePicture;
 	readonly getRole: (upstream: string) => EngineRole;
+	readonly countEntries: () => number;
 };
 
 /** The entry's own requests in progress, and what is learned from each as it goes on. */
@@ -63,6 +64,8 @@
 			prefillTokens: estimate?.prefillTokens ?? work.promptTokens,
 			aheadTokens: Math.max(0, estimate?.ahead.prefillTokens ?? 0),
 			aheadRunning: estimate?.ahead.running ?? picture.running,
+			ownAheadTokens: picture.pendingTokens,
+			activeAtFirst: 0,
 			expectedFirstMs: estimate?.firstMs ?? Number.POSITIVE_INFINITY,
 			expectedEndMs: estimate?.endMs ?? Number.POSITIVE_INFINITY,
 			expectedPrefillMs: estimate?.aloneFirstMs ?? 0,
@@ -90,15 +93,17 @@
 		flight.lastAt = now;
 		if (flight.firstAt === undefined) {
 			flight.firstAt = now;
+			flight.activeAtFirst = this.#computeActive(placement.upstream.id);
 			this.#onFirstToken(flight, now - flight.sentAt);
 		}
 	}
 
 	/** Takes a request out, and learns the rest from it when it ended well. */
 	remove(work: Work, placement: Placement, isDone: boolean): void {
+		const activeAtEnd = this.#computeActive(placement.upstream.id);
 		const flight = this.#removeKey(this.#getKey(work, placement), this.#parts.timers.getNow());
 		if (flight && isDone) {
-			this.#onDone(flight, this.#parts.getPicture(placement.upstream.id).running);
+			this.#onDone(flight, activeAtEnd);
 		}
 	}
 
@@ -133,14 +138,17 @@
 		const {work, placement: {upstream, prefill, via}} = flight;
 		this.#parts.health.onFirstToken(upstream.id, waitMs > (flight.expectedFirstMs * slowFactor) + slowMs);
 		if (prefill === undefined && via === undefined) {
-			const tokens = flight.aheadTokens + flight.prefillTokens;
-			this.#parts.speeds.onFirstToken(work.service, upstream.id, this.#parts.getRole(upstream.id), {tokens, waitMs});
+			this.#parts.speeds.onFirstToken(work.service, upstream.id, this.#parts.getRole(upstream.id), {
+				tokens: flight.aheadTokens + flight.prefillTokens,
+				certainTokens: flight.ownAheadTokens + flight.prefillTokens,
+				waitMs,
+			});
 		} else if (prefill) {
 			this.#transfer.add(work.promptTokens, Math.max(0, waitMs - flight.expectedPrefillMs));
 		}
 	}
 
-	#onDone(flight: Flight, runningAfter: number): void {
+	#onDone(flight: Flight, activeAtEnd: number): void {
 		const {work, placement: {upstream, via}} = flight;
 		const now = this.#parts.timers.getNow();
 		if (Number.isFinite(flight.expectedEndMs)) {
@@ -159,8 +167,14 @@
 		}
 
 		const gapMs = (flight.lastAt - flight.firstAt) / (flight.tokens - 1);
-		const running = (flight.aheadRunning + 1 + Math.max(runningAfter + 1, flight.aheadRunning)) / 2;
-		this.#parts.speeds.onGap(work.service, upstream.id, this.#parts.getRole(upstream.id), {gapMs, running});
+		const active = Math.max(1, (flight.activeAtFirst + activeAtEnd) / 2);
+		this.#parts.speeds.onGap(work.service, upstream.id, this.#parts.getRole(upstream.id), {gapMs, active});
+	}
+
+	#computeActive(upstream: string): number {
+		const picture = this.#parts.getPicture(upstream);
+		const {running} = picture.computeBacklog(this.#parts.timers.getNow(), 1, this.#parts.countEntries());
+		return picture.computeActive(running);
 	}
 
 	#getKey(work: Work, placement: Placement): string {
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -12,5 +12,5 @@
 export {HealthTable} from './health.js';
 export {PolicyRouter} from './policy.js';
 export {SpeedTable} from './speeds.js';
-export type {Speeds} from './speeds.js';
+export type {PeakRates, Speeds} from './speeds.js';
 export {FleetView} from './views.js';
--- a/src/routing/picture.ts
+++ b/src/routing/picture.ts
@@ -15,6 +15,10 @@
 	/** Prompt tokens thought to be ahead of it, and answers in progress, when it was sent. */
 	readonly aheadTokens: number;
 	readonly aheadRunning: number;
+	/** Prompt tokens of the entry's own requests that were certainly ahead of it. */
+	readonly ownAheadTokens: number;
+	/** Answers being written when the first token came. */
+	activeAtFirst: number;
 	/** Expected time to the first token and to the end, in milliseconds. */
 	readonly expectedFirstMs: number;
 	readonly expectedEndMs: number;
@@ -51,11 +55,31 @@
 		return this.#flights.size;
 	}
 
+	/** Prompt tokens of the entry's own requests that wait for their first token. */
+	get pendingTokens(): number {
+		let tokens = 0;
+		for (const flight of this.#flights) {
+			tokens += flight.firstAt === undefined ? flight.prefillTokens : 0;
+		}
+
+		return tokens;
+	}
+
 	/** The last load report. */
 	get report(): LoadReport | undefined {
 		return this.#report?.value;
 	}
 
+	/** Computes how many answers the engine writes at this time, from this entry's part of them. */
+	computeActive(running: number): number {
+		let active = 0;
+		for (const flight of this.#flights) {
+			active += flight.firstAt === undefined ? 0 : 1;
+		}
+
+		return active === 0 ? 0 : Math.max(active, active * running / this.running);
+	}
+
 	/** Takes in a load report that came at `now`, and says whether the engine started anew since the last. */
 	onReport(value: LoadReport, now: number): boolean {
 		const isNew = this.#report !== undefined && this.#report.value.incarnation !== value.incarnation;
--- a/src/routing/placer.ts
+++ b/src/routing/placer.ts
@@ -29,7 +29,7 @@
 };
 
 /** Weight of the time that a prompt costs each answer in progress, against the request's own time. */
-const harmWeight = 0.1;
+const harmWeight = 1;
 /** Part of its cost that the home of an unknown prefix is favoured by. */
 const homeShare = 0.1;
 /** Shortest prompt for which prefill and decode are set apart, in tokens, and the gain asked for. */
--- a/src/routing/policy.ts
+++ b/src/routing/policy.ts
@@ -167,7 +167,6 @@
 			isIdle: estimate.isIdle,
 		});
 		if (verdict.isAdmitted) {
-			callers.onAdmitted(estimate.aloneMs);
 			return;
 		}
 
--- a/src/routing/speeds.ts
+++ b/src/routing/speeds.ts
@@ -1,103 +1,166 @@
 import {engineRole} from '../deployment/index.js';
 import type {EngineRole} from '../deployment/index.js';
-import {LineFit} from '../rates/index.js';
+import {LineFit, Peak} from '../rates/index.js';
 import type {Line} from '../rates/index.js';
+import type {TimerService} from '../timers/index.js';
 
-/** Speeds of one kind of engine, as two lines in milliseconds. */
+/** Speeds of one kind of engine under its load of now, as lines in milliseconds. */
 export type Speeds = {
 	/** Time to the first token over the prompt tokens up to it. */
 	readonly prefill: Line;
-	/** Time between two tokens of one answer over the number of answers in progress. */
+	/** Time between two tokens of one answer over the number of answers being written. */
 	readonly gap: Line;
+	/** Answers that it was seen to write at the same time. */
+	readonly slots: number;
 };
 
-type Learned = {readonly prefill: LineFit; readonly gap: LineFit};
+/** The most that one kind of engine was seen to do, in tokens a millisecond. */
+export type PeakRates = {readonly prefill: number; readonly decode: number};
+
+/** A first token: it took `waitMs`. */
+export type FirstTokenSample = {
+	/** Prompt tokens up to it, with all that are thought to have been ahead. */
+	readonly tokens: number;
+	/** Of these, the ones known for certain. */
+	readonly certainTokens: number;
+	readonly waitMs: number;
+};
+
+/** An answer's tokens came `gapMs` apart while `active` answers were being written. */
+export type GapSample = {readonly gapMs: number; readonly active: number};
+
+type Learned = {
+	readonly prefill: LineFit;
+	readonly gap: LineFit;
+	readonly slots: Peak;
+	readonly peakPrefill: Peak;
+	readonly peakDecode: Peak;
+	/** Answers that were written beside many others. */
+	crowded: number;
+};
 
 /** What an engine is taken for until something was seen of any. */
-const firstGuess: Speeds = {prefill: {base: 20, slope: 0.05}, gap: {base: 10, slope: 0.5}};
-/** Times of a role against those of a mixed engine, until the role was seen. */
-const roleFactor: Record<EngineRole, {readonly prefill: number; readonly gap: number}> = {
-	[engineRole.mixed]: {prefill: 1, gap: 1},
-	[engineRole.prefill]: {prefill: 0.67, gap: 2},
-	[engineRole.decode]: {prefill: 2, gap: 0.67},
+const firstGuess: Speeds = {prefill: {base: 20, slope: 0.05}, gap: {base: 10, slope: 0.5}, slots: 16};
+const firstPeaks: PeakRates = {prefill: 20, decode: 1};
+/** Times and rates of a role against those of a mixed engine, until the role was seen. */
+const roleFactor: Record<EngineRole, {readonly prefill: number; readonly gap: number; readonly slots: number}> = {
+	[engineRole.mixed]: {prefill: 1, gap: 1, slots: 1},
+	[engineRole.prefill]: {prefill: 0.6, gap: 1, slots: 0.5},
+	[engineRole.decode]: {prefill: 2, gap: 1, slots: 2},
 };
 const keptWeight = 0.98;
+/** Prompt tokens from which on a first token tells of prefill rather than of waiting. */
+const longPrompt = 1000;
 /** Observations after which an engine's own speeds are taken before those of its role. */
 const ownCount = 20;
 /** Observations after which a role's speeds are taken before a guess. */
-const roleCount = 3;
+const roleCount = 6;
+/** Observations after which a role's own peaks are taken before a guess. */
+const peakCount = 40;
+const uncrowdedRoom = 1.5;
+/** Answers written at the same time from which on an engine shows what it can do. */
+const manyActive = 12;
 
 /**
 Speeds of engines learned from what requests saw. An engine that was seen seldom has the speeds of its role in its
 service, and a role that was never seen has speeds guessed from another role's.
 */
 export class SpeedTable {
+	readonly #timers: TimerService;
 	readonly #learned = new Map<string, Learned>();
 
-	/** Learns from a first token: `tokens` prompt tokens, with those ahead of them, took `waitMs`. */
-	onFirstToken(service: string, engine: string, role: EngineRole, {tokens, waitMs}: {readonly tokens: number; readonly waitMs: number}): void {
+	constructor(timers: TimerService) {
+		this.#timers = timers;
+	}
+
+	/** Learns from a first token. */
+	onFirstToken(service: string, engine: string, role: EngineRole, {tokens, certainTokens, waitMs}: FirstTokenSample): void {
+		const now = this.#timers.getNow();
 		for (const learned of this.#list(service, engine, role)) {
-			learned.prefill.add(tokens, waitMs);
+			if (certainTokens >= longPrompt) {
+				learned.peakPrefill.add(certainTokens, Math.max(1, waitMs), now);
+			}
+
+			if (tokens >= longPrompt || learned.peakPrefill.count === 0) {
+				learned.prefill.add(tokens, waitMs);
+			}
 		}
 	}
 
-	/** Learns from an answer whose tokens came `gapMs` apart while `running` answers were in progress. */
-	onGap(service: string, engine: string, role: EngineRole, {gapMs, running}: {readonly gapMs: number; readonly running: number}): void {
+	/** Learns from the end of an answer. */
+	onGap(service: string, engine: string, role: EngineRole, {gapMs, active}: GapSample): void {
+		const now = this.#timers.getNow();
 		for (const learned of this.#list(service, engine, role)) {
-			learned.gap.add(running, gapMs);
+			learned.gap.add(active, gapMs);
+			learned.slots.add(active, 1, now);
+			learned.peakDecode.add(active, Math.max(0.1, gapMs), now);
+			learned.crowded += active >= manyActive ? 1 : 0;
 		}
 	}
 
 	/** Reads the speeds of an engine in a role, from what is known best. */
 	getSpeeds(service: string, engine: string, role: EngineRole): Speeds {
 		const own = this.#learned.get(`${service}/${engine}/${role}`);
+		const ofRole = this.#getRoleSpeeds(service, role);
 		return {
-			prefill: own && own.prefill.count >= ownCount ? computePrefill(own.prefill) : this.#getRolePrefill(service, role),
-			gap: own && own.gap.count >= ownCount ? computeGap(own.gap) : this.#getRoleGap(service, role),
+			prefill: own && own.prefill.count >= ownCount ? computePrefill(own.prefill) : ofRole.prefill,
+			gap: own && own.gap.count >= ownCount ? computeGap(own.gap) : ofRole.gap,
+			slots: ofRole.slots,
 		};
 	}
 
-	/** Reads the speeds of a role in a service. */
-	getRoleSpeeds(service: string, role: EngineRole): Speeds {
-		return {prefill: this.#getRolePrefill(service, role), gap: this.#getRoleGap(service, role)};
+	/** Reads the most that a role was seen to do. */
+	getPeaks(service: string, role: EngineRole): PeakRates {
+		const now = this.#timers.getNow();
+		const own = this.#learned.get(`${service}/${role}`);
+		const prefill = this.#findRole(service, role, learned => learned.peakPrefill.count >= peakCount);
+		const decode = this.#findRole(service, role, learned => learned.crowded >= peakCount) ?? this.#findRole(service, engineRole.mixed, learned => learned.peakDecode.count >= roleCount);
+		const prefillFactor = roleFactor[prefill?.seen ?? engineRole.mixed].prefill / roleFactor[role].prefill;
+		const decodeFactor = roleFactor[role].slots / roleFactor[decode?.seen ?? engineRole.mixed].slots;
+		// Engines that never wrote many answers at the same time can write more than was seen of them.
+		const room = decode && decode.learned.crowded < peakCount ? uncrowdedRoom : 1;
+		return {
+			prefill: Math.max(own?.peakPrefill.get(now) ?? 0, (prefill?.learned.peakPrefill.get(now) ?? firstPeaks.prefill) * prefillFactor),
+			decode: Math.max(own?.peakDecode.get(now) ?? 0, (decode?.learned.peakDecode.get(now) ?? firstPeaks.decode) * decodeFactor * room),
+		};
 	}
 
-	#getRolePrefill(service: string, role: EngineRole): Line {
-		for (const seen of listRoles(role)) {
-			const fit = this.#learned.get(`${service}/${seen}`)?.prefill;
-			if (fit && fit.count >= roleCount) {
-				return computeTimes(computePrefill(fit), roleFactor[role].prefill / roleFactor[seen].prefill);
-			}
-		}
-
-		return computeTimes(firstGuess.prefill, roleFactor[role].prefill);
+	#getRoleSpeeds(service: string, role: EngineRole): Speeds {
+		const prefill = this.#findRole(service, role, learned => learned.prefill.count >= roleCount);
+		const gap = this.#findRole(service, role, learned => learned.gap.count >= roleCount);
+		const prefillFactor = roleFactor[role].prefill / roleFactor[prefill?.seen ?? engineRole.mixed].prefill;
+		const slotFactor = roleFactor[role].slots / roleFactor[gap?.seen ?? engineRole.mixed].slots;
+		const slots = Math.max(firstGuess.slots, gap?.learned.slots.get(this.#timers.getNow()) ?? 0);
+		return {
+			prefill: computeTimes(prefill ? computePrefill(prefill.learned.prefill) : firstGuess.prefill, prefillFactor),
+			gap: gap ? computeGap(gap.learned.gap) : firstGuess.gap,
+			slots: slots * slotFactor,
+		};
 	}
 
-	#getRoleGap(service: string, role: EngineRole): Line {
-		for (const seen of listRoles(role)) {
-			const fit = this.#learned.get(`${service}/${seen}`)?.gap;
-			if (fit && fit.count >= roleCount) {
-				return computeTimes(computeGap(fit), roleFactor[role].gap / roleFactor[seen].gap);
+	/** Finds what is known of a role, or else of another one. */
+	#findRole(service: string, role: EngineRole, isKnown: (learned: Learned) => boolean): {readonly learned: Learned; readonly seen: EngineRole} | undefined {
+		for (const seen of [role, ...Object.values(engineRole)]) {
+			const learned = this.#learned.get(`${service}/${seen}`);
+			if (learned && isKnown(learned)) {
+				return {learned, seen};
 			}
 		}
 
-		return computeTimes(firstGuess.gap, roleFactor[role].gap);
+		return undefined;
 	}
 
 	#list(service: string, engine: string, role: EngineRole): Learned[] {
 		return [`${service}/${engine}/${role}`, `${service}/${role}`].map(key => {
-			const learned = this.#learned.get(key) ?? {prefill: new LineFit(keptWeight), gap: new LineFit(keptWeight)};
+			const learned = this.#learned.get(key) ?? {
+				prefill: new LineFit(keptWeight), gap: new LineFit(keptWeight), slots: new Peak(), peakPrefill: new Peak(), peakDecode: new Peak(), crowded: 0,
+			};
 			this.#learned.set(key, learned);
 			return learned;
 		});
 	}
 }
 
-/** Lists a role and then the others. */
-function listRoles(role: EngineRole): EngineRole[] {
-	return [role, ...Object.values(engineRole).filter(other => other !== role)];
-}
-
 function computePrefill(fit: LineFit): Line {
 	const {x, y} = fit.getMeans();
 	const line = fit.computeLine();
