Hand the planner to the authority and stop collecting at a graceful stop

Cause: the authority kept every role; the decisions' intervals went on after a stop. Ruled out: a planner of its own that plans nothing, since KeepRolesPlanner came with the authority. Conclusion: wired.

--- a/bench/figures.ts
+++ b/bench/figures.ts
@@ -40,8 +40,11 @@
 /** The 50th, 95th and 99th of 100. */
 export type Percentiles = {readonly p50: number; readonly p95: number; readonly p99: number};
 
+/** What a run counted besides its jobs. */
+export type RunCounts = Pick<RunFigures, 'roleChanges' | 'retries' | 'apart'>;
+
 /** Works out a run's figures from its jobs. */
-export function computeFigures(results: readonly JobResult[], seconds: number, {roleChanges, retries, apart}: {readonly roleChanges: number; readonly retries: number; readonly apart: number}): RunFigures {
+export function computeFigures(results: readonly JobResult[], seconds: number, {roleChanges, retries, apart}: RunCounts): RunFigures {
 	const onTime = results.filter(result => result.isOnTime);
 	const first = build();
 	const gaps = build();
@@ -105,3 +108,19 @@
 	const read = (percentile: number) => histogram.totalCount > 0 ? histogram.getValueAtPercentile(percentile) / usPerMs : 0;
 	return {p50: read(50), p95: read(95), p99: read(99)};
 }
+
+/** Formats a run's figures as one line. */
+export function formatFigures(figures: RunFigures): string {
+	const {firstTokenMs: first, betweenTokensMs: between} = figures;
+	return [
+		`goodput ${figures.goodput.toFixed(2)} (reading ${figures.goodputReading.toFixed(2)} writing ${figures.goodputWriting.toFixed(2)}) of ${figures.offered}`,
+		`changes ${figures.roleChanges} apart ${figures.apart} retries ${figures.retries}`,
+		`useless ${figures.uselessShare.toFixed(3)} worst caller ${figures.worstCaller.toFixed(2)}`,
+		`first ${formatPercentiles(first)} between ${formatPercentiles(between)}`,
+		JSON.stringify(figures.refusals),
+	].join('  ');
+}
+
+function formatPercentiles({p50, p95, p99}: Percentiles): string {
+	return `${p50.toFixed(0)}/${p95.toFixed(0)}/${p99.toFixed(0)}`;
+}
--- a/bench/model.ts
+++ b/bench/model.ts
@@ -183,7 +183,17 @@
 		const {router} = entry.decisions;
 		const now = this.#timers.getNow();
 		const work: Work = {
-			id: `${job.at}`, caller: job.caller, service: 'contracts', model: 'contracts', version: '1', promptTokens: job.promptTokens, maxTokens: job.maxTokens, prefixes: listPrefixes({model: 'contracts', version: '1', prompt}), priority: 0, firstTokenDue: now + this.#options.firstTokenMs, due: now + this.#options.deadlineMs,
+			id: `${job.at}`,
+			caller: job.caller,
+			service: 'contracts',
+			model: 'contracts',
+			version: '1',
+			promptTokens: job.promptTokens,
+			maxTokens: job.maxTokens,
+			prefixes: listPrefixes({model: 'contracts', version: '1', prompt}),
+			priority: 0,
+			firstTokenDue: now + this.#options.firstTokenMs,
+			due: now + this.#options.deadlineMs,
 		};
 		const track = new JobTrack(job, now, this.#timers);
 		const excluded = new Set<string>();
@@ -221,7 +231,8 @@
 			let kv: string | undefined;
 			if (placement.prefill) {
 				const exported = await this.#engines.get(placement.prefill.id)!.exportKv(request);
-				kv = (await engine.importKv(placement.prefill.id, exported.handle)).handle;
+				const imported = await engine.importKv(placement.prefill.id, exported.handle);
+				kv = imported.handle;
 			}
 
 			if (abort.signal.aborted) {
--- a/bench/policies.ts
+++ b/bench/policies.ts
@@ -6,6 +6,7 @@
 import type {PolicyName} from '../src/entry/decisions.js';
 import {CheapestChoice, TwoChoices, WeightedChoice} from '../src/routing/index.js';
 import type {RandomSource} from '../src/rates/index.js';
+import {formatFigures} from './figures.js';
 import {listJobs} from './mix.js';
 import {createDeployment, Model} from './model.js';
 import {scenarios} from './scenarios.js';
@@ -13,7 +14,13 @@
 /** Compares the policies over engines' stand-ins in this process: `node dist/bench/policies.js --scenario shifting --seeds 5`. */
 const {values} = parseArgs({
 	options: {
-		scenario: {type: 'string', default: 'shifting'}, seeds: {type: 'string', default: '2'}, weight: {type: 'string', default: '0.8'}, policies: {type: 'string', default: Object.values(policyName).join(',')}, choice: {type: 'string', default: 'weighted'}, rate: {type: 'string', default: '1'}, roles: {type: 'string', default: ''},
+		scenario: {type: 'string', default: 'shifting'},
+		seeds: {type: 'string', default: '2'},
+		weight: {type: 'string', default: '0.8'},
+		policies: {type: 'string', default: Object.values(policyName).join(',')},
+		choice: {type: 'string', default: 'weighted'},
+		rate: {type: 'string', default: '1'},
+		roles: {type: 'string', default: ''},
 	},
 });
 const choices = {
@@ -32,12 +39,21 @@
 	for (let seed = 1; seed <= Number(values.seeds); seed++) {
 		const started = process.cpuUsage();
 		const model = new Model({
-			deployment: createDeployment(Number(values.weight), deadlineMs), policy, jobs: listJobs(phases, seed), durationMs, deadlineMs, firstTokenMs: 900, entriesPerDomain: 2, seed, roles: values.roles ? [...values.roles].map(letter => roleLetters[letter]!) : undefined, createChoice: choices[values.choice as keyof typeof choices],
+			deployment: createDeployment(Number(values.weight), deadlineMs),
+			policy,
+			jobs: listJobs(phases, seed),
+			durationMs,
+			deadlineMs,
+			firstTokenMs: 900,
+			entriesPerDomain: 2,
+			seed,
+			roles: values.roles ? [...values.roles].map(letter => roleLetters[letter]!) : undefined,
+			createChoice: choices[values.choice as keyof typeof choices],
 		});
 		const figures = await model.run();
 		const cpu = process.cpuUsage(started);
-		const {goodput, goodputReading, goodputWriting, roleChanges, uselessShare, worstCaller, offered, firstTokenMs, betweenTokensMs} = figures;
-		console.log([policy.padEnd(16), `seed ${seed}`, `goodput ${goodput.toFixed(2)} (r ${goodputReading.toFixed(2)} w ${goodputWriting.toFixed(2)})`, `offered ${(offered * 1000 / durationMs).toFixed(1)}`, `changes ${roleChanges} apart ${figures.apart}`, `useless ${uselessShare.toFixed(3)}`, `worst ${worstCaller.toFixed(2)}`, `first ${firstTokenMs.p50.toFixed(0)}/${firstTokenMs.p95.toFixed(0)}`, `gap ${betweenTokensMs.p50.toFixed(0)}/${betweenTokensMs.p95.toFixed(0)}`, JSON.stringify(figures.refusals), `cpu ${((cpu.user + cpu.system) / 1e6).toFixed(1)}s`].join('  '));
+		const cpuSeconds = (cpu.user + cpu.system) / 1e6;
+		console.log(`${policy.padEnd(16)}  seed ${seed}  ${formatFigures(figures)}  cpu ${cpuSeconds.toFixed(1)}s`);
 	}
 }
 
--- a/src/entry/decisions.ts
+++ b/src/entry/decisions.ts
@@ -6,7 +6,8 @@
 	DemandMeter, DemandReporter, DemandView, LoadCollector,
 } from '../loads/index.js';
 import type {Metrics} from '../metrics/index.js';
-import {FleetRolePlanner, RolePlanner} from '../planning/index.js';
+import {FleetRolePlanner, KeepRolesPlanner} from '../planning/index.js';
+import type {RolePlanner} from '../planning/index.js';
 import {computeScore, RandomSource} from '../rates/index.js';
 import {
 	createPolicy, FleetView, LeastInFlightRouter, RoundRobinRouter,
@@ -86,7 +87,7 @@
 	}, meter);
 	return {
 		router: createBaseline(name, facts, view) ?? router,
-		planner: isPlanning(name) ? planner : new StillPlanner(),
+		planner: isPlanning(name) ? planner : new KeepRolesPlanner(),
 		start() {
 			const timersOfParts = [collector.start(), reporter.start()];
 			const stopPlanner = planner.start();
@@ -100,13 +101,6 @@
 	};
 }
 
-/** Plans no changes: for runs that measure what changes of role are worth. */
-class StillPlanner extends RolePlanner {
-	planChange(): undefined {
-		return undefined;
-	}
-}
-
 function isPlanning(name: string | undefined): boolean {
 	return name === undefined || name === policyName.full || name === policyName.noAdmission;
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -27,7 +27,6 @@
 export async function startEntry(settings: EntrySettings): Promise<GracefulStop> {
 	const parts = createParts(settings);
 	void watchConfiguration(parts);
-	parts.decisions.start();
 	const [host, port] = settings.http.split(':');
 	const app = polka();
 	const callers = createCallers(parts);
@@ -38,7 +37,14 @@
 	setServerTimeouts(app.server as Server);
 	subscribeSignals(callers, app.server as Server);
 	await startFeed(callers);
-	startAuthority(callers);
+	const stopDecisions = parts.decisions.start();
+	callers.stop.addLastTask({
+		name: 'stop collecting loads',
+		async run() {
+			stopDecisions();
+		},
+	});
+	startAuthority(callers, parts.decisions.planner);
 	return callers.stop;
 }
 
--- a/src/planning/fleet.ts
+++ b/src/planning/fleet.ts
@@ -101,7 +101,8 @@
 		return {
 			upstream: engine.id,
 			role,
-			reason: `answers of ${engine.domain} in time ${formatShare(before)} as ${engine.role}, ${formatShare(after)} as ${role}; worth ${formatShare(worth)} of all in the next ${windowMs / 1000} s`,
+			reason: `answers of ${engine.domain} in time: ${formatShare(before)} as ${engine.role}, ${formatShare(after)} as ${role}; `
+				+ `worth ${formatShare(worth)} of all in the next ${windowMs / 1000} s`,
 		};
 	}
 
@@ -122,12 +123,15 @@
 	#findBest(): {readonly candidate: Candidate; readonly rank: number} | undefined {
 		const haste = this.#getGoodputWeight();
 		const least = this.#computeLimit(leastWorth);
-		const candidates = this.#listServices().flatMap(service => listCandidates({
+		const all = this.#listServices().flatMap(service => listCandidates({
 			service,
 			engines: this.#listEngines(service),
 			demands: new Map(this.#listDomains().map(domain => [domain, this.#forecast.compute(`${domain}/${service.name}`, haste)])),
 			awayShare: changeMs / windowMs,
-		})).filter(candidate => candidate.worth >= least && this.#isInSight(candidate.engine.domain)).toSorted(compareCandidates);
+		}));
+		const candidates = all
+			.filter(candidate => candidate.worth >= least && this.#isInSight(candidate.engine.domain))
+			.toSorted(compareCandidates);
 		const index = candidates.findIndex(candidate => candidate.engine.domain === this.#parts.view.domain);
 		const candidate = candidates[index];
 		return candidate && {candidate, rank: new Set(candidates.slice(0, index).map(({engine}) => engine.domain)).size};
