--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -17,6 +17,7 @@
 } from './callers.js';
 import {createDecisions} from './decisions.js';
 import {startFeed} from './feed.js';
+import type {Decisions} from './decisions.js';
 import type {EntryParts} from './parts.js';
 import type {GracefulStop} from './stop.js';
 
@@ -48,7 +49,7 @@
 	return callers.stop;
 }
 
-function createParts(settings: EntrySettings): EntryParts {
+function createParts(settings: EntrySettings): EntryParts & {readonly decisions: Decisions} {
 	const facts = new FactTable();
 	const timers = new SystemTimers();
 	const engines = new Map<string, HttpEngine>();
--- a/src/entry/parts.ts
+++ b/src/entry/parts.ts
@@ -7,7 +7,6 @@
 import type {Store, VmList} from '../store/index.js';
 import type {TimerService} from '../timers/index.js';
 import type {EngineClient} from '../upstreams/index.js';
-import type {Decisions} from './decisions.js';
 
 /** The parts of an entry's process, put together once at its start. */
 export type EntryParts = {
@@ -19,8 +18,6 @@
 	readonly metrics: Metrics;
 	readonly history: History;
 	readonly router: Router;
-	/** Where the router and the planner of roles come from; collects loads and tells demand once started. */
-	readonly decisions: Decisions;
 	/** The configuration in force; `undefined` until one is known. */
 	readonly getDeployment: () => Deployment | undefined;
 	readonly getEngine: (upstream: Upstream) => EngineClient;
