--- a/bench/model.ts
+++ b/bench/model.ts
@@ -105,7 +105,7 @@
 		});
 		facts.subscribe(fact => {
 			this.#timers.startTimer(feedDelayMs, () => {
-				this.#passOn(fact, domain);
+				this.#sendFact(fact, domain);
 			});
 		});
 		decisions.start();
@@ -114,7 +114,7 @@
 		};
 	}
 
-	#passOn(fact: Fact, domain: string): void {
+	#sendFact(fact: Fact, domain: string): void {
 		for (const entry of this.#entries) {
 			if (fact.kind !== 'load' || entry.domain === domain) {
 				entry.facts.merge(fact);
@@ -140,12 +140,12 @@
 			const authority = this.#entries.find(entry => entry.domain === domain);
 			const change = authority?.decisions.planner.planChange();
 			if (authority && change && !this.#changing.has(change.upstream)) {
-				void this.#changeRole(authority, change.upstream, change.role);
+				void this.#applyChange(authority, change.upstream, change.role);
 			}
 		}
 	}
 
-	async #changeRole(authority: Entry, upstream: string, role: 'prefill' | 'decode' | 'mixed'): Promise<void> {
+	async #applyChange(authority: Entry, upstream: string, role: 'prefill' | 'decode' | 'mixed'): Promise<void> {
 		this.#changing.add(upstream);
 		this.#roleChanges++;
 		const {core} = this.#engines.get(upstream)!;
