--- a/rigs/calls.ts
+++ b/rigs/calls.ts
@@ -6,6 +6,7 @@
 
 /** What came of a chat. */
 export type ChatResult = {
+	readonly prompt: string;
 	readonly id: string;
 	readonly text: string;
 	/** Whether the end marker came. */
@@ -50,7 +51,7 @@
 	}
 
 	return {
-		id, text, isWhole, firstMs, totalMs: performance.now() - start, failure,
+		prompt: call.prompt, id, text, isWhole, firstMs, totalMs: performance.now() - start, failure,
 	};
 }
 
@@ -63,11 +64,11 @@
 		const [choice] = answer.choices;
 		const totalMs = performance.now() - start;
 		return {
-			id: answer.id, text: choice?.message.content ?? '', isWhole: Boolean(choice?.finish_reason), firstMs: totalMs, totalMs, failure: undefined,
+			prompt: call.prompt, id: answer.id, text: choice?.message.content ?? '', isWhole: Boolean(choice?.finish_reason), firstMs: totalMs, totalMs, failure: undefined,
 		};
 	} catch (error) {
 		return {
-			id: '', text: '', isWhole: false, firstMs: 0, totalMs: performance.now() - start, failure: error,
+			prompt: call.prompt, id: '', text: '', isWhole: false, firstMs: 0, totalMs: performance.now() - start, failure: error,
 		};
 	}
 }
@@ -100,6 +101,11 @@
 	await fetch(`${origin}/control`, {method: 'POST', body: JSON.stringify(control)});
 }
 
+/** Hashes an answer's text as an engine's journal does. */
+export function hashText(text: string): string {
+	return createHash('sha256').update(text).digest('hex');
+}
+
 /** Hashes a body as a service's journal does. */
 export function hashBody(body: unknown): string {
 	return createHash('sha256').update(JSON.stringify(body)).digest('hex');
--- a/standins/engine/journal.ts
+++ b/standins/engine/journal.ts
@@ -31,6 +31,8 @@
 	readonly kind?: string;
 	/** Of a request: the first offset asked for when it starts, the size of the answer when it ends. */
 	readonly offset?: number;
+	/** Of a request that starts: the hash of its prompt. */
+	readonly prompt?: string;
 	/** Of an ended request: the hash of its whole text. */
 	readonly hash?: string;
 	/** Why it was refused or cut. */
--- a/standins/engine/requests.ts
+++ b/standins/engine/requests.ts
@@ -1,6 +1,7 @@
 import {BrokenAnswerError} from '../../src/errors/index.js';
 import type {GenerateRequest} from '../../src/upstreams/index.js';
 import type {TimerService} from '../../src/timers/index.js';
+import {hashAnswerText} from './answer.js';
 import {engineEvent} from './journal.js';
 import type {EngineEvent, EngineRow} from './journal.js';
 import type {Scheduler} from './scheduler.js';
@@ -38,7 +39,7 @@
 	/** Starts a request. */
 	start(request: GenerateRequest, sink: EventSink): Detach {
 		const sequence = new Sequence(request, this.#order++);
-		this.record(engineEvent.requestStarted, request.id, {offset: request.offset});
+		this.record(engineEvent.requestStarted, request.id, {offset: request.offset, prompt: hashAnswerText(request.prompt)});
 		this.#running.set(request.id, sequence);
 		const detach = this.#setSink(sequence, sink);
 		this.scheduler.add(sequence);
