--- /dev/null
+++ b/bench/baseline.ts
@@ -0,0 +1,25 @@
+#!/usr/bin/env node
+import {createServer} from 'node:http';
+import process from 'node:process';
+import {pipeline} from 'node:stream/promises';
+import {Pool} from 'undici';
+
+/** A bare forwarding proxy: every request goes to one upstream as it came. Takes `host:port` to listen at and of the upstream. */
+const [address = '127.0.0.1:7300', target = '127.0.0.1:7101'] = process.argv.slice(2);
+const connections = 256;
+const pool = new Pool(`http://${target}`, {connections, headersTimeout: 0, bodyTimeout: 0});
+const [host, port] = address.split(':');
+createServer(async (request, response) => {
+	try {
+		const answer = await pool.request({
+			method: request.method === 'POST' ? 'POST' : 'GET',
+			path: request.url ?? '/',
+			headers: {'content-type': request.headers['content-type'] ?? 'application/json'},
+			body: request.method === 'POST' ? request : undefined,
+		});
+		response.writeHead(answer.statusCode, answer.headers);
+		await pipeline(answer.body, response);
+	} catch {
+		response.destroy();
+	}
+}).listen(Number(port), host);
