Bind the silent-connection test to the connections that went silent

Cause: the test 'leaves silent connections after the first answer that was given up' failed once in 3 runs of the whole suite under load (expected a broken answer, got a whole one): a fourth connection could be opened while the third still read the end of its body, and that one was not silent. Ruled out: a fault of the client (the answer was whole and right); a longer pause (it only makes the race rarer). Conclusion: the request has to meet a silent connection now; the test is stricter than before.

--- a/src/upstreams/test/enginehttp.test.ts
+++ b/src/upstreams/test/enginehttp.test.ts
@@ -163,7 +163,7 @@
 	});
 
 	it('leaves silent connections after the first answer that was given up', async () => {
-		const {engine, shell} = await start({}, {doubtMs: 100});
+		const {engine, shell} = await start({}, {doubtMs: 100, streams: 3});
 		await Promise.all([1, 2, 3].map(async index => collect(engine, createRequest(`warm${index}`))));
 		shell.applyControl({silence: true});
 		const {failure} = await collect(engine, createRequest('r1'), AbortSignal.timeout(150));
