--- a/faults/fakes/callworld.ts
+++ b/faults/fakes/callworld.ts
@@ -18,7 +18,7 @@
 const deadlineMs = 5000;
 
 /** What a caller got for one call. */
-export type CallRecord = {outcome: CallOutcome | undefined; error: unknown; isSettled: boolean};
+export type CallRecord = {readonly id: string; outcome: CallOutcome | undefined; error: unknown; isSettled: boolean};
 
 /** What a test may change about one call. */
 export type CallChanges = {
@@ -70,7 +70,9 @@
 			router, timers, metrics: this.metrics, claims, getService: upstream => this.world.getService(upstream.id), signal: new AbortController().signal,
 		};
 		const serve = isRepeatable ? serveRepeatable : serveOnce;
-		const record: CallRecord = {outcome: undefined, error: undefined, isSettled: false};
+		const record: CallRecord = {
+			id: job.call.id, outcome: undefined, error: undefined, isSettled: false,
+		};
 		void runInto(record, async () => runProcedure(key === undefined ? serve(job, parts) : serveKeyed(job, parts), hooks));
 		return record;
 	}
--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -253,5 +253,5 @@
 }
 
 function createStoreDown(cause?: unknown): Error {
-	return new NotRunError('the store can\'t keep the claim, so the call was not sent', {cause, props: {reason: refusalReason.storeDown}});
+	return new NotRunError('the store can\'t keep the claim, so this request was not sent; one before it under the same key may have been', {cause, props: {reason: refusalReason.storeDown}});
 }
--- a/src/serving/stream.ts
+++ b/src/serving/stream.ts
@@ -16,6 +16,8 @@
 import type {StreamLimits} from './limits.js';
 
 const maxAttempts = 8;
+/** Before engines that have failed a broken answer are asked again, in milliseconds. */
+const secondRoundPauseMs = 200;
 
 /** Takes the checked events of an answer in order, each once, with the place they came from. */
 export type AnswerSink = (events: readonly GenerateEvent[], placement: Placement) => Promise<void> | void;
@@ -104,6 +106,18 @@
 		return held;
 	}
 
+	try {
+		return yield * callStep('choose a placement', () => parts.router.choosePlacement(job.work, progress.excluded));
+	} catch (error) {
+		if (!(error instanceof NotRunError) || !progress.hasRun || progress.excluded.size === 0) {
+			throw wrapRefusal(error, progress);
+		}
+	}
+
+	// A caller has a part of this answer already: an engine that failed it once may be back.
+	progress.excluded.clear();
+	progress.resumed.clear();
+	yield * callStep('wait for an engine', async () => parts.timers.sleep(secondRoundPauseMs, parts.signal));
 	try {
 		return yield * callStep('choose a placement', () => parts.router.choosePlacement(job.work, progress.excluded));
 	} catch (error) {
