--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -17,6 +17,7 @@
 } from './callers.js';
 import {createDecisions} from './decisions.js';
 import {startFeed} from './feed.js';
+import type {Decisions} from './decisions.js';
 import type {EntryParts} from './parts.js';
 import type {GracefulStop} from './stop.js';
 
@@ -37,11 +38,18 @@
 	setServerTimeouts(app.server as Server);
 	subscribeSignals(callers, app.server as Server);
 	await startFeed(callers);
-	startAuthority(callers);
+	const stopDecisions = parts.decisions.start();
+	callers.stop.addLastTask({
+		name: 'stop collecting loads',
+		async run() {
+			stopDecisions();
+		},
+	});
+	startAuthority(callers, parts.decisions.planner);
 	return callers.stop;
 }
 
-function createParts(settings: EntrySettings): EntryParts {
+function createParts(settings: EntrySettings): EntryParts & {readonly decisions: Decisions} {
 	const facts = new FactTable();
 	const timers = new SystemTimers();
 	const engines = new Map<string, HttpEngine>();
@@ -55,23 +63,28 @@
 		return parsed?.deployment;
 	};
 
+	const getEngine = (upstream: Upstream) => {
+		const engine = engines.get(upstream.address) ?? new HttpEngine(upstream.address);
+		engines.set(upstream.address, engine);
+		return engine;
+	};
+
+	const metrics = new Metrics();
+	const decisions = createDecisions({
+		settings, timers, facts, metrics, getDeployment, getEngine,
+	});
 	return {
 		settings,
 		timers,
 		store: new HttpStore(settings.platform),
 		vms: new HttpVmList(settings.platform),
 		facts,
-		metrics: new Metrics(),
+		metrics,
 		history: new History(timers),
-		...createDecisions({
-			settings, timers, facts, getDeployment,
-		}),
+		router: decisions.router,
+		decisions,
 		getDeployment,
-		getEngine(upstream: Upstream) {
-			const engine = engines.get(upstream.address) ?? new HttpEngine(upstream.address);
-			engines.set(upstream.address, engine);
-			return engine;
-		},
+		getEngine,
 	};
 }
 
