--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -18,6 +18,7 @@
 import {createDecisions} from './decisions.js';
 import {startFeed} from './feed.js';
 import {addOperatorRoutes} from './operators.js';
+import type {Decisions} from './decisions.js';
 import type {GracefulStop} from './stop.js';
 
 /** What is made after the parts and used by them. */
@@ -40,11 +41,18 @@
 	subscribeSignals(callers, app.server as Server);
 	const feed = await startFeed({...callers, keeper: parts.keeper});
 	late.membership = feed.membership;
-	startAuthority(callers);
+	const stopDecisions = parts.decisions.start();
+	callers.stop.addLastTask({
+		name: 'stop collecting loads',
+		async run() {
+			stopDecisions();
+		},
+	});
+	startAuthority(callers, parts.decisions.planner);
 	return callers.stop;
 }
 
-function createParts(settings: EntrySettings, late: LateParts): KeptParts {
+function createParts(settings: EntrySettings, late: LateParts): KeptParts & {readonly decisions: Decisions} {
 	const facts = new FactTable();
 	const timers = new SystemTimers();
 	const engines = new Map<string, HttpEngine>();
@@ -56,6 +64,15 @@
 	}, () => late.membership);
 	const getDeployment = () => keeper.getDeployment();
 
+	const getEngine = (upstream: Upstream) => {
+		const engine = engines.get(upstream.address) ?? new HttpEngine(upstream.address);
+		engines.set(upstream.address, engine);
+		return engine;
+	};
+
+	const decisions = createDecisions({
+		settings, timers, facts, metrics, getDeployment, getEngine,
+	});
 	return {
 		settings,
 		timers,
@@ -65,14 +82,9 @@
 		metrics,
 		history,
 		keeper,
-		...createDecisions({
-			settings, timers, facts, getDeployment,
-		}),
+		router: decisions.router,
+		decisions,
 		getDeployment,
-		getEngine(upstream: Upstream) {
-			const engine = engines.get(upstream.address) ?? new HttpEngine(upstream.address);
-			engines.set(upstream.address, engine);
-			return engine;
-		},
+		getEngine,
 	};
 }
