--- a/faults/rows/index.ts
+++ b/faults/rows/index.ts
@@ -1,8 +1,9 @@
 /** The rows of the fault matrix: each part lists its own cells. */
 import type {Cell} from '../matrix.js';
 import {listAuthorityCells} from './authority.js';
+import {listServingCells} from './serving.js';
 
 /** Lists every cell of every part. */
 export function listCells(): readonly Cell[] {
-	return [...listAuthorityCells()];
+	return [...listServingCells(), ...listAuthorityCells()];
 }
