--- a/faults/fakes/domain.ts
+++ b/faults/fakes/domain.ts
@@ -164,6 +164,12 @@
 		return Object.keys(record.upstreams).every(id => isListed(id)) && text.upstreams.every(({id}) => this.#isAsWanted(id, text, operations, record));
 	}
 
+	/** Asks whether all is as wanted, or what is not has a reason that only the operators or the text can end. */
+	async isAtRest(): Promise<boolean> {
+		const waits = this.findHolder()?.authority.listWaits() ?? [];
+		return await this.isSettled() || (waits.length > 0 && waits.every(([, detail]) => detail.startsWith('the floor of')));
+	}
+
 	/** Says where things stand, for failures. */
 	async explainState(): Promise<string> {
 		const operations = await listOperations(this.operators, domainName);
--- a/faults/fakes/orders.ts
+++ b/faults/fakes/orders.ts
@@ -157,6 +157,8 @@
 	/** How many of the next orders lose their answer and arrive `lateMs` later. */
 	late = 0;
 	lateMs = 0;
+	/** How long an order waits in the process before it leaves; a freeze meets it there. */
+	delayMs = 0;
 	readonly #engine: FakeOrderEngine;
 	readonly #from: string;
 	readonly #gate: Gate;
@@ -179,6 +181,10 @@
 	}
 
 	async sendOrder(order: Order): Promise<EngineState> {
+		if (this.delayMs > 0) {
+			await this.#timers.sleep(this.delayMs);
+		}
+
 		await this.#gate.wait();
 		this.#checkUp();
 		if (this.late > 0) {
--- a/src/authority/authority.ts
+++ b/src/authority/authority.ts
@@ -10,6 +10,7 @@
 const leaseMarginMs = 1000;
 const renewMs = 2000;
 const claimsMs = 2000;
+const entriesPerTry = 3;
 
 /**
 One entry's part in the authority over its failure domain: it tries for the lease, and while it holds it, it alone
@@ -86,10 +87,15 @@
 				this.#startTenure();
 			}
 
-			await timers.sleep(renewMs * (1 + (random() / 2)), this.#abort.signal);
+			await timers.sleep(this.#computePause(isHeld) * (1 + (random() / 2)), this.#abort.signal);
 		}
 	}
 
+	/** The more entries try, the more seldom each does: together they try about as often as three. */
+	#computePause(isHeld: boolean): number {
+		return isHeld ? renewMs : renewMs * Math.max(1, this.#members.list().length / entriesPerTry);
+	}
+
 	#startTenure(): void {
 		const {term} = this.#lease;
 		const tenure = new Tenure({
--- a/src/authority/record.ts
+++ b/src/authority/record.ts
@@ -109,7 +109,14 @@
 /** Closes the order; `ended` are the sends that can no longer arrive. */
 export function confirmOrder(known: UpstreamRecord, id: string, ended: ReadonlySet<string>): UpstreamRecord {
 	const released = removeSenders(known, ended);
-	return released.order?.id === id ? {...released, order: {...released.order, state: orderState.confirmed}} : released;
+	if (released.order?.id !== id) {
+		return released;
+	}
+
+	const {target, ...order} = released.order;
+	const confirmed = {...order, state: orderState.confirmed};
+	// Only a repeat needs the target again.
+	return {...released, order: released.senders.length > 0 ? {...confirmed, target} : confirmed};
 }
 
 /** Drops the order, which has had no effect and never will. */
