Read the list of VMs by its entity tag

Cause: at the long-run size each entry would read 380 VMs (over 30 KB) every 5 s, and each authority every 2 s: more than 6 KB/s a node for the list alone, above the whole budget of control. Ruled out: reading less often (the list already lags, and a leaving VM must be seen within seconds); one reader a domain (an entry that starts or is cut off needs the list itself). Figures: src/store/test/http.test.ts failed before (three whole answers), now 200, 304 with 0 bytes, 200.

--- a/src/store/http.ts
+++ b/src/store/http.ts
@@ -11,14 +11,17 @@
 /** Longest wait for an answer of the store, in milliseconds. */
 const answerTimeoutMs = 2000;
 const storeConnections = 4;
+const notModified = 304;
 
-type Answer = {readonly status: number; readonly body: unknown};
+type Answer = {readonly status: number; readonly body: unknown; readonly tag?: string};
 type Call = {
 	readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE';
 	readonly path: string;
 	readonly body?: unknown;
 	readonly waitMs?: number;
 	readonly signal?: AbortSignal;
+	/** Entity tag of what is known; when it still holds the answer is 304 without a body. */
+	readonly knownTag?: string;
 };
 
 /** The platform's key-value service over HTTP with JSON bodies. */
@@ -92,9 +95,14 @@
 	}
 }
 
-/** The platform's list of VMs over HTTP. */
+/**
+The platform's list of VMs over HTTP. It is asked for by its entity tag, so that an unchanged list, which is tens of
+kilobytes in a large fleet, is not sent again; a platform that knows no tags sends it whole.
+*/
 export class HttpVmList extends VmList {
 	readonly #pool: Pool;
+	#known: readonly VmRecord[] = [];
+	#tag: string | undefined;
 
 	/** Takes the platform's `origin`. */
 	constructor(origin: string) {
@@ -104,8 +112,13 @@
 
 	async readVms(): Promise<readonly VmRecord[]> {
 		try {
-			const answer = await sendCall(this.#pool, {method: 'GET', path: '/vms'});
-			return (answer.body as {vms: VmRecord[]}).vms;
+			const answer = await sendCall(this.#pool, {method: 'GET', path: '/vms', knownTag: this.#tag});
+			if (answer.status !== notModified) {
+				this.#known = (answer.body as {vms: VmRecord[]}).vms;
+				this.#tag = answer.tag;
+			}
+
+			return this.#known;
 		} catch (error) {
 			throw new StoreUnavailableError('the list of VMs had no answer', {cause: error});
 		}
@@ -123,7 +136,7 @@
 	const response = await pool.request({
 		method: call.method,
 		path: call.path,
-		headers: {'content-type': 'application/json'},
+		headers: {'content-type': 'application/json', ...(call.knownTag === undefined ? {} : {'if-none-match': call.knownTag})},
 		body: call.body === undefined ? undefined : Buffer.from(JSON.stringify(call.body)),
 		signal: call.signal ? AbortSignal.any([call.signal, timeout]) : timeout,
 		headersTimeout: timeoutMs,
@@ -138,7 +151,12 @@
 		throw new StoreUncertainError(`the store failed with ${response.statusCode}`);
 	}
 
-	return {status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) as unknown};
+	const {etag} = response.headers;
+	return {
+		status: response.statusCode,
+		body: text === '' ? undefined : JSON.parse(text) as unknown,
+		tag: typeof etag === 'string' ? etag : undefined,
+	};
 }
 
 function isConnectFailure(error: unknown): boolean {
--- /dev/null
+++ b/src/store/test/http.test.ts
@@ -0,0 +1,41 @@
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {expect} from 'chai';
+import {HttpVmList} from '../index.js';
+
+type Sent = {readonly status: number; readonly bytes: number};
+
+const vms = Array.from({length: 380}, (_, index) => ({
+	vm: `vm-${index}`, domain: `domain-${index % 5}`, http: `10.0.0.${index % 250}:80`, peer: `10.0.0.${index % 250}:90`, state: 'live',
+}));
+
+describe('HttpVmList', () => {
+	it('reads a list of 380 VMs whole once, and again only when it has changed', async () => {
+		const sent: Sent[] = [];
+		let version = 1;
+		const server = createServer((request, response) => {
+			const tag = `"${version}"`;
+			const isKnown = request.headers['if-none-match'] === tag;
+			const body = isKnown ? '' : JSON.stringify({vms: vms.slice(version - 1)});
+			sent.push({status: isKnown ? 304 : 200, bytes: body.length});
+			response.writeHead(isKnown ? 304 : 200, {etag: tag}).end(body);
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const list = new HttpVmList(`http://127.0.0.1:${(server.address() as AddressInfo).port}`);
+		try {
+			expect(await list.readVms()).to.have.length(380);
+			expect(await list.readVms()).to.have.length(380);
+			version = 2;
+			expect(await list.readVms()).to.have.length(379);
+		} finally {
+			await list.close();
+			server.close();
+		}
+
+		expect(sent.map(({status}) => status)).to.deep.equal([200, 304, 200]);
+		expect(sent[0]?.bytes).to.be.greaterThan(30_000);
+		expect(sent[1]?.bytes).to.equal(0);
+	});
+});
--- a/standins/platform/shell.ts
+++ b/standins/platform/shell.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import type {ServerResponse} from 'node:http';
 import polka from 'polka';
 import type {Polka, Request} from 'polka';
@@ -60,8 +61,16 @@
 		const app = polka();
 		this.#addValues(app);
 		this.#addLeases(app);
-		app.get('/vms', this.#wrapCall('read', (_request, response) => {
-			sendJson(response, 200, {vms: this.state.getVms()});
+		app.get('/vms', this.#wrapCall('read', (request, response) => {
+			const body = {vms: this.state.getVms()};
+			const tag = `"${createHash('sha256').update(JSON.stringify(body)).digest('base64url')}"`;
+			if (request.headers['if-none-match'] === tag) {
+				response.writeHead(304).end();
+				return;
+			}
+
+			response.setHeader('etag', tag);
+			sendJson(response, 200, body);
 		}));
 		this.#addTestSide(app);
 		const listening = await startListening(app, address);
