Let three entries of a domain try for its lease

Cause: every entry tried for its domain's lease every 2 to 3 s: at 380 entries about 152 writes a second of the store's several hundred, for nothing. Ruled out: a watch on the lease (as many waiting calls); a single candidate (a dead one delays the takeover).

--- a/src/authority/authority.ts
+++ b/src/authority/authority.ts
@@ -1,4 +1,5 @@
-import {leaseName} from '../store/index.js';
+import {leaseName, vmState} from '../store/index.js';
+import {isTrying} from './candidates.js';
 import {Claims} from './claims.js';
 import {Holdership, Lease} from './lease.js';
 import {Members} from './members.js';
@@ -10,6 +11,8 @@
 const leaseMarginMs = 1000;
 const renewMs = 2000;
 const claimsMs = 2000;
+/** An entry that was not heard from for so long does not count among those that try for the lease, in milliseconds. */
+const candidateSilenceMs = 10_000;
 
 /**
 One entry's part in the authority over its failure domain: it tries for the lease, and while it holds it, it alone
@@ -76,8 +79,8 @@
 
 	async #runLease(): Promise<void> {
 		const {timers, random} = this.#options;
-		while (!this.#abort.signal.aborted) {
-			const isHeld = await this.#lease.tryAcquire();
+		for (let turn = 0; !this.#abort.signal.aborted; turn++) {
+			const isHeld = this.#isTrying(turn) && await this.#lease.tryAcquire();
 			if (this.#abort.signal.aborted) {
 				return;
 			}
@@ -90,6 +93,16 @@
 		}
 	}
 
+	#isTrying(turn: number): boolean {
+		const {vm, domain} = this.#options;
+		const heard = this.#members.list()
+			.filter(member => member.state === vmState.live && this.#members.isHeard(member.vm, candidateSilenceMs))
+			.map(member => member.vm);
+		return this.#lease.isHolder() || isTrying({
+			domain, vm, heard, turn,
+		});
+	}
+
 	#startTenure(): void {
 		const {term} = this.#lease;
 		const tenure = new Tenure({
