--- a/rigs/deployment.ts
+++ b/rigs/deployment.ts
@@ -33,6 +33,9 @@
 	/** Origin of the process itself, for its journal and control. */
 	readonly origin: string;
 	readonly link: Link | undefined;
+	/** Its program and what that is started with. */
+	readonly file: string;
+	readonly parameters: readonly string[];
 	child: ChildProcess;
 };
 
@@ -104,6 +107,11 @@
 		entry.child = this.#rig.start('dist/src/entry/main.js', [entry.file]);
 	}
 
+	/** Starts an upstream's program again, with an empty memory. */
+	resumeUpstream(upstream: RunningUpstream): void {
+		upstream.child = this.#rig.start(upstream.file, upstream.parameters);
+	}
+
 	/** Finds a running upstream by its id in the text. */
 	getUpstream(id: string): RunningUpstream {
 		const found = this.upstreams.find(({upstream}) => upstream.id === id);
@@ -131,9 +139,10 @@
 		const link = this.#options.isLinked ? new Link(address) : undefined;
 		await link?.start();
 		this.text = this.text.replace(`"${upstream.address}"`, `"${link?.address ?? address}"`);
-		let child: ChildProcess;
-		if (service?.kind === serviceKind.model) {
-			child = this.#rig.start('dist/standins/engine/main.js', [
+		const isModel = service?.kind === serviceKind.model;
+		const file = isModel ? 'dist/standins/engine/main.js' : 'dist/standins/service/main.js';
+		const parameters = isModel
+			? [
 				address,
 				'--model',
 				service.model,
@@ -148,13 +157,10 @@
 				'--weights',
 				this.platform,
 				...upstream.fenced ? [] : ['--unfenced'],
-			]);
-		} else {
-			child = this.#rig.start('dist/standins/service/main.js', [address]);
-		}
-
+			]
+			: [address];
 		this.upstreams.push({
-			upstream, origin: `http://${address}`, link, child,
+			upstream, origin: `http://${address}`, link, file, parameters, child: this.#rig.start(file, parameters),
 		});
 	}
 
