Show kills, stops and a frozen authority on real processes

Cause: the draft took an old grant of the lease for the holder's, so that the 'frozen past the lease' cell froze an entry that no longer held it (5 s in all, less than the lease of 9 s), and it did not ask for the successor's fence.

--- a/faults/processes/control.ts
+++ b/faults/processes/control.ts
@@ -6,6 +6,8 @@
 import {readRawStream} from '../../rigs/stream.js';
 import {askOperation, listOperations, operationKind} from '../../src/operations/index.js';
 import {HttpStore, leaseName} from '../../src/store/index.js';
+import {enginePath} from '../../src/upstreams/index.js';
+import type {EngineState} from '../../src/upstreams/index.js';
 import {engineEvent} from '../../standins/engine/index.js';
 import type {EngineRow} from '../../standins/engine/index.js';
 import type {WriteRow} from '../../standins/platform/index.js';
@@ -22,7 +24,8 @@
 /** An entry that has the authority is frozen past its lease, and wakes when another has it: its orders have no effect. */
 export async function runFrozenAuthority(): Promise<void> {
 	const deployment = await openWorld();
-	const holder = await findHolder(deployment);
+	const holder = await waitForHolder(deployment, () => true);
+	const fence = await readFence(deployment);
 	const other = deployment.entries.find(entry => entry !== holder);
 	const store = new HttpStore(deployment.platform);
 	const id = `drain-${Date.now()}`;
@@ -32,15 +35,13 @@
 			id, kind: operationKind.drain, subject: 'engine-2', askedAt: Date.now(),
 		});
 		const streams = startStreams(other!.origin, 'frozen authority');
-		await waitForValue('another holder of the lease', takeoverMs, async () => {
-			const found = await findHolder(deployment);
-			return found === holder ? undefined : found;
-		});
+		await waitForHolder(deployment, found => found !== holder);
 		await sleep(wakeMs);
 		holder.child.kill('SIGCONT');
 		await waitForOperation(store, id);
 		await checkWhole(deployment, await streams.ended);
 		await checkFences(deployment);
+		expect(await readFence(deployment), 'fence of the successor').to.be.above(fence);
 		await askOperation(store, domainName, {
 			id: `${id}-back`, kind: operationKind.resume, subject: 'engine-2', askedAt: Date.now(),
 		});
@@ -78,16 +79,26 @@
 	await checkWhole(deployment, [whole]);
 }
 
-async function findHolder(deployment: RunningDeployment): Promise<RunningEntry> {
+/** Waits for the next grant of the lease to an entry that `isWanted`; a holder renews it every few seconds. */
+async function waitForHolder(deployment: RunningDeployment, isWanted: (entry: RunningEntry) => boolean): Promise<RunningEntry> {
+	const known = await listGrants(deployment);
+	return waitForValue('the holder of the lease', takeoverMs, async () => {
+		const grants = await listGrants(deployment);
+		const holder = grants.slice(known.length).at(-1)?.holder;
+		return deployment.entries.find(entry => holder?.includes(entry.vm) && isWanted(entry));
+	});
+}
+
+async function listGrants(deployment: RunningDeployment): Promise<readonly WriteRow[]> {
 	const response = await fetch(`${deployment.platform}/journal`);
 	const {journal} = await response.json() as {journal: readonly WriteRow[]};
-	const row = journal.findLast(({kind, key}) => kind === 'acquire' && key === leaseName.authority(domainName));
-	const found = deployment.entries.find(({vm}) => row?.holder.includes(vm));
-	if (!found) {
-		throw new RangeError('nobody has the lease');
-	}
+	return journal.filter(({kind, key}) => kind === 'acquire' && key === leaseName.authority(domainName));
+}
 
-	return found;
+async function readFence(deployment: RunningDeployment): Promise<number> {
+	const response = await fetch(`${deployment.getUpstream('engine-1').origin}${enginePath.state}`);
+	const {fence} = await response.json() as EngineState;
+	return fence;
 }
 
 async function waitForOperation(store: HttpStore, id: string): Promise<void> {
