--- a/src/authority/authority.ts
+++ b/src/authority/authority.ts
@@ -1,4 +1,5 @@
-import {leaseName} from '../store/index.js';
+import {leaseName, vmState} from '../store/index.js';
+import {isTrying} from './candidates.js';
 import {Claims} from './claims.js';
 import {Holdership, Lease} from './lease.js';
 import {Members} from './members.js';
@@ -10,7 +11,8 @@
 const leaseMarginMs = 1000;
 const renewMs = 2000;
 const claimsMs = 2000;
-const entriesPerTry = 3;
+/** An entry that was not heard from for so long does not count among those that try for the lease, in milliseconds. */
+const candidateSilenceMs = 10_000;
 
 /**
 One entry's part in the authority over its failure domain: it tries for the lease, and while it holds it, it alone
@@ -77,8 +79,8 @@
 
 	async #runLease(): Promise<void> {
 		const {timers, random} = this.#options;
-		while (!this.#abort.signal.aborted) {
-			const isHeld = await this.#lease.tryAcquire();
+		for (let turn = 0; !this.#abort.signal.aborted; turn++) {
+			const isHeld = this.#isTrying(turn) && await this.#lease.tryAcquire();
 			if (this.#abort.signal.aborted) {
 				return;
 			}
@@ -87,13 +89,18 @@
 				this.#startTenure();
 			}
 
-			await timers.sleep(this.#computePause(isHeld) * (1 + (random() / 2)), this.#abort.signal);
+			await timers.sleep(renewMs * (1 + (random() / 2)), this.#abort.signal);
 		}
 	}
 
-	/** The more entries try, the more seldom each does: together they try about as often as three. */
-	#computePause(isHeld: boolean): number {
-		return isHeld ? renewMs : renewMs * Math.max(1, this.#members.list().length / entriesPerTry);
+	#isTrying(turn: number): boolean {
+		const {vm, domain} = this.#options;
+		const heard = this.#members.list()
+			.filter(member => member.state === vmState.live && this.#members.isHeard(member.vm, candidateSilenceMs))
+			.map(member => member.vm);
+		return this.#lease.isHolder() || isTrying({
+			domain, vm, heard, turn,
+		});
 	}
 
 	#startTenure(): void {
