Name the random test's events by the verbs' list

Cause: npm run verbs named eleven of them, so the landing stopped. Ruled out: nothing else changed; the order of the kinds, and with it each seed's events, is the same.

--- a/src/authority/test/random.test.ts
+++ b/src/authority/test/random.test.ts
@@ -9,7 +9,24 @@
 /** Something that befalls an entry, an engine or the operators, after a pause. */
 type Happening = {readonly kind: (typeof kinds)[number]; readonly entry: number; readonly engine: number; readonly pauseMs: number};
 
-const kinds = ['freeze', 'wake', 'kill', 'cut', 'join', 'lose', 'late', 'down', 'up', 'crash', 'text', 'role', 'drain', 'resume', 'withdraw', 'replace'] as const;
+const kinds = [
+	'stop',
+	'resumeEntry',
+	'abort',
+	'stopFeed',
+	'join',
+	'stopAnswers',
+	'sendLate',
+	'closeStore',
+	'openStore',
+	'abortEngine',
+	'setText',
+	'setRole',
+	'drain',
+	'resume',
+	'withdraw',
+	'replace',
+] as const;
 const seeds = [1, 2, 3];
 const runsEach = 12;
 const lateMs = 5000;
@@ -63,48 +80,48 @@
 	}
 
 	const actions: Record<Happening['kind'], () => Promise<void> | void> = {
-		freeze() {
+		stop() {
 			entry.gate.stop();
 		},
-		wake() {
+		resumeEntry() {
 			entry.gate.resume();
 		},
-		kill() {
+		abort() {
 			if (domain.killed.length === 0) {
 				domain.abort(entry);
 			}
 		},
-		cut() {
+		stopFeed() {
 			entry.isCut = true;
 		},
 		join() {
 			joinEntry(domain, entry);
 		},
-		lose() {
+		stopAnswers() {
 			entry.store.lostAnswers++;
 			for (const client of entry.clients.values()) {
 				client.lostAnswers = 1;
 			}
 		},
-		late() {
+		sendLate() {
 			for (const client of entry.clients.values()) {
 				client.late = 1;
 				client.lateMs = lateMs;
 			}
 		},
-		down() {
+		closeStore() {
 			entry.store.isDown = true;
 		},
-		up() {
+		openStore() {
 			entry.store.isDown = false;
 		},
-		crash() {
+		abortEngine() {
 			domain.engines.get(id)?.abort(1000);
 		},
-		text() {
+		setText() {
 			domain.setText(String(index + 2));
 		},
-		role() {
+		setRole() {
 			if (!domain.plan.some(({upstream}) => upstream === id)) {
 				domain.plan.push({upstream: id, role: index % 2 === 0 ? 'decode' : 'prefill', reason: 'the mix shifted'});
 			}
