Count a request as running until its work has ended, and test the stop over HTTP and of the process

Seen red first: a call that may not be repeated was no longer counted once its caller had left (0 running, expected 1), so a graceful stop could have ended before its outcome was known and its claim settled. Conclusion: the stop waits for work, not for connections.

--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -20,6 +20,7 @@
 /** Most requests in progress in one process. */
 const maxRunning = 10_000;
 const refusalPauseMs = 1000;
+const closePeriodMs = 200;
 /** At a stop: longest wait for the store to take the ends of claims, in milliseconds. */
 const claimsWaitMs = 10_000;
 
@@ -96,12 +97,17 @@
 	parts.stop.addLastTask({
 		name: 'close the server',
 		async run() {
+			// A balancer's kept connections become idle one by one.
+			const timer = parts.timers.startInterval(closePeriodMs, () => {
+				server.closeIdleConnections();
+			});
 			await new Promise<void>(resolve => {
 				server.close(() => {
 					resolve();
 				});
 				server.closeIdleConnections();
 			});
+			timer.cancel();
 		},
 	});
 	const onSignal = () => {
@@ -112,7 +118,7 @@
 	process.on('SIGINT', onSignal);
 }
 
-/** Counts a request as in progress until its answer is flushed or its connection is gone; refuses it when there is no room. */
+/** Counts a request as in progress until its work has ended and its answer is flushed; refuses it when there is no room. */
 function wrapRequest(parts: CallerParts, kind: string, serve: Serve) {
 	return async (request: IncomingMessage, response: ServerResponse) => {
 		const id = request.headers[upstreamHeader.requestId];
@@ -131,8 +137,16 @@
 		}
 
 		const finish = parts.stop.startRequest(kind);
-		response.on('close', finish);
-		await serve(parts, request, response);
+		// A call that may not be repeated goes on after its caller has left; an answer is out only when it is flushed.
+		const closed = new Promise<void>(resolve => {
+			response.on('close', resolve);
+		});
+		try {
+			await serve(parts, request, response);
+			await closed;
+		} finally {
+			finish();
+		}
 	};
 }
 
--- /dev/null
+++ b/src/entry/test/stop.test.ts
@@ -0,0 +1,150 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {expect} from 'chai';
+import {request as sendRequest} from 'undici';
+import {waitForOk} from '../../../rigs/rig.js';
+import {defaultEngineOptions, EngineShell} from '../../../standins/engine/index.js';
+import {PlatformShell} from '../../../standins/platform/index.js';
+import {storeKey} from '../../store/index.js';
+import {SystemTimers} from '../../timers/index.js';
+import {EntryRig} from './rig.js';
+import type {RigEntry} from './rig.js';
+import {
+	chat, longChat, parseStream, sendChat,
+} from './wire.js';
+
+const stream = {...longChat, stream: true} as const;
+
+async function findFreeAddress(): Promise<string> {
+	const server = createServer().listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	server.close();
+	await once(server, 'close');
+	return `127.0.0.1:${port}`;
+}
+
+async function readStatus(address: string, path: string): Promise<number> {
+	const answer = await sendRequest(`http://${address}${path}`);
+	await answer.body.dump();
+	return answer.statusCode;
+}
+
+async function hasFailed(call: Promise<unknown>): Promise<boolean> {
+	try {
+		await call;
+		return false;
+	} catch {
+		return true;
+	}
+}
+
+describe('graceful stop over HTTP', () => {
+	const timers = new SystemTimers();
+	let rig: EntryRig;
+	let entry: RigEntry;
+
+	beforeEach(async () => {
+		rig = new EntryRig();
+		await rig.startEngine('e1', 'd1');
+		await rig.startService('s1', 'd1');
+		entry = await rig.startEntry('vm-1', 'd1');
+	});
+
+	afterEach(async () => {
+		await rig.close();
+	});
+
+	it('is not ready first, then refuses as not run, and cuts nothing', async () => {
+		const running = sendChat(entry.address, stream);
+		await timers.sleep(50);
+		const stopped = entry.parts.stop.onSignal();
+		expect(await readStatus(entry.address, '/readyz')).to.equal(503);
+		expect(await readStatus(entry.address, '/healthz')).to.equal(200);
+		const late = await sendChat(entry.address, chat);
+		expect(late.status).to.equal(200);
+		await timers.sleep(100);
+		const refused = await sendChat(entry.address, chat);
+		expect([refused.status, refused.error?.code, refused.error?.ran, refused.headers.connection]).to.deep.equal([503, 'draining', 'no', 'close']);
+		await entry.parts.stop.onSignal();
+		const answer = await running;
+		expect(answer.isCut).to.equal(false);
+		expect(parseStream(answer.text).isWhole).to.equal(true);
+		await stopped;
+	});
+
+	it('waits for a call that may not be repeated after its caller has left', async () => {
+		rig.instances.get('s1')?.applyControl({slowMs: 400});
+		const abort = new AbortController();
+		const call = sendRequest(`http://${entry.address}/services/refunds/refunds`, {
+			method: 'POST', headers: {'idempotency-key': 'k'}, body: '{}', signal: abort.signal,
+		});
+		await timers.sleep(150);
+		abort.abort();
+		expect(await hasFailed(call)).to.equal(true);
+		await timers.sleep(50);
+		expect(entry.parts.stop.countRunning()).to.equal(1);
+		await entry.parts.stop.onSignal();
+		const other = await rig.startEntry('vm-2', 'd1');
+		const again = await sendRequest(`http://${other.address}/services/refunds/refunds`, {
+			method: 'POST', headers: {'idempotency-key': 'k'}, body: '{}',
+		});
+		expect(again.statusCode).to.equal(200);
+		await again.body.dump();
+		expect(rig.instances.get('s1')?.journal.list().filter(row => row.event === 'run')).to.have.lengthOf(1);
+	});
+});
+
+describe('the entry\'s process at SIGTERM', () => {
+	it('ends with 0 after the last request, also at a second signal', async () => {
+		const timers = new SystemTimers();
+		const engine = new EngineShell(timers, {...defaultEngineOptions, timeScale: 0.3});
+		const platform = new PlatformShell(timers);
+		const [engineSide, platformSide] = [await engine.start('127.0.0.1:0'), await platform.start('127.0.0.1:0')];
+		const [http, peer] = [await findFreeAddress(), await findFreeAddress()];
+		const text = [
+			'[deployment]',
+			'name = "t"',
+			'domains = ["d1"]',
+			'[services.contracts]',
+			'kind = "model"',
+			'model = "contracts"',
+			'version = "1"',
+			'deadline_ms = 30000',
+			'[[upstreams]]',
+			'id = "e1"',
+			'service = "contracts"',
+			'domain = "d1"',
+			`address = "${engineSide.address}"`,
+			'pieces = 64',
+		].join('\n');
+		await sendRequest(`http://${platformSide.address}/kv/${storeKey.configuration}`, {
+			method: 'PUT', body: JSON.stringify({value: JSON.stringify({version: 1, text, hash: ''}), expectedRevision: 0}),
+		});
+		const file = path.join(mkdtempSync(path.join(tmpdir(), 'crocus-')), 'entry.toml');
+		writeFileSync(file, `vm = "vm-1"\ndomain = "d1"\nhttp = "${http}"\npeer = "${peer}"\nplatform = "http://${platformSide.address}"\nsecret = "a secret of the tests"\nbalancerWaitMs = 100\n`);
+		const child = spawn(process.execPath, ['dist/src/entry/main.js', file], {stdio: 'ignore'});
+		try {
+			await waitForOk(`http://${http}/readyz`);
+			const running = sendChat(http, stream);
+			await timers.sleep(200);
+			child.kill('SIGTERM');
+			await timers.sleep(150);
+			child.kill('SIGTERM');
+			const exited = once(child, 'exit');
+			const answer = await running;
+			expect(parseStream(answer.text).isWhole).to.equal(true);
+			expect(await exited).to.deep.equal([0, null]);
+		} finally {
+			child.kill('SIGKILL');
+			await engineSide.close();
+			await platformSide.close();
+		}
+	});
+});
--- a/src/entry/test/wire.ts
+++ b/src/entry/test/wire.ts
@@ -11,6 +11,9 @@
 /** Body of the tests' chat request. */
 export const chat = {model: 'contracts', messages: [{role: 'user' as const, content}], max_completion_tokens: maxTokens};
 
+/** A body whose answer takes a while. */
+export const longChat = {...chat, max_completion_tokens: 400};
+
 /** A body in which three fields are malformed. */
 export const malformedChat = {model: 7, messages: [{role: 'robot', content: 'x'}], max_tokens: -1};
 
