--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -216,6 +216,7 @@
 				}
 
 				this.#active.delete(bucket);
+				this.#forgetIdle();
 			});
 		}
 	}
@@ -224,17 +225,20 @@
 		const writer = this.#writers.get(bucket) ?? new BucketWriter(storeKey.claims(bucketOwner, bucket), this.#parts);
 		this.#writers.delete(bucket);
 		this.#writers.set(bucket, writer);
-		for (const [idle, candidate] of this.#writers) {
+		return writer;
+	}
+
+	/** Forgets the buckets that were not used for longest; those with work stay. */
+	#forgetIdle(): void {
+		for (const bucket of this.#writers.keys()) {
 			if (this.#writers.size <= maxWriters) {
-				break;
+				return;
 			}
 
-			if (!this.#active.has(idle) && idle !== bucket && candidate.countWaiting() === 0) {
-				this.#writers.delete(idle);
+			if (!this.#active.has(bucket)) {
+				this.#writers.delete(bucket);
 			}
 		}
-
-		return writer;
 	}
 }
 
--- a/src/claims/writer.ts
+++ b/src/claims/writer.ts
@@ -58,11 +58,6 @@
 		this.#waiting.push(change);
 	}
 
-	/** Forgets the bucket's last reading, to give its memory back. */
-	forget(): void {
-		this.#known = undefined;
-	}
-
 	/** Writes until nothing waits. */
 	async run(): Promise<void> {
 		while (this.#waiting.length > 0) {
--- /dev/null
+++ b/src/entry/test/callerstream.test.ts
@@ -0,0 +1,92 @@
+import type {ServerResponse} from 'node:http';
+import {Writable} from 'node:stream';
+import {expect} from 'chai';
+import {CallerGoneError, SlowCallerError} from '../../errors/index.js';
+import {Metrics} from '../../metrics/index.js';
+import {ManualTimers} from '../../timers/index.js';
+import {CallerStream} from '../callerstream.js';
+
+/** A response whose caller takes nothing until told. */
+class StuckResponse extends Writable {
+	headersSent = false;
+	taken = '';
+	readonly #waiting: Array<() => void> = [];
+
+	constructor() {
+		super({highWaterMark: 10});
+	}
+
+	writeHead(): void {
+		this.headersSent = true;
+	}
+
+	override _write(chunk: Uint8Array, _encoding: string, onTaken: () => void): void {
+		this.taken += String(chunk);
+		this.#waiting.push(onTaken);
+	}
+
+	/** Takes what waits. */
+	takeAll(): void {
+		for (const onTaken of this.#waiting.splice(0)) {
+			onTaken();
+		}
+	}
+}
+
+async function getFailure(promise: Promise<unknown>): Promise<unknown> {
+	try {
+		await promise;
+		return undefined;
+	} catch (error) {
+		return error;
+	}
+}
+
+function createStream() {
+	const timers = new ManualTimers();
+	const metrics = new Metrics();
+	const response = new StuckResponse();
+	return {
+		timers, metrics, response, stream: new CallerStream(response as unknown as ServerResponse, timers, metrics),
+	};
+}
+
+describe('CallerStream', () => {
+	it('waits for a slow caller, and ends one that takes nothing for too long', async () => {
+		const {timers, metrics, stream} = createStream();
+		const write = stream.write('more than the buffer holds');
+		const failure = getFailure(write);
+		await timers.advance(30_000);
+		expect(await failure).to.be.instanceOf(SlowCallerError);
+		expect(await metrics.format()).to.contain('crocus_dropped_total{kind="slow_caller"} 1');
+		expect(timers.countPending()).to.equal(0);
+	});
+
+	it('goes on when the caller has taken what was there', async () => {
+		const {timers, response, stream} = createStream();
+		const write = stream.write('more than the buffer holds');
+		await timers.advance(29_000);
+		response.takeAll();
+		await write;
+		expect(timers.countPending()).to.equal(0);
+	});
+
+	it('ends when the caller leaves', async () => {
+		const {timers, response, stream} = createStream();
+		const failure = getFailure(stream.write('more than the buffer holds'));
+		response.destroy();
+		await timers.advance(1);
+		expect(await failure).to.be.instanceOf(CallerGoneError);
+		expect(timers.countPending()).to.equal(0);
+		expect(response.listenerCount('drain')).to.equal(0);
+	});
+
+	it('cuts a broken answer also when the caller takes nothing', async () => {
+		const {timers, response, stream} = createStream();
+		const failure = getFailure(stream.write('more than the buffer holds'));
+		stream.abort('the error');
+		await timers.advance(1000);
+		expect(response.destroyed).to.equal(true);
+		await failure;
+	});
+});
--- /dev/null
+++ b/src/serving/test/ids.test.ts
@@ -0,0 +1,38 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {NotRunError} from '../../errors/index.js';
+import {RequestIds} from '../ids.js';
+
+const seed = 11;
+
+describe('RequestIds', () => {
+	const ids = new RequestIds('a secret of the tests');
+	const part = fc.string({minLength: 1, maxLength: 20});
+
+	it('reads back what it formatted, whatever the names hold', () => {
+		fc.assert(fc.property(part, part, fc.nat(100_000), (domain, engine, last) => {
+			const nonce = ids.createNonce();
+			const id = ids.format({domain, engine, nonce}, 'caller and body');
+			expect(ids.parseEventId(`${id}:${last}`, 'caller and body')).to.deep.equal({
+				domain, engine, nonce, offset: last + 1,
+			});
+		}), {seed});
+	});
+
+	it('refuses every change of an id, and another caller or body', () => {
+		const id = ids.format({domain: 'd1', engine: 'e1', nonce: ids.createNonce()}, 'binding');
+		fc.assert(fc.property(fc.nat(id.length - 1), fc.constantFrom('x', 'Y', '.', '7', ':'), (index, letter) => {
+			fc.pre(id[index] !== letter);
+			const changed = `${id.slice(0, index)}${letter}${id.slice(index + 1)}:3`;
+			expect(() => ids.parseEventId(changed, 'binding')).to.throw(NotRunError);
+		}), {seed});
+		expect(() => ids.parseEventId(`${id}:3`, 'another')).to.throw(NotRunError);
+		expect(() => new RequestIds('another secret of it').parseEventId(`${id}:3`, 'binding')).to.throw(NotRunError);
+	});
+
+	it('refuses any other text as not run', () => {
+		fc.assert(fc.property(fc.oneof(fc.string({maxLength: 500}), fc.string().map(text => `chatcmpl-${text}:1`)), text => {
+			expect(() => ids.parseEventId(text, 'binding')).to.throw(NotRunError);
+		}), {seed});
+	});
+});
--- /dev/null
+++ b/src/serving/test/request.test.ts
@@ -0,0 +1,64 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {BadRequestError} from '../../errors/index.js';
+import {hashAsk, parseChat} from '../request.js';
+
+const seed = 5;
+const message = {role: 'user', content: 'x'};
+
+function getProblems(body: unknown): readonly string[] {
+	try {
+		parseChat(body);
+		return [];
+	} catch (error) {
+		expect(error).to.be.instanceOf(BadRequestError);
+		return (error as InstanceType<typeof BadRequestError>).problems.map(({path}) => path);
+	}
+}
+
+describe('parseChat', () => {
+	it('takes the adapter from the model\'s name', () => {
+		expect(parseChat({model: 'contracts:spanish', messages: [message]})).to.include({model: 'contracts', adapter: 'spanish'});
+		expect(parseChat({model: 'contracts', messages: [message]})).to.include({model: 'contracts', adapter: undefined});
+	});
+
+	it('joins content in parts', () => {
+		const body = {model: 'm', messages: [{role: 'user', content: [{type: 'text', text: 'a'}, {type: 'text', text: 'b'}]}]};
+		expect(parseChat(body).prompt).to.equal('user: ab');
+	});
+
+	for (const [body, path] of [
+		[undefined, 'body'],
+		[[], 'body'],
+		[{messages: [message]}, 'model'],
+		[{model: 'm', messages: []}, 'messages'],
+		[{model: 'm', messages: [{role: 'user'}]}, 'messages.0.content'],
+		[{model: 'm', messages: [message], stream: 'yes'}, 'stream'],
+		[{model: 'm', messages: [message], n: 2}, 'n'],
+	] as const) {
+		it(`names ${path} in ${JSON.stringify(body) ?? 'nothing'}`, () => {
+			expect(getProblems(body)).to.deep.equal([path]);
+		});
+	}
+
+	it('answers any JSON with a checked ask or typed problems', () => {
+		fc.assert(fc.property(fc.jsonValue(), body => {
+			expect(getProblems(body).length).to.be.greaterThan(0);
+		}), {seed});
+	});
+});
+
+describe('hashAsk', () => {
+	it('differs by caller, version, prompt, adapter and size', () => {
+		const ask = parseChat({model: 'm', messages: [message]});
+		const hashes = new Set([
+			hashAsk('a', '1', ask),
+			hashAsk('b', '1', ask),
+			hashAsk('a', '2', ask),
+			hashAsk('a', '1', {...ask, prompt: 'y'}),
+			hashAsk('a', '1', {...ask, adapter: 'z'}),
+			hashAsk('a', '1', {...ask, maxTokens: 1}),
+		]);
+		expect(hashes.size).to.equal(6);
+	});
+});
