Ask a silent engine whether it answers before its work is taken away, and let go of answers no longer read

Cause of the probe: the limit to the first event was the same for a dead connection and a busy engine; the second silence at a busy engine cancelled long reading work. Conclusion: silence costs a new connection first, the engine's work last.

--- a/faults/fakes/streams.ts
+++ b/faults/fakes/streams.ts
@@ -45,7 +45,11 @@
 export class FakeEngine extends EngineClient {
 	readonly journal: EngineRecord[] = [];
 	readonly faults: PlannedFault[] = [];
+	/** Answers whose reader has not let go of them yet. */
+	open = 0;
 	isKvDown = false;
+	/** Takes connections and answers nothing. */
+	isFrozen = false;
 	/** Put on the next event of whatever answer is being streamed. */
 	nextFault: EngineFault = engineFault.none;
 	/** Adds the end marker that an answer which broke off does not have. */
@@ -65,34 +69,12 @@
 	async * generate(request: GenerateRequest, signal: AbortSignal): AsyncGenerator<GenerateEvent> {
 		const {fault, at} = this.faults.shift() ?? {fault: engineFault.none, at: 0};
 		checkStart(fault);
-		this.journal.push({
-			event: 'started', id: request.id, offset: request.offset, kv: request.kv,
-		});
-		if (fault === engineFault.answerLost) {
-			throw new UnknownOutcomeError('no answer');
+		this.open++;
+		try {
+			yield * this.#generate(request, {fault, at}, signal);
+		} finally {
+			this.open--;
 		}
-
-		const start = {life: this.#life, silences: this.#silences};
-		for (let {offset} = request; offset < request.maxTokens; offset++) {
-			if (offset === request.offset + at) {
-				yield * listFaulty(fault, request, offset, signal);
-			}
-
-			await this.onToken?.(offset);
-			await this.#checkConnection(start, signal);
-			const struck = this.#takeFault();
-			if (struck === engineFault.noEnd || (fault === engineFault.noEnd && offset === request.offset + at)) {
-				yield * this.#listForgedEnd(request, offset);
-				return;
-			}
-
-			yield * listFaulty(struck, request, offset, signal);
-			yield createTokenEvent(request, offset);
-		}
-
-		await this.#checkConnection(start, signal);
-		this.journal.push({event: 'ended', id: request.id, offset: request.maxTokens});
-		yield createEnd(request);
 	}
 
 	async cancel(id: string): Promise<void> {
@@ -104,7 +86,13 @@
 	}
 
 	async readState(): Promise<EngineState> {
-		throw new NotRunError('the fake has no state');
+		if (this.isFrozen) {
+			await waitForEver();
+		}
+
+		return {
+			incarnation: 1, phase: 'ready', role: 'mixed', model: '', version: '', adapters: [], fence: 0, lastOrder: '', running: 0,
+		};
 	}
 
 	async sendOrder(): Promise<EngineState> {
@@ -151,6 +139,41 @@
 		return this.journal.filter(record => record.event === 'started').length;
 	}
 
+	async * #generate(request: GenerateRequest, {fault, at}: PlannedFault, signal: AbortSignal): AsyncGenerator<GenerateEvent> {
+		this.journal.push({
+			event: 'started', id: request.id, offset: request.offset, kv: request.kv,
+		});
+		if (this.isFrozen) {
+			await waitForAbort(signal);
+		}
+
+		if (fault === engineFault.answerLost) {
+			throw new UnknownOutcomeError('no answer');
+		}
+
+		const start = {life: this.#life, silences: this.#silences};
+		for (let {offset} = request; offset < request.maxTokens; offset++) {
+			if (offset === request.offset + at) {
+				yield * listFaulty(fault, request, offset, signal);
+			}
+
+			await this.onToken?.(offset);
+			await this.#checkConnection(start, signal);
+			const struck = this.#takeFault();
+			if (struck === engineFault.noEnd || (fault === engineFault.noEnd && offset === request.offset + at)) {
+				yield * this.#listForgedEnd(request, offset);
+				return;
+			}
+
+			yield * listFaulty(struck, request, offset, signal);
+			yield createTokenEvent(request, offset);
+		}
+
+		await this.#checkConnection(start, signal);
+		this.journal.push({event: 'ended', id: request.id, offset: request.maxTokens});
+		yield createEnd(request);
+	}
+
 	async #checkConnection(start: {readonly life: number; readonly silences: number}, signal: AbortSignal): Promise<void> {
 		if (start.silences !== this.#silences) {
 			await waitForAbort(signal);
@@ -248,6 +271,12 @@
 	}
 }
 
+async function waitForEver(): Promise<void> {
+	await new Promise<never>(() => {
+		// Nothing comes.
+	});
+}
+
 async function waitForAbort(signal: AbortSignal): Promise<void> {
 	if (signal.aborted) {
 		return;
--- a/faults/rows/servingstreams.ts
+++ b/faults/rows/servingstreams.ts
@@ -18,8 +18,10 @@
 const longLimitMs = 1_000_000;
 const kvSteps = ['export the KV cache', 'import the KV cache'];
 const cancelStep = 'cancel at the engine';
+const askStep = 'ask the engine whether it answers';
+const waitStep = 'wait for an engine';
 const streamingSteps = new Set(['read events', 'pass the events on']);
-const steps = ['choose a placement', ...kvSteps, 'send the request', 'read events', 'pass the events on', cancelStep];
+const steps = ['choose a placement', ...kvSteps, 'send the request', 'read events', 'pass the events on', cancelStep, askStep, waitStep];
 
 /** What a fault does to the world when the step is reached; `isStreaming` says whether the engine is sending an answer. */
 type Strike = (world: StreamWorld, engine: FakeEngine, isStreaming: boolean) => Promise<void> | void;
@@ -184,6 +186,16 @@
 		world.router.prefill = createUpstream('e2');
 	}
 
+	if (step === askStep) {
+		world.getEngine('e1').faults.push({fault: engineFault.silent, at: 3});
+	}
+
+	if (step === waitStep) {
+		for (const engine of world.engines.values()) {
+			engine.faults.push({fault: engineFault.breaks, at: 1}, {fault: engineFault.breaks, at: 1});
+		}
+	}
+
 	if (step === cancelStep) {
 		world.getEngine('e1').faults.push({fault: engineFault.breaks, at: 3}, {fault: engineFault.breaks, at: 2});
 	}
@@ -252,6 +264,7 @@
 }
 
 function checkBooks(world: StreamWorld): void {
+	checkThat([...world.engines.values()].every(({open}) => open === 0), 'an answer was never let go of');
 	checkThat(world.router.ends.length === world.router.sent, `${world.router.sent} sends and ${world.router.ends.length} ends`);
 	checkThat(world.router.countRunning('e1') + world.router.countRunning('e2') === 0, 'requests are still counted as running');
 }
--- a/src/entry/placements.ts
+++ b/src/entry/placements.ts
@@ -16,9 +16,11 @@
 		timers: parts.timers,
 		metrics: parts.metrics,
 		getEngine: (placement, isFresh) => openEngine(parts, placement, isFresh),
-		getLimits(placement) {
+		getLimits(placement, isAgain) {
 			const role = parts.facts.get('upstream', placement.upstream.id)?.value.setup?.role;
-			return computeLimits(service, role, work, parts.timers.getNow());
+			return computeLimits({
+				service, role, work, now: parts.timers.getNow(), isAgain,
+			});
 		},
 		onEvents,
 		signal,
--- a/src/serving/attempt.ts
+++ b/src/serving/attempt.ts
@@ -1,10 +1,14 @@
 import {CallerGoneError, NotRunError, refusalReason} from '../errors/index.js';
 import type {Placement, PlacementOutcome, Work} from '../routing/index.js';
+import type {TimerService} from '../timers/index.js';
 import type {EngineClient, GenerateEvent, GenerateRequest} from '../upstreams/index.js';
 import {AnswerCheck} from './check.js';
 import {EventReader} from './reader.js';
 import type {StreamJob, StreamParts} from './stream.js';
 
+/** Longest wait for an engine to say its state, in milliseconds. */
+const probeMs = 1000;
+
 /** A client of an engine with the connections that belong to it. */
 export type EngineConnection = {
 	readonly client: EngineClient;
@@ -19,6 +23,7 @@
 	readonly #parts: StreamParts;
 	readonly #abort = new AbortController();
 	readonly #connection: EngineConnection;
+	readonly #isFresh: boolean;
 	#reader: EventReader | undefined;
 	#check: AnswerCheck | undefined;
 	#isEnded = false;
@@ -27,6 +32,7 @@
 		this.#job = job;
 		this.placement = placement;
 		this.#parts = parts;
+		this.#isFresh = isFresh;
 		this.#connection = parts.getEngine(placement, isFresh);
 	}
 
@@ -61,7 +67,7 @@
 			this.#parts.metrics.count('dropped', 'late_event');
 		});
 		this.#reader = new EventReader(events[Symbol.asyncIterator](), {
-			timers, signal, due: work.due, limits: this.#parts.getLimits(this.placement),
+			timers, signal, due: work.due, limits: this.#parts.getLimits(this.placement, this.#isFresh),
 		});
 		router.onSent(work, this.placement);
 		this.#reader.start();
@@ -94,6 +100,23 @@
 		}
 	}
 
+	/** Asks whether the engine answers over a connection of its own; one behind a relay is taken for alive. */
+	async isAnswering(): Promise<boolean> {
+		if (this.placement.via !== undefined) {
+			return true;
+		}
+
+		const {timers, signal} = this.#parts;
+		const {client, close} = this.#parts.getEngine(this.placement, true);
+		const limit = new AbortController();
+		try {
+			return await Promise.race([hasState(client), waitFor(timers, AbortSignal.any([limit.signal, signal]))]);
+		} finally {
+			limit.abort();
+			close();
+		}
+	}
+
 	/** Tells the engine to drop the request; procedures go on without waiting for this. */
 	async cancel(): Promise<void> {
 		const {client, close} = this.#parts.getEngine(this.placement, false);
@@ -123,3 +146,17 @@
 		};
 	}
 }
+
+async function hasState(client: EngineClient): Promise<boolean> {
+	try {
+		await client.readState();
+		return true;
+	} catch {
+		return false;
+	}
+}
+
+async function waitFor(timers: TimerService, signal: AbortSignal): Promise<false> {
+	await timers.sleep(probeMs, signal);
+	return false;
+}
--- a/src/serving/kv.ts
+++ b/src/serving/kv.ts
@@ -21,7 +21,7 @@
 		abort.abort();
 	};
 
-	const timer = parts.timers.startTimer(parts.getLimits(attempt.placement).firstEventMs, onAbort);
+	const timer = parts.timers.startTimer(parts.getLimits(attempt.placement, false).firstEventMs, onAbort);
 	parts.signal.addEventListener('abort', onAbort, {once: true});
 	try {
 		const source = yield * callStep('export the KV cache', async () => waitWithin(abort.signal, runCounted(parts, prefill.id, async () =>
--- a/src/serving/reader.ts
+++ b/src/serving/reader.ts
@@ -100,6 +100,9 @@
 			}
 		} catch (error) {
 			this.#abort(error instanceof Error ? error : new BrokenAnswerError(String(error)));
+		} finally {
+			// A client that hands out events one by one waits here to give its connection back.
+			void this.#events.return?.();
 		}
 	}
 
--- a/src/serving/stream.ts
+++ b/src/serving/stream.ts
@@ -39,7 +39,8 @@
 	readonly metrics: Metrics;
 	/** Gives the engine at a placement; `isFresh` asks for connections opened for this request alone. */
 	readonly getEngine: (placement: Placement, isFresh: boolean) => EngineConnection;
-	readonly getLimits: (placement: Placement) => StreamLimits;
+	/** Gives the limits on silence; `isAgain` when the engine was asked again after silence. */
+	readonly getLimits: (placement: Placement, isAgain: boolean) => StreamLimits;
 	readonly onEvents: AnswerSink;
 	readonly signal: AbortSignal;
 	/** Makes the check of an answer's events, when not the usual one. */
@@ -160,8 +161,12 @@
 		parts.metrics.count('dropped', 'foreign_event');
 	}
 
-	const canAskAgain = failure.isHeld && !progress.resumed.has(upstream.id) && parts.router.isOpen(upstream.id);
 	const isLast = failure.reason === undefined || parts.signal.aborted || progress.attempts >= maxAttempts;
+	let canAskAgain = !isLast && failure.isHeld && !progress.resumed.has(upstream.id) && parts.router.isOpen(upstream.id);
+	if (canAskAgain && failure.reason === retryReason.silentStream) {
+		canAskAgain = yield * callStep('ask the engine whether it answers', async () => attempt.isAnswering());
+	}
+
 	if (wasSent && failure.outcome !== placementOutcome.notRun && (isLast || !canAskAgain)) {
 		yield * callStep('cancel at the engine', () => {
 			void attempt.cancel();
--- a/src/serving/test/longrun.test.ts
+++ b/src/serving/test/longrun.test.ts
@@ -48,6 +48,7 @@
 			expect(world.router.countRunning('e1') + world.router.countRunning('e2')).to.equal(0);
 			expect(world.router.ends.length).to.equal(world.router.sent);
 			for (const engine of world.engines.values()) {
+				expect(engine.open).to.equal(0);
 				engine.journal.length = 0;
 				engine.faults.length = 0;
 			}
