Count the store's calls, write log lines and the process's own figures in an entry

Cause: the counter of store calls was never raised for most calls, no entry wrote a line for a change of state, and processor time and memory of an entry could not be read from /metrics. Ruled out: counting in the HTTP adapter (a fake store would go uncounted); a wrapper counts any store.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -3,10 +3,11 @@
 import type {Upstream} from '../deployment/index.js';
 import {FactTable} from '../feed/index.js';
 import {History} from '../history/index.js';
+import {startLogs} from '../logs/index.js';
 import {Metrics} from '../metrics/index.js';
 import type {EntrySettings} from '../settings/index.js';
 import type {Membership} from '../membership/index.js';
-import {HttpStore, HttpVmList} from '../store/index.js';
+import {CountedStore, HttpStore, HttpVmList} from '../store/index.js';
 import {SystemTimers} from '../timers/index.js';
 import {HttpEngine} from '../upstreams/index.js';
 import {startAuthority} from './authority.js';
@@ -28,6 +29,7 @@
 export async function startEntry(settings: EntrySettings): Promise<GracefulStop> {
 	const late: LateParts = {};
 	const parts = createParts(settings, late);
+	startLogs(parts.history, {program: 'crocus-entry', vm: settings.vm, domain: settings.domain});
 	parts.keeper.start();
 	const [host, port] = settings.http.split(':');
 	const app = polka();
@@ -58,7 +60,10 @@
 	const engines = new Map<string, HttpEngine>();
 	const history = new History(timers);
 	const metrics = new Metrics();
-	const store = new HttpStore(settings.platform);
+	metrics.addProcessFigures();
+	const store = new CountedStore(new HttpStore(settings.platform), outcome => {
+		metrics.count('storeCalls', outcome);
+	});
 	const keeper = createKeeper({
 		settings, timers, store, facts, history, metrics,
 	}, () => late.membership);
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -1,5 +1,5 @@
 import {
-	Counter, Gauge, Histogram, Registry,
+	collectDefaultMetrics, Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import type {RefusalReason, RetryReason} from '../errors/index.js';
 
@@ -81,6 +81,11 @@
 		});
 	}
 
+	/** Adds the process's own figures: processor time, memory, delay of the loop. */
+	addProcessFigures(): void {
+		collectDefaultMetrics({register: this.registry});
+	}
+
 	/** Formats every metric as text for a scrape. */
 	async format(): Promise<string> {
 		return this.registry.metrics();
--- /dev/null
+++ b/src/store/counted.ts
@@ -0,0 +1,77 @@
+import {
+	LeaseHeldError, StoreConflictError, StoreUnavailableError, StoreUncertainError,
+} from '../errors/index.js';
+import {Store} from './port.js';
+import type {LeaseGrant, Versioned} from './port.js';
+
+/** How a call of the store ended; a label of the counter of calls. */
+export const storeOutcome = {
+	done: 'done',
+	conflict: 'conflict',
+	leaseHeld: 'lease_held',
+	unavailable: 'unavailable',
+	uncertain: 'uncertain',
+	failed: 'failed',
+} as const;
+
+/** See {@link storeOutcome}. */
+export type StoreOutcome = (typeof storeOutcome)[keyof typeof storeOutcome];
+
+/** Passes every call on to another store and tells how it ended. */
+export class CountedStore extends Store {
+	readonly #store: Store;
+	readonly #onEnd: (outcome: StoreOutcome) => void;
+
+	constructor(store: Store, onEnd: (outcome: StoreOutcome) => void) {
+		super();
+		this.#store = store;
+		this.#onEnd = onEnd;
+	}
+
+	async read(key: string): Promise<Versioned | undefined> {
+		return this.#count(this.#store.read(key));
+	}
+
+	async write(key: string, value: string, expectedRevision: number): Promise<number> {
+		return this.#count(this.#store.write(key, value, expectedRevision));
+	}
+
+	async watch(key: string, afterRevision: number, waitMs: number, signal?: AbortSignal): Promise<Versioned | undefined> {
+		return this.#count(this.#store.watch(key, afterRevision, waitMs, signal));
+	}
+
+	async acquire(name: string, holder: string, ttlMs: number): Promise<LeaseGrant> {
+		return this.#count(this.#store.acquire(name, holder, ttlMs));
+	}
+
+	async release(name: string, holder: string): Promise<void> {
+		return this.#count(this.#store.release(name, holder));
+	}
+
+	async #count<Result>(call: Promise<Result>): Promise<Result> {
+		try {
+			const result = await call;
+			this.#onEnd(storeOutcome.done);
+			return result;
+		} catch (error) {
+			this.#onEnd(getOutcome(error));
+			throw error;
+		}
+	}
+}
+
+function getOutcome(error: unknown): StoreOutcome {
+	if (error instanceof StoreConflictError) {
+		return storeOutcome.conflict;
+	}
+
+	if (error instanceof LeaseHeldError) {
+		return storeOutcome.leaseHeld;
+	}
+
+	if (error instanceof StoreUnavailableError) {
+		return storeOutcome.unavailable;
+	}
+
+	return error instanceof StoreUncertainError ? storeOutcome.uncertain : storeOutcome.failed;
+}
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -7,3 +7,5 @@
 } from './port.js';
 export {leaseName, storeKey} from './keys.js';
 export {HttpStore, HttpVmList} from './http.js';
+export {CountedStore, storeOutcome} from './counted.js';
+export type {StoreOutcome} from './counted.js';
