--- a/rigs/calls.ts
+++ b/rigs/calls.ts
@@ -1,9 +1,12 @@
 import {createHash, randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {EngineRow} from '../standins/engine/index.js';
 import type {RunRow} from '../standins/service/index.js';
 import {createChat, createClient} from './wire.js';
 
+const operationPollMs = 100;
+
 /** What came of a chat. */
 export type ChatResult = {
 	readonly prompt: string;
@@ -76,16 +79,39 @@
 /** What came of a call to an application service. */
 export type CallResult = {readonly status: number; readonly body: string; readonly id: string};
 
-/** Sends a call to an application service. */
+/** Sends a call to an application service; the caller is named after the key. */
 export async function sendServiceCall(origin: string, target: string, body?: unknown, key: string = randomUUID()): Promise<CallResult> {
 	const response = await fetch(`${origin}/services/${target}`, {
 		method: body === undefined ? 'GET' : 'POST',
-		headers: {authorization: 'Bearer clerk-1', ...body === undefined ? {} : {'content-type': 'application/json', 'idempotency-key': key}},
+		headers: {authorization: `Bearer clerk-${key}`, ...body === undefined ? {} : {'content-type': 'application/json', 'idempotency-key': key}},
 		body: body === undefined ? undefined : JSON.stringify(body),
 	});
 	return {status: response.status, body: await response.text(), id: response.headers.get('x-request-id') ?? ''};
 }
 
+/** An operation as an entry tells of it. */
+export type ToldOperation = {readonly id: string; readonly state: string; readonly detail: string};
+
+/** Asks an entry for an operation on an upstream of its domain, and reads its state until that is done. */
+export async function runOperation(origin: string, request: {readonly id: string; readonly kind: string; readonly subject: string}, timeoutMs = 20_000): Promise<ToldOperation> {
+	const asked = await fetch(`${origin}/ops/operations`, {method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify(request)});
+	if (!asked.ok) {
+		throw new RangeError(`the operation was refused: ${await asked.text()}`);
+	}
+
+	const end = Date.now() + timeoutMs;
+	for (;;) {
+		const response = await fetch(`${origin}/ops/operations`);
+		const operations = await response.json() as readonly ToldOperation[];
+		const found = operations.find(({id}) => id === request.id);
+		if (found?.state === 'done' || Date.now() > end) {
+			return found ?? {id: request.id, state: 'unknown', detail: ''};
+		}
+
+		await sleep(operationPollMs);
+	}
+}
+
 /** Reads an engine's journal. */
 export async function readEngineJournal(origin: string): Promise<readonly EngineRow[]> {
 	return await readJournal(origin) as readonly EngineRow[];
--- a/rigs/demo.ts
+++ b/rigs/demo.ts
@@ -4,7 +4,7 @@
 import {parseDeployment, serviceKind} from '../src/deployment/index.js';
 import {engineEvent} from '../standins/engine/index.js';
 import {
-	collectChat, readEngineJournal, runChat, sendServiceCall,
+	collectChat, readEngineJournal, runChat, runOperation, sendServiceCall,
 } from './calls.js';
 import {RunningDeployment} from './deployment.js';
 import {waitForServing} from './rig.js';
@@ -33,6 +33,7 @@
 	const read = await runChat(entry!.origin, {model: modelName, prompt: 'clause '.repeat(4000), maxTokens: 20});
 	console.log(`${entry!.vm} 7,000-token dossier: first token after ${Math.round(read.firstMs)} ms, whole after ${Math.round(read.totalMs)} ms`);
 	await printCalls(entry!.origin, other!.origin);
+	await printDrain(entry!.origin);
 	for (const {upstream, origin} of deployment.upstreams.filter(({upstream}) => upstream.service === model.name)) {
 		const rows = await readEngineJournal(origin);
 		console.log(`${upstream.id}: ${rows.filter(row => row.event === engineEvent.requestEnded).length} requests ended, ${rows.filter(row => row.event === engineEvent.requestCut).length} cut`);
@@ -50,3 +51,15 @@
 		console.log(`${method} ${path} with one key: ${answer.status} ${answer.body}`);
 	}
 }
+
+async function printDrain(origin: string): Promise<void> {
+	const subject = deployment.upstreams[0]!.upstream.id;
+	const running = runChat(origin, {model: modelName, prompt: 'Explain every deposit.', maxTokens: 400});
+	for (const kind of ['drain', 'resume']) {
+		const {state, detail} = await runOperation(origin, {id: `demo-${kind}`, kind, subject});
+		console.log(`${kind} ${subject}: ${state} ${detail}`);
+	}
+
+	const {isWhole} = await running;
+	console.log(`a chat that ran meanwhile: ${isWhole ? 'whole' : 'not whole'}`);
+}
--- a/rigs/test/deployment.test.ts
+++ b/rigs/test/deployment.test.ts
@@ -3,7 +3,9 @@
 import {expect} from 'chai';
 import {engineEvent} from '../../standins/engine/index.js';
 import type {StreamFaults} from '../../standins/engine/index.js';
-import {sendControl} from '../calls.js';
+import {
+	hashBody, readServiceJournal, sendControl, sendServiceCall,
+} from '../calls.js';
 import {RunningDeployment} from '../deployment.js';
 import {
 	collectRows, isRefusal, listFaults, runChats,
@@ -15,6 +17,9 @@
 const faultyCount = 600;
 const crashAfterMs = 500;
 const cleanBetween = 15;
+const refundCount = 100;
+/** Entries of the domain after the next stand this far away. */
+const repeatOffset = 3;
 const callers = 40;
 const faultsShown = 5;
 
@@ -54,6 +59,37 @@
 		expect(rows.filter(row => row.event === engineEvent.requestCut)).to.deep.equal([]);
 	});
 
+	it('runs each refund once, also when it is asked for again at another entry, and repeats its answer', async () => {
+		const origins = deployment.entries.map(({origin}) => origin);
+		const runRefund = async (index: number) => {
+			const body = {wallet: index, amount: 500};
+			const answers = [];
+			for (const offset of [0, 1, repeatOffset]) {
+				const origin = origins[(index + offset) % origins.length]!;
+				answers.push(await sendServiceCall(origin, 'refunds/refunds', body, `refund-${index}`));
+			}
+
+			return {hash: hashBody(body), answers};
+		};
+
+		const lookUp = async (index: number) => sendServiceCall(origins[index % origins.length]!, `refunds/schedules/${index}`);
+		const indexes = Array.from({length: refundCount}, (_item, index) => index);
+		const [refunds, lookups] = await Promise.all([Promise.all(indexes.map(async index => runRefund(index))), Promise.all(indexes.map(async index => lookUp(index)))]);
+		const services = deployment.upstreams.filter(({upstream}) => upstream.service === 'refunds');
+		const journals = await Promise.all(services.map(async ({origin}) => readServiceJournal(origin)));
+		const rows = journals.flat();
+		for (const {hash, answers} of refunds) {
+			expect(answers.map(({status}) => status)).to.deep.equal([200, 200, 200]);
+			expect(new Set(answers.map(({body}) => body)).size).to.equal(1);
+			expect(rows.filter(row => row.body === hash)).to.have.length(1);
+		}
+
+		expect(lookups.map(({status}) => status)).to.deep.equal(indexes.map(() => 200));
+		for (const [index, {body}] of lookups.entries()) {
+			expect(JSON.parse(body)).to.include({path: `/schedules/${index}`});
+		}
+	});
+
 	it('does so as well when answers break off, cross, come twice, and engines crash', async () => {
 		// Clean answers in between, so that no request meets more faults than it has attempts.
 		const clean: readonly StreamFaults[] = Array.from({length: cleanBetween}, () => ({}));
