--- a/rigs/test/deployment.test.ts
+++ b/rigs/test/deployment.test.ts
@@ -72,9 +72,9 @@
 			return {hash: hashBody(body), answers};
 		};
 
-		const lookUp = async (index: number) => sendServiceCall(origins[index % origins.length]!, `refunds/schedules/${index}`);
+		const callSchedule = async (index: number) => sendServiceCall(origins[index % origins.length]!, `refunds/schedules/${index}`);
 		const indexes = Array.from({length: refundCount}, (_item, index) => index);
-		const [refunds, lookups] = await Promise.all([Promise.all(indexes.map(async index => runRefund(index))), Promise.all(indexes.map(async index => lookUp(index)))]);
+		const [refunds, lookups] = await Promise.all([Promise.all(indexes.map(async index => runRefund(index))), Promise.all(indexes.map(async index => callSchedule(index)))]);
 		const services = deployment.upstreams.filter(({upstream}) => upstream.service === 'refunds');
 		const journals = await Promise.all(services.map(async ({origin}) => readServiceJournal(origin)));
 		const rows = journals.flat();
