--- a/src/entry/calls.ts
+++ b/src/entry/calls.ts
@@ -90,7 +90,7 @@
 	}
 
 	const [, name = '', rest = ''] = /^\/(?<name>[^\/?]+)(?<rest>.*)$/v.exec(url) ?? [];
-	const service = deployment.services.find(candidate => candidate.name === decodeURIComponent(name));
+	const service = deployment.services.find(candidate => candidate.name === name);
 	if (service?.kind !== serviceKind.application) {
 		throw new NotRunError(`there is no application service ${name}`, {props: {reason: refusalReason.unknownModel}});
 	}
--- a/src/entry/test/calls.test.ts
+++ b/src/entry/test/calls.test.ts
@@ -93,6 +93,14 @@
 		expect(countRuns()).to.equal(0);
 	});
 
+	for (const path of ['/services', '/services/%', '/services/unknown/x']) {
+		it(`refuses ${path} as not run`, async () => {
+			const answer = await sendRequest(`http://${setup.first.address}${path}`, {method: 'POST'});
+			const {error} = await answer.body.json() as {error: {ran: string}};
+			expect([answer.statusCode, error.ran]).to.deep.equal([404, 'no']);
+		});
+	}
+
 	it('tries a call that may be repeated again', async () => {
 		setup.service.applyControl({loseAnswers: 1});
 		const other = await setup.rig.startService('s2', 'd1');
--- a/src/serving/stream.ts
+++ b/src/serving/stream.ts
@@ -1,6 +1,7 @@
 import {
 	DeadlineError, NotRunError, refusalReason, retryReason, UnknownOutcomeError,
 } from '../errors/index.js';
+import type {RetryReason} from '../errors/index.js';
 import type {Metrics} from '../metrics/index.js';
 import {callStep} from '../procedures/index.js';
 import type {Procedure} from '../procedures/index.js';
@@ -178,11 +179,7 @@
 	}
 
 	checkDeadline(job, parts, {progress, cause: error});
-	// Nothing was sent to an engine that closed before the send: choosing again costs the fleet nothing.
-	if (failure.reason !== retryReason.closedBeforeSend && !parts.router.tryRetry(job.work.service)) {
-		throw wrapRefusal(error, progress);
-	}
-
+	checkBudget(failure.reason, {job, parts, progress}, error);
 	parts.metrics.countRetry(failure.reason);
 	if (canAskAgain) {
 		progress.resumed.add(upstream.id);
@@ -192,6 +189,17 @@
 	}
 }
 
+/**
+The budget counts every further attempt. It does not end an answer of which the caller has a part: the caller would
+ask for the whole of it again, which is more work than the rest. Nor does it count an engine that closed before the send.
+*/
+function checkBudget(reason: RetryReason, {job, parts, progress}: FailureContext, error: unknown): void {
+	const isWithin = reason === retryReason.closedBeforeSend || parts.router.tryRetry(job.work.service);
+	if (!isWithin && progress.offset === 0) {
+		throw wrapRefusal(error, progress);
+	}
+}
+
 function checkDeadline(job: StreamJob, parts: StreamParts, {progress, cause}: {readonly progress: Progress; readonly cause: unknown}): void {
 	if (parts.timers.getNow() < job.work.due) {
 		return;
--- a/src/serving/test/stream.test.ts
+++ b/src/serving/test/stream.test.ts
@@ -112,12 +112,27 @@
 	it('stops trying when the retry budget is spent', async () => {
 		const world = new StreamWorld();
 		world.router.retriesLeft = 0;
-		world.getEngine('e1').faults.push({fault: engineFault.breaks, at: 3});
+		world.getEngine('e1').faults.push({fault: engineFault.breaks, at: 0});
 		const record = await world.settle(world.start({work: world.createWork('r', size), prompt: 'p', offset: 0}));
 		expect(record.error).to.be.instanceOf(BrokenAnswerError);
 		expect(world.countStarted()).to.equal(1);
 	});
 
+	it('resumes an answer of which the caller has a part also when the retry budget is spent, a bounded number of times', async () => {
+		const world = new StreamWorld();
+		world.router.retriesLeft = 0;
+		world.getEngine('e1').faults.push({fault: engineFault.breaks, at: 3});
+		const record = await world.settle(world.start({work: world.createWork('r', size), prompt: 'p', offset: 0}));
+		expect(record.text).to.equal(createAnswer('p', size));
+		const broken = new StreamWorld();
+		const breaks = Array.from({length: 50}, () => ({fault: engineFault.breaks, at: 0}));
+		broken.getEngine('e1').faults.push({fault: engineFault.breaks, at: 3}, ...breaks);
+		broken.getEngine('e2').faults.push(...breaks);
+		const cut = await broken.settle(broken.start({work: broken.createWork('r', size), prompt: 'p', offset: 0}));
+		expect(cut.end).to.equal(undefined);
+		expect(broken.countStarted()).to.equal(8);
+	});
+
 	it('gives up at the deadline, not later, and cancels at the engine', async () => {
 		const world = new StreamWorld();
 		const work = {...world.createWork('r', size), due: 1000};
