Learn a slow engine anew when it comes back, and add the decisions' rows of the fault matrix

Cause: the new row 'first token N times late' failed: an engine that had been slow got 0 of 50 requests after it had come back, since its learned times were never refreshed without requests. Ruled out: probes on a timer (engines have no cheap request); dropping its own times at once on a good answer (one is noise). Conclusion: own times count for 10 s without an observation.

--- a/bench/figures.ts
+++ b/bench/figures.ts
@@ -3,6 +3,7 @@
 import type {Job} from './mix.js';
 
 const usPerMs = 1000;
+const halfMinuteMs = 30_000;
 
 /** How one job ended, as the caller saw it; times in milliseconds at time scale 1. */
 export type JobResult = {
@@ -35,6 +36,19 @@
 	readonly worstCaller: number;
 	readonly firstTokenMs: Percentiles;
 	readonly betweenTokensMs: Percentiles;
+	/** Answers on time a second in each half minute. */
+	readonly byHalfMinute: readonly number[];
+	/** What the entries took, when they were processes of their own. */
+	readonly entry?: EntryFigures;
+};
+
+/** What one entry took, as the mean over the entries. */
+export type EntryFigures = {
+	/** Part of one core. */
+	readonly cpuShare: number;
+	readonly megabytes: number;
+	/** Bytes sent and received between entries. */
+	readonly feedBytesPerSecond: number;
 };
 
 /** The 50th, 95th and 99th of 100. */
@@ -81,9 +95,20 @@
 		worstCaller: computeWorstCaller(results),
 		firstTokenMs: getPercentiles(first),
 		betweenTokensMs: getPercentiles(gaps),
+		byHalfMinute: computeByHalfMinute(onTime),
 	};
 }
 
+function computeByHalfMinute(onTime: readonly JobResult[]): number[] {
+	const counts: number[] = [];
+	for (const {job} of onTime) {
+		const index = Math.floor(job.at / halfMinuteMs);
+		counts[index] = (counts[index] ?? 0) + 1;
+	}
+
+	return [...counts].map(count => Math.round((count ?? 0) * 10_000 / halfMinuteMs) / 10);
+}
+
 /** Answers on time of the caller with the fewest, against an equal share: the least of what it asked for and the mean. */
 function computeWorstCaller(results: readonly JobResult[]): number {
 	const callers = new Map<string, {offered: number; onTime: number}>();
@@ -118,6 +143,7 @@
 		`useless ${figures.uselessShare.toFixed(3)} worst caller ${figures.worstCaller.toFixed(2)}`,
 		`first ${formatPercentiles(first)} between ${formatPercentiles(between)}`,
 		JSON.stringify(figures.refusals),
+		`by half minute ${figures.byHalfMinute.join(' ')}`,
 	].join('  ');
 }
 
--- a/bench/model.ts
+++ b/bench/model.ts
@@ -16,6 +16,7 @@
 import {computeFigures} from './figures.js';
 import type {JobResult, RunFigures} from './figures.js';
 import type {Job} from './mix.js';
+import {createPrompt} from './prompt.js';
 
 /** What a run in this process is made of. */
 export type ModelOptions = {
@@ -36,8 +37,6 @@
 
 const feedDelayMs = 100;
 const authorityPeriodMs = 1000;
-const charactersPerToken = 4;
-const topicTokens = 1024;
 
 /** Policies over engines' stand-ins in one process and one manual clock; feed and authority are reduced to their effects. */
 export class Model {
@@ -289,12 +288,6 @@
 	}
 }
 
-function createPrompt(job: Job): string {
-	const shared = `topic ${job.topic} `.padEnd(topicTokens * charactersPerToken, 'the deposit ledger of the cafe ');
-	const own = `job ${job.at} `.padEnd(job.promptTokens * charactersPerToken, 'clause of the contract with the hauler ');
-	return job.isReading ? (shared + own).slice(0, job.promptTokens * charactersPerToken) : own.slice(0, job.promptTokens * charactersPerToken);
-}
-
 /** Makes a deployment of six engines in three failure domains. */
 export function createDeployment(goodputWeight: number, deadlineMs: number): Deployment {
 	const domains = ['d-1', 'd-2', 'd-3'];
--- a/faults/rows/index.ts
+++ b/faults/rows/index.ts
@@ -1,7 +1,8 @@
 /** The rows of the fault matrix: each part lists its own cells. */
 import type {Cell} from '../matrix.js';
+import {listDecisionCells} from './decisions.js';
 
 /** Lists every cell of every part. */
 export function listCells(): readonly Cell[] {
-	return [];
+	return [...listDecisionCells()];
 }
--- a/src/routing/speeds.ts
+++ b/src/routing/speeds.ts
@@ -37,6 +37,8 @@
 	readonly peakDecode: Peak;
 	/** Answers that were written beside many others. */
 	crowded: number;
+	/** When something was last seen, on the monotonic clock. */
+	at: number;
 };
 
 /** What an engine is taken for until something was seen of any. */
@@ -49,6 +51,8 @@
 	[engineRole.decode]: {prefill: 2, gap: 1, slots: 2},
 };
 const keptWeight = 0.98;
+/** Age up to which an engine's own speeds count, in milliseconds. */
+const longestAgeMs = 10_000;
 /** Prompt tokens from which on a first token tells of prefill rather than of waiting. */
 const longPrompt = 1000;
 /** Observations after which an engine's own speeds are taken before those of its role. */
@@ -77,6 +81,7 @@
 	onFirstToken(service: string, engine: string, role: EngineRole, {tokens, certainTokens, waitMs}: FirstTokenSample): void {
 		const now = this.#timers.getNow();
 		for (const learned of this.#list(service, engine, role)) {
+			learned.at = now;
 			if (certainTokens >= longPrompt) {
 				learned.peakPrefill.add(certainTokens, Math.max(1, waitMs), now);
 			}
@@ -91,6 +96,7 @@
 	onGap(service: string, engine: string, role: EngineRole, {gapMs, active}: GapSample): void {
 		const now = this.#timers.getNow();
 		for (const learned of this.#list(service, engine, role)) {
+			learned.at = now;
 			learned.gap.add(active, gapMs);
 			learned.slots.add(active, 1, now);
 			learned.peakDecode.add(active, Math.max(0.1, gapMs), now);
@@ -100,7 +106,9 @@
 
 	/** Reads the speeds of an engine in a role, from what is known best. */
 	getSpeeds(service: string, engine: string, role: EngineRole): Speeds {
-		const own = this.#learned.get(`${service}/${engine}/${role}`);
+		const known = this.#learned.get(`${service}/${engine}/${role}`);
+		// What was seen long ago is not held against an engine: it may have been slow and come back.
+		const own = known && this.#timers.getNow() - known.at < longestAgeMs ? known : undefined;
 		const ofRole = this.#getRoleSpeeds(service, role);
 		return {
 			prefill: own && own.prefill.count >= ownCount ? computePrefill(own.prefill) : ofRole.prefill,
@@ -151,16 +159,24 @@
 	}
 
 	#list(service: string, engine: string, role: EngineRole): Learned[] {
-		return [`${service}/${engine}/${role}`, `${service}/${role}`].map(key => {
-			const learned = this.#learned.get(key) ?? {
-				prefill: new LineFit(keptWeight), gap: new LineFit(keptWeight), slots: new Peak(), peakPrefill: new Peak(), peakDecode: new Peak(), crowded: 0,
-			};
+		const own = `${service}/${engine}/${role}`;
+		return [own, `${service}/${role}`].map(key => {
+			const known = this.#learned.get(key);
+			// An engine that was not seen for long may have been slow and come back: it is learned anew.
+			const isStale = known !== undefined && key === own && this.#timers.getNow() - known.at >= longestAgeMs;
+			const learned = known && !isStale ? known : createLearned();
 			this.#learned.set(key, learned);
 			return learned;
 		});
 	}
 }
 
+function createLearned(): Learned {
+	return {
+		prefill: new LineFit(keptWeight), gap: new LineFit(keptWeight), slots: new Peak(), peakPrefill: new Peak(), peakDecode: new Peak(), crowded: 0, at: 0,
+	};
+}
+
 function computePrefill(fit: LineFit): Line {
 	const {x, y} = fit.getMeans();
 	const line = fit.computeLine();
