--- a/bench/run.ts
+++ b/bench/run.ts
@@ -4,6 +4,7 @@
 import {Agent, request} from 'undici';
 import {engineEvent} from '../standins/engine/index.js';
 import {readEngineJournal} from '../rigs/calls.js';
+import {createChat} from '../rigs/wire.js';
 import {RunningDeployment} from '../rigs/deployment.js';
 import type {RunningEntry} from '../rigs/deployment.js';
 import {RandomSource} from '../src/rates/index.js';
@@ -146,9 +147,7 @@
 			dispatcher: this.#agent,
 			signal,
 			headers: {'content-type': 'application/json', authorization: `Bearer ${job.caller}`},
-			body: JSON.stringify({
-				model: 'contracts', stream: true, max_completion_tokens: job.maxTokens, messages: [{role: 'user', content: createPrompt(job)}],
-			}),
+			body: JSON.stringify({...createChat('contracts', createPrompt(job), job.maxTokens), stream: true}),
 		});
 		if (response.statusCode !== 200) {
 			const {error} = await response.body.json() as {error: {code: string}};
--- a/faults/fakes/decisionworld.ts
+++ b/faults/fakes/decisionworld.ts
@@ -154,7 +154,17 @@
 		this.#count++;
 		const now = this.timers.getNow();
 		const work: Work = {
-			id: `request-${this.#count}`, caller: 'cafe', service: 'contracts', ...model, promptTokens: 400, maxTokens: 40, prefixes: [], priority: 0, firstTokenDue: now + 900, due: now + 20_000, ...change,
+			id: `request-${this.#count}`,
+			caller: 'cafe',
+			service: 'contracts',
+			...model,
+			promptTokens: 400,
+			maxTokens: 40,
+			prefixes: [],
+			priority: 0,
+			firstTokenDue: now + 900,
+			due: now + 20_000,
+			...change,
 		};
 		const excluded = new Set<string>();
 		for (let attempts = 1; ; attempts++) {
