--- a/faults/fakes/decisionworld.ts
+++ b/faults/fakes/decisionworld.ts
@@ -179,8 +179,7 @@
 			}
 
 			const outcome = await this.#tryPlacement(work, placement);
-			const canRetry = () => this.without === decisionMechanism.retryBudget || this.router.tryRetry(work.service);
-			if (outcome === placementOutcome.done || !canRetry()) {
+			if (outcome === placementOutcome.done || !(this.without === decisionMechanism.retryBudget || this.router.tryRetry(work.service))) {
 				this.ended.push({
 					id: work.id, isWhole: outcome === placementOutcome.done, refusal: outcome === placementOutcome.notRun ? 'retry_budget' : undefined, attempts,
 				});
