--- a/bench/limits.ts
+++ b/bench/limits.ts
@@ -53,7 +53,9 @@
 		}
 
 		const allowed = Math.min(sums.offered, limit * seconds);
-		console.log(`| ${traffic.name} | ${way} | ${(sums.admitted / limit / seconds).toFixed(2)} | ${(Math.max(0, allowed - sums.admitted) / allowed).toFixed(3)} | ${(sums.highest / limit).toFixed(2)} |`);
+		const wrong = Math.max(0, allowed - sums.admitted) / allowed;
+		const cells = [traffic.name, way, (sums.admitted / limit / seconds).toFixed(2), wrong.toFixed(3), (sums.highest / limit).toFixed(2)];
+		console.log(`| ${cells.join(' | ')} |`);
 	}
 }
 
--- a/bench/policies.ts
+++ b/bench/policies.ts
@@ -20,6 +20,7 @@
 		policies: {type: 'string', default: Object.values(policyName).join(',')},
 		choice: {type: 'string', default: 'weighted'},
 		rate: {type: 'string', default: '1'},
+		length: {type: 'string', default: '1'},
 		roles: {type: 'string', default: ''},
 	},
 });
@@ -29,7 +30,9 @@
 const roleLetters: Readonly<Record<string, EngineRole>> = {p: 'prefill', d: 'decode', m: 'mixed'};
 const deadlineMs = 10_000;
 const scenario = scenarios[values.scenario]!;
-const phases = scenario.phases.map(phase => ({...phase, requestsPerSecond: phase.requestsPerSecond * Number(values.rate)}));
+const phases = scenario.phases.map(phase => ({
+	...phase, durationMs: phase.durationMs * Number(values.length), requestsPerSecond: phase.requestsPerSecond * Number(values.rate),
+}));
 let durationMs = 0;
 for (const phase of phases) {
 	durationMs += phase.durationMs;
--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -30,7 +30,8 @@
 /** Part of the time left that an expected end may take up. */
 const usableShare = 0.9;
 
-type Tally = {readonly offered: DecayedSum; readonly admitted: DecayedSum};
+/** Requests of a class: all, those that would be in time, and those admitted. */
+type Tally = {readonly offered: DecayedSum; readonly inTime: DecayedSum; readonly admitted: DecayedSum};
 
 /** Decides whether a request is taken on. */
 export abstract class AdmissionPort {
@@ -71,6 +72,7 @@
 			return this.#refuse(request.endMs - request.leftMs);
 		}
 
+		tally.inTime.add(1, now);
 		if (this.#random.pickUnit() >= this.#computeChance(request, now)) {
 			return this.#refuse(request.endMs);
 		}
@@ -87,7 +89,7 @@
 			return 1;
 		}
 
-		const ownShare = own.admitted.get(now) / Math.max(1, own.offered.get(now));
+		const ownShare = own.inTime.get(now) / Math.max(1, own.offered.get(now));
 		const otherShare = other.admitted.get(now) / other.offered.get(now);
 		return ownShare === 0 ? 1 : Math.min(1, Math.max(otherShare, 0.05) * allowedImbalance / ownShare);
 	}
@@ -98,7 +100,9 @@
 
 	#getTally(service: string, isReading: boolean): Tally {
 		const key = `${service}/${isReading ? 'reading' : 'writing'}`;
-		const tally = this.#tallies.get(key) ?? {offered: new DecayedSum(halfLifeMs), admitted: new DecayedSum(halfLifeMs)};
+		const tally = this.#tallies.get(key) ?? {
+			offered: new DecayedSum(halfLifeMs), inTime: new DecayedSum(halfLifeMs), admitted: new DecayedSum(halfLifeMs),
+		};
 		this.#tallies.set(key, tally);
 		return tally;
 	}
