--- a/src/planning/fleet.ts
+++ b/src/planning/fleet.ts
@@ -25,7 +25,7 @@
 const rankMs = 3000;
 
 /** Setting from fewest changes (0) to highest goodput (1), turned into thresholds. */
-const leastWorth = {atGoodput: 0.01, atFewest: 0.05};
+const leastWorth = {atGoodput: 0.01, atFewest: 0.12};
 const steadyMs = {atGoodput: 1000, atFewest: 10_000};
 const pauseMs = {atGoodput: 1000, atFewest: 30_000};
 
