Renew no connections to an engine after they were closed

Ruled out: swallowing the rejection, since a pool made after the close would never be destroyed. Conclusion: a closed set of connections is not renewed.

--- a/src/upstreams/connections.ts
+++ b/src/upstreams/connections.ts
@@ -48,6 +48,7 @@
 	#streams: Pool;
 	#controls: Pool;
 	#streamCount = 0;
+	#isClosed = false;
 
 	constructor(address: string, limits: ConnectionLimits) {
 		this.#origin = `http://${address}`;
@@ -103,18 +104,28 @@
 
 	/** Uses new connections for answers from now on; those in progress go on. */
 	renewStreams(): void {
+		// An answer in doubt may end after the close; there is nothing to renew then.
+		if (this.#isClosed) {
+			return;
+		}
+
 		void this.#streams.close();
 		this.#streams = this.#createStreams();
 	}
 
 	/** Uses new connections for control calls from now on. */
 	renewControls(): void {
+		if (this.#isClosed) {
+			return;
+		}
+
 		void this.#controls.close();
 		this.#controls = this.#createControls();
 	}
 
 	/** Closes every connection at once. */
 	async close(): Promise<void> {
+		this.#isClosed = true;
 		await Promise.all([...this.#pools].map(async pool => pool.destroy()));
 	}
 
