--- /dev/null
+++ b/src/planning/test/fleet.test.ts
@@ -0,0 +1,159 @@
+import {expect} from 'chai';
+import type {Deployment, EngineRole, Upstream} from '../../deployment/index.js';
+import {FactTable, upstreamState} from '../../feed/index.js';
+import {DemandView} from '../../loads/index.js';
+import {FleetView, SpeedTable} from '../../routing/index.js';
+import {ManualTimers} from '../../timers/index.js';
+import {computeServedFactor, FleetRolePlanner} from '../index.js';
+
+const domains = ['d-1', 'd-2'];
+const reading = {requestsPerSecond: 10, promptTokensPerSecond: 90_000, outputTokensPerSecond: 500};
+const writing = {requestsPerSecond: 10, promptTokensPerSecond: 3000, outputTokensPerSecond: 4000};
+
+function createPlanner(goodputWeight: number, roles: readonly EngineRole[] = ['mixed', 'mixed', 'mixed', 'mixed']) {
+	const timers = new ManualTimers();
+	const facts = new FactTable();
+	const upstreams: Upstream[] = roles.map((_role, index) => ({
+		id: `engine-${index}`, service: 'contracts', domain: domains[index % 2]!, address: '127.0.0.1:1', fenced: true, pieces: 64,
+	}));
+	const deployment: Deployment = {
+		name: 'umuhora',
+		goodputWeight,
+		domains,
+		callers: {requestsPerSecond: 1, tokensPerSecond: 1},
+		services: [{
+			kind: 'model', name: 'contracts', dependsOn: [], model: 'contracts', version: '1', adapters: [], deadlineMs: 1000, firstTokenMs: 900, betweenTokensMs: 54, floor: {prefill: 1, decode: 1},
+		}],
+		upstreams,
+	};
+	const view = new FleetView(facts, () => deployment, 'd-1');
+	let version = 0;
+	const publishState = (id: string, state: 'serving' | 'closing', role: EngineRole) => {
+		version++;
+		facts.merge({
+			kind: 'upstream', key: id, version, value: {
+				state, setup: {
+					role, model: 'contracts', version: '1', adapters: [],
+				},
+			},
+		});
+	};
+
+	const publishMember = (domain: string) => {
+		facts.merge({
+			kind: 'member', key: domain, version: 1, value: {
+				vm: domain, domain, http: '', peer: '', incarnation: 1, state: 'live', configuration: 1, closed: {},
+			},
+		});
+	};
+
+	for (const [index, role] of roles.entries()) {
+		publishState(`engine-${index}`, 'serving', role);
+	}
+
+	const planner = new FleetRolePlanner({
+		timers,
+		facts,
+		view,
+		speeds: new SpeedTable(timers),
+		demand: new DemandView({
+			timers, facts, view, vm: 'vm-1',
+		}),
+	});
+	planner.start();
+	const publishDemand = (value: typeof reading) => {
+		for (const domain of domains) {
+			version++;
+			facts.merge({
+				kind: 'demand', key: `${domain}/contracts/vm`, version, value,
+			});
+		}
+	};
+
+	for (const domain of domains) {
+		publishMember(domain);
+	}
+
+	const planFor = async (seconds: number) => {
+		for (let second = 0; second < seconds; second++) {
+			await timers.advance(1000);
+			const change = planner.planChange();
+			if (change) {
+				return change;
+			}
+		}
+
+		return undefined;
+	};
+
+	return {
+		facts, publishDemand, publishState, planFor,
+	};
+}
+
+describe('computeServedFactor', () => {
+	it('gives prefill to the engines that are best at it', () => {
+		const prefill = {prefill: 40, decode: 1};
+		const decode = {prefill: 10, decode: 4};
+		expect(computeServedFactor([prefill, decode], {prompt: 40, output: 4})).to.be.closeTo(1, 0.01);
+		expect(computeServedFactor([prefill], {prompt: 40, output: 1})).to.be.closeTo(0.5, 0.01);
+	});
+});
+
+describe('FleetRolePlanner', () => {
+	it('moves an engine of its own domain towards the mix, with the reason in figures', async () => {
+		const {publishDemand, planFor} = createPlanner(1);
+		publishDemand(reading);
+		const change = await planFor(60);
+		expect(change?.upstream).to.be.oneOf(['engine-0', 'engine-2']);
+		expect(change?.role).to.equal('prefill');
+		expect(change?.reason).to.match(/answers of d-1 in time: \d+% as mixed, \d+% as prefill/v);
+	});
+
+	it('plans for writing as well', async () => {
+		const {publishDemand, planFor} = createPlanner(1);
+		publishDemand(writing);
+		const change = await planFor(60);
+		expect(change?.role).to.equal('decode');
+	});
+
+	it('stays still when the demand is met', async () => {
+		const {publishDemand, planFor} = createPlanner(1);
+		publishDemand({requestsPerSecond: 1, promptTokensPerSecond: 2000, outputTokensPerSecond: 100});
+		expect(await planFor(60)).to.equal(undefined);
+	});
+
+	it('waits while another engine of the fleet changes', async () => {
+		const {publishDemand, publishState, planFor} = createPlanner(1);
+		publishDemand(reading);
+		publishState('engine-1', 'closing', 'mixed');
+		expect(await planFor(40)).to.equal(undefined);
+	});
+
+	it('stays still while all other domains are out of sight', async () => {
+		const {facts, publishDemand, planFor} = createPlanner(1);
+		publishDemand(reading);
+		facts.forget('member', 'd-2');
+		expect(await planFor(40)).to.equal(undefined);
+	});
+
+	it('follows a short swing only where goodput weighs more', async () => {
+		const planSwing = async (weight: number) => {
+			const {publishDemand, planFor} = createPlanner(weight);
+			publishDemand({requestsPerSecond: 1, promptTokensPerSecond: 2000, outputTokensPerSecond: 100});
+			await planFor(60);
+			publishDemand(reading);
+			return planFor(10);
+		};
+
+		expect(await planSwing(1)).to.not.equal(undefined);
+		expect(await planSwing(0)).to.equal(undefined);
+	});
+
+	it('keeps the floors', async () => {
+		const {publishDemand, planFor} = createPlanner(1, ['mixed', 'prefill', 'prefill', 'prefill']);
+		publishDemand(reading);
+		const change = await planFor(60);
+		expect(change?.upstream).to.not.equal('engine-0');
+	});
+});
