--- /dev/null
+++ b/bench/limits.ts
@@ -0,0 +1,89 @@
+#!/usr/bin/env node
+import {CallerLimiter} from '../src/fairness/index.js';
+import {RandomSource} from '../src/rates/index.js';
+import {ManualTimers} from '../src/timers/index.js';
+
+/** Compares two ways of holding a caller to a rate, in process and seeded: `node dist/bench/limits.js`. */
+const limit = 20;
+const seconds = 120;
+const seeds = 5;
+
+type Gate = (now: number) => boolean;
+
+/** A token bucket, as it is used. */
+function createBucket(timers: ManualTimers): Gate {
+	const limiter = new CallerLimiter(timers);
+	return () => limiter.tryTake('caller', 1, {requestsPerSecond: limit, tokensPerSecond: 1e9}, 1).isWithin;
+}
+
+/** A counter that is halved each second, with refusals by chance `1 - limit / (counter * ln 2)`. */
+function createHalving(random: RandomSource): Gate {
+	let counter = 0;
+	let halvedAt = 0;
+	return now => {
+		while (now - halvedAt >= 1000) {
+			counter /= 2;
+			halvedAt += 1000;
+		}
+
+		counter++;
+		return random.pickUnit() < limit / (counter * Math.LN2);
+	};
+}
+
+/** Traffic: the mean rate asked for, as a factor of the limit, and whether it comes in bursts of two seconds in ten. */
+const traffics = [
+	{name: 'half the limit, steady', factor: 0.5, isBursty: false},
+	{name: '0.9 of the limit, steady', factor: 0.9, isBursty: false},
+	{name: 'half the limit, in bursts', factor: 0.5, isBursty: true},
+	{name: 'three times the limit, steady', factor: 3, isBursty: false},
+	{name: 'three times the limit, in bursts', factor: 3, isBursty: true},
+] as const;
+
+console.log('| traffic | way | admitted of the limit | wrongly refused | highest second of the limit |');
+console.log('| --- | --- | --- | --- | --- |');
+for (const traffic of traffics) {
+	for (const way of ['bucket', 'halving'] as const) {
+		const sums = {admitted: 0, offered: 0, highest: 0};
+		for (let seed = 1; seed <= seeds; seed++) {
+			const result = await measureWay(traffic, way, seed);
+			sums.admitted += result.admitted / seeds;
+			sums.offered += result.offered / seeds;
+			sums.highest += result.highest / seeds;
+		}
+
+		const allowed = Math.min(sums.offered, limit * seconds);
+		const wrong = Math.max(0, allowed - sums.admitted) / allowed;
+		const cells = [traffic.name, way, (sums.admitted / limit / seconds).toFixed(2), wrong.toFixed(3), (sums.highest / limit).toFixed(2)];
+		console.log(`| ${cells.join(' | ')} |`);
+	}
+}
+
+async function measureWay(traffic: (typeof traffics)[number], way: 'bucket' | 'halving', seed: number) {
+	const timers = new ManualTimers();
+	const random = new RandomSource(seed);
+	const gate = way === 'bucket' ? createBucket(timers) : createHalving(random);
+	const counts = new Map<number, number>();
+	let offered = 0;
+	let admitted = 0;
+	let now = 0;
+	while (now < seconds * 1000) {
+		const second = Math.floor(now / 1000);
+		const isQuiet = traffic.isBursty && second % 10 >= 2;
+		if (isQuiet) {
+			now = (second + 1) * 1000;
+			continue;
+		}
+
+		const rate = limit * traffic.factor * (traffic.isBursty ? 5 : 1);
+		now += -Math.log(1 - random.pickUnit()) * 1000 / rate;
+		await timers.advance(Math.max(0, now - timers.getNow()));
+		offered++;
+		if (gate(now)) {
+			admitted++;
+			counts.set(second, (counts.get(second) ?? 0) + 1);
+		}
+	}
+
+	return {offered, admitted, highest: Math.max(...counts.values())};
+}
--- /dev/null
+++ b/src/loads/test/collector.test.ts
@@ -0,0 +1,107 @@
+import {expect} from 'chai';
+import {defaultEngineOptions, EngineCore, LocalEngine} from '../../../standins/engine/index.js';
+import type {Deployment, Upstream} from '../../deployment/index.js';
+import {FactTable} from '../../feed/index.js';
+import {Metrics} from '../../metrics/index.js';
+import {FleetView, PrefixTable} from '../../routing/index.js';
+import {ManualTimers} from '../../timers/index.js';
+import {
+	DemandMeter, DemandReporter, DemandView, LoadCollector,
+} from '../index.js';
+
+const upstreams: Upstream[] = Array.from({length: 8}, (_value, index) => ({
+	id: `engine-${index}`, service: 'contracts', domain: index < 6 ? 'here' : 'there', address: '127.0.0.1:1', fenced: true, pieces: 64,
+}));
+const deployment: Deployment = {
+	name: 'umuhora',
+	goodputWeight: 1,
+	domains: ['here', 'there'],
+	callers: {requestsPerSecond: 1, tokensPerSecond: 1},
+	services: [{
+		kind: 'model', name: 'contracts', dependsOn: [], model: 'contracts', version: '1', adapters: [], deadlineMs: 1000, firstTokenMs: 900, betweenTokensMs: 54, floor: {prefill: 1, decode: 1},
+	}],
+	upstreams,
+};
+
+function createEntries(names: readonly string[]) {
+	const timers = new ManualTimers();
+	const engines = new Map(upstreams.map(({id}) => [id, new LocalEngine(new EngineCore(timers, defaultEngineOptions))]));
+	const polls: string[] = [];
+	const entries = names.map(vm => {
+		const facts = new FactTable();
+		for (const name of names) {
+			facts.merge({
+				kind: 'member', key: name, version: 1, value: {
+					vm: name, domain: 'here', http: '', peer: '', incarnation: 1, state: 'live', configuration: 1, closed: {},
+				},
+			});
+		}
+
+		const view = new FleetView(facts, () => deployment, 'here');
+		const collector = new LoadCollector({
+			timers,
+			facts,
+			view,
+			prefixes: new PrefixTable(),
+			metrics: new Metrics(),
+			vm,
+			getEngine(upstream) {
+				polls.push(upstream.id);
+				return engines.get(upstream.id)!;
+			},
+		});
+		return {facts, view, collector};
+	});
+	return {
+		timers, engines, entries, polls,
+	};
+}
+
+describe('LoadCollector', () => {
+	it('reads each engine of the domain through exactly one entry', async () => {
+		const {entries, polls} = createEntries(['vm-1', 'vm-2', 'vm-3']);
+		await Promise.all(entries.map(async ({collector}) => collector.collect()));
+		expect(polls.toSorted()).to.deep.equal(['engine-0', 'engine-1', 'engine-2', 'engine-3', 'engine-4', 'engine-5']);
+	});
+
+	it('tells only of loads that changed, and of the others now and then', async () => {
+		const {timers, entries: [entry]} = createEntries(['vm-1']);
+		let told = 0;
+		entry!.facts.subscribe(() => {
+			told++;
+		});
+		entry!.collector.start();
+		await timers.advance(10_500);
+		expect(told).to.be.within(12, 18);
+	});
+
+	it('goes on when an engine does not answer', async () => {
+		const {engines, entries: [entry]} = createEntries(['vm-1']);
+		engines.get('engine-0')!.isGone = true;
+		await entry!.collector.collect();
+		expect(entry!.facts.get('load', 'engine-0')).to.equal(undefined);
+		expect(entry!.facts.get('load', 'engine-1')).to.not.equal(undefined);
+	});
+});
+
+describe('DemandReporter', () => {
+	it('tells what was offered, which the view sums over the entries and forgets when stale', async () => {
+		const {timers, entries: [entry]} = createEntries(['vm-1', 'vm-2']);
+		const {facts, view} = entry!;
+		const sum = new DemandView({
+			timers, facts, view, vm: 'vm-1',
+		});
+		for (const vm of ['vm-1', 'vm-2']) {
+			const meter = new DemandMeter(timers);
+			meter.count('contracts', 1000, 100);
+			new DemandReporter({
+				timers, facts, view, vm,
+			}, meter).publish();
+		}
+
+		expect(sum.compute('contracts').promptTokensPerSecond).to.be.within(1800, 2200);
+		expect(sum.compute('contracts', 'there').promptTokensPerSecond).to.equal(0);
+		await timers.advance(60_000);
+		expect(sum.compute('contracts').promptTokensPerSecond).to.equal(0);
+	});
+});
