--- /dev/null
+++ b/bench/feed/fleet.ts
@@ -0,0 +1,140 @@
+import process from 'node:process';
+import {createRecords, FakeEntry, getAddress} from '../../faults/fakes/fleet.js';
+import {FakeWires} from '../../faults/fakes/network.js';
+import {FakePlatform} from '../../faults/fakes/store.js';
+import {upstreamState} from '../../src/feed/index.js';
+import {choosePoller} from '../../src/membership/index.js';
+import {RandomSource} from '../../src/rates/index.js';
+import {ManualTimers} from '../../src/timers/index.js';
+
+/** Sizes of a fleet of entries whose feed is measured in one process. */
+export type FeedSizes = {
+	readonly entries: number;
+	readonly domains: number;
+	/** Engines of each domain; each is read and told once a second. */
+	readonly engines: number;
+};
+
+/** Bytes a second at a node: the mean, the 95th percentile and the most of all nodes. */
+export type ByteRates = {readonly mean: number; readonly p95: number; readonly most: number};
+
+const settleMs = 15_000;
+const warmMs = 3000;
+const stepMs = 50;
+const longestSpreadMs = 20_000;
+const seed = 7;
+
+/** Entries with their real feed and membership over fake wires and clocks. */
+export class FeedFleet {
+	readonly entries: readonly FakeEntry[];
+	readonly #timers = new ManualTimers();
+	readonly #wires = new FakeWires(this.#timers);
+	readonly #random = new RandomSource(seed);
+	readonly #sizes: FeedSizes;
+
+	constructor(sizes: FeedSizes) {
+		this.#sizes = sizes;
+		const platform = new FakePlatform(this.#timers);
+		platform.vms = createRecords(sizes.entries, Array.from({length: sizes.domains}, (_, index) => `domain-${index + 1}`));
+		this.entries = platform.vms.map(record => new FakeEntry({
+			vm: record.vm, domain: record.domain, platform, wires: this.#wires, timers: this.#timers,
+		}));
+	}
+
+	/** Starts every entry and lets links and membership settle. */
+	async start(): Promise<void> {
+		for (const entry of this.entries) {
+			await entry.start();
+			this.#startLoads(entry);
+		}
+
+		await this.#timers.advance(settleMs);
+	}
+
+	/** Counts bytes sent and received at each node for `seconds`; the processor time is of the whole process. */
+	async measureTraffic(seconds: number): Promise<{readonly sent: ByteRates; readonly received: ByteRates; readonly cpuMs: number}> {
+		const wires = this.#wires;
+		wires.isCounted = true;
+		await this.#timers.advance(warmMs);
+		wires.sentBytes.clear();
+		wires.receivedBytes.clear();
+		const cpu = process.cpuUsage();
+		await this.#timers.advance(seconds * 1000);
+		const used = process.cpuUsage(cpu);
+		wires.isCounted = false;
+		return {
+			sent: this.#computeRates(wires.sentBytes, seconds),
+			received: this.#computeRates(wires.receivedBytes, seconds),
+			cpuMs: (used.user + used.system) / 1000 / seconds / this.entries.length,
+		};
+	}
+
+	/** Measures how long a change of an upstream's state takes to be known everywhere, in milliseconds. */
+	async measureUpstreamSpread(): Promise<number> {
+		this.entries[0]!.facts.merge({
+			kind: 'upstream', key: 'probe', version: 1, value: {state: upstreamState.closing},
+		});
+		return this.#waitForSpread(entry => entry.facts.get('upstream', 'probe')?.version === 1);
+	}
+
+	/** Measures how long a configuration of `bytes` takes to be known everywhere, in milliseconds. */
+	async measureConfigurationSpread(bytes: number): Promise<number> {
+		this.entries[0]!.facts.merge({
+			kind: 'configuration', key: '', version: 1, value: {text: 'x'.repeat(bytes), hash: 'h'},
+		});
+		return this.#waitForSpread(entry => entry.facts.get('configuration', '')?.version === 1);
+	}
+
+	#startLoads(entry: FakeEntry): void {
+		const {domain} = entry.membership.own.createFact();
+		let sequence = 0;
+		entry.timers.startInterval(1000, () => {
+			const members = entry.membership.listLive(domain).map(member => member.vm);
+			sequence++;
+			for (let engine = 0; engine < this.#sizes.engines; engine++) {
+				const key = `${domain}-engine-${engine}`;
+				if (choosePoller(key, members) === entry.vm) {
+					this.#publishLoad(entry, key, sequence);
+				}
+			}
+		});
+	}
+
+	#publishLoad(entry: FakeEntry, key: string, sequence: number): void {
+		const pick = (bound: number) => this.#random.pickIndex(bound);
+		entry.facts.merge({
+			kind: 'load',
+			key,
+			version: Math.floor(this.#timers.getWall()),
+			value: {
+				sequence,
+				incarnation: 1_700_000_000_000,
+				role: 'mixed',
+				running: pick(40),
+				waiting: pick(20),
+				prefillTokens: pick(60_000),
+				decodeTokens: pick(30_000),
+				piecesUsed: pick(900),
+				pieces: 1000,
+			},
+		});
+	}
+
+	#computeRates(bytes: ReadonlyMap<string, number>, seconds: number): ByteRates {
+		const rates = this.entries.map(entry => (bytes.get(getAddress(entry.vm)) ?? 0) / seconds).toSorted((left, right) => left - right);
+		return {
+			mean: rates.reduce((sum, rate) => sum + rate, 0) / rates.length,
+			p95: rates[Math.floor(rates.length * 0.95)]!,
+			most: rates.at(-1)!,
+		};
+	}
+
+	async #waitForSpread(isThere: (entry: FakeEntry) => boolean): Promise<number> {
+		const at = this.#timers.getNow();
+		while (!this.entries.every(entry => isThere(entry)) && this.#timers.getNow() - at < longestSpreadMs) {
+			await this.#timers.advance(stepMs);
+		}
+
+		return this.#timers.getNow() - at;
+	}
+}
--- a/bench/slopes/feed.ts
+++ b/bench/slopes/feed.ts
@@ -1,3 +1,5 @@
+import {FeedFleet} from '../feed/fleet.js';
+import type {FeedSizes} from '../feed/fleet.js';
 import {
 	createDeployment, createFacts, createWork, longRun,
 } from './fleet.js';
@@ -38,6 +40,64 @@
 	},
 ];
 
+const trafficSeconds = 8;
+
+/** Slopes of the feed between entries, in one process over fake wires: bytes at a node, and the time to be everywhere. */
+export const trafficSlopes: readonly Slope[] = [
+	{
+		role: 'feed',
+		what: 'bytes a second a node, sent and received, mean',
+		against: 'engines of a domain (20 entries, one domain)',
+		sizes: [3, 30, 60, 120],
+		measure: async engines => measureTraffic({entries: 20, domains: 1, engines}),
+		repeats: 1,
+	},
+	{
+		role: 'feed',
+		what: 'bytes a second a node, sent and received, mean',
+		against: 'entries of a domain (120 engines, one domain)',
+		sizes: [3, 10, 30, 76],
+		measure: async entries => measureTraffic({entries, domains: 1, engines: 120}),
+		repeats: 1,
+	},
+	{
+		role: 'feed',
+		what: 'processor ms a second a node, harness included',
+		against: 'entries of a domain (120 engines, one domain)',
+		sizes: [3, 10, 30, 76],
+		measure: async entries => measureProcessor({entries, domains: 1, engines: 120}),
+		repeats: 1,
+	},
+	{
+		role: 'feed',
+		what: 'ms until a closed upstream is known everywhere',
+		against: 'entries of a domain (no loads)',
+		sizes: [3, 10, 30, 76],
+		measure: async entries => measureSpread({entries, domains: 1, engines: 0}),
+		repeats: 1,
+	},
+];
+
+async function measureTraffic(sizes: FeedSizes): Promise<number> {
+	const fleet = new FeedFleet(sizes);
+	await fleet.start();
+	const {sent, received} = await fleet.measureTraffic(trafficSeconds);
+	return sent.mean + received.mean;
+}
+
+async function measureProcessor(sizes: FeedSizes): Promise<number> {
+	const fleet = new FeedFleet(sizes);
+	await fleet.start();
+	const {cpuMs} = await fleet.measureTraffic(trafficSeconds);
+	return cpuMs;
+}
+
+async function measureSpread(sizes: FeedSizes): Promise<number> {
+	const fleet = new FeedFleet(sizes);
+	await fleet.start();
+	return fleet.measureUpstreamSpread();
+}
+
 function measureFacts(nodes: number, engines: number): number {
 	const sizes = {...longRun, nodes, engines};
 	const deployment = createDeployment(sizes);
--- a/bench/slopes/slope.ts
+++ b/bench/slopes/slope.ts
@@ -12,14 +12,16 @@
 	readonly sizes: readonly number[];
 	/** Takes one reading. */
 	readonly measure: (size: number) => Promise<number> | number;
+	/** Readings at each size, of which the median counts; 1 where virtual time gives the same each time. */
+	readonly repeats?: number;
 };
 
 /** A slope with its readings and the line through them. */
 export type MeasuredSlope = Slope & {readonly readings: readonly Reading[]; readonly fit: Fit};
 
-const repeats = 3;
+const usualRepeats = 3;
 
-/** Takes the readings of a slope: the median of three at each size. */
+/** Takes the readings of a slope: the median of three at each size, if it does not say otherwise. */
 export async function measureSlope(slope: Slope): Promise<MeasuredSlope> {
 	const readings: Reading[] = [];
 	for (const size of slope.sizes) {
@@ -29,10 +31,10 @@
 	return {...slope, readings, fit: computeFit(readings)};
 }
 
-async function measureMedian(slope: Slope, size: number): Promise<number> {
+async function measureMedian({measure, repeats = usualRepeats}: Slope, size: number): Promise<number> {
 	const values: number[] = [];
 	for (let index = 0; index < repeats; index++) {
-		values.push(await slope.measure(size));
+		values.push(await measure(size));
 	}
 
 	return values.toSorted((left, right) => left - right)[Math.floor(repeats / 2)] ?? 0;
