Add the operators' command line and the reference of settings

Cause: operators could only use curl and had no list of keys; a conflict showed neither version nor difference.

--- /dev/null
+++ b/src/cli/commands/events.ts
@@ -0,0 +1,20 @@
+import {Flags} from '@oclif/core';
+import {entryFlags, OperatorCommand} from '../base.js';
+import {formatEvents} from '../events.js';
+import type {EventsAnswer} from '../events.js';
+
+/** Lists changes of state. */
+export default class Events extends OperatorCommand {
+	static override readonly description = 'List the changes of state that the entries remember.';
+	static override readonly flags = {...entryFlags, subject: Flags.string({description: 'only of this subject, such as engine/engine-1'})};
+
+	async runCommand() {
+		const {flags} = await this.parse(Events);
+		const answer = await this.createClient(flags.entry).read<EventsAnswer>('events', flags.subject === undefined ? {} : {subject: flags.subject});
+		for (const line of formatEvents(answer)) {
+			this.log(line);
+		}
+
+		return answer;
+	}
+}
--- /dev/null
+++ b/src/cli/commands/resume.ts
@@ -0,0 +1,15 @@
+import {operationKind} from '../../operations/index.js';
+import {waitFlags} from '../base.js';
+import {AskCommand, upstreamArgs} from '../operate.js';
+
+/** Asks for `resume`. */
+export default class Resume extends AskCommand {
+	static override readonly description = 'Take a drained upstream into use again.';
+	static override readonly args = upstreamArgs;
+	static override readonly flags = waitFlags;
+
+	async runCommand() {
+		const {args, flags} = await this.parse(Resume);
+		return this.runOperation({kind: operationKind.resume, subject: args.upstream}, flags);
+	}
+}
--- /dev/null
+++ b/src/cli/commands/withdraw.ts
@@ -0,0 +1,15 @@
+import {operationKind} from '../../operations/index.js';
+import {waitFlags} from '../base.js';
+import {AskCommand, upstreamArgs} from '../operate.js';
+
+/** Asks for `withdraw`. */
+export default class Withdraw extends AskCommand {
+	static override readonly description = 'Take an upstream out for good, once its requests have ended.';
+	static override readonly args = upstreamArgs;
+	static override readonly flags = waitFlags;
+
+	async runCommand() {
+		const {args, flags} = await this.parse(Withdraw);
+		return this.runOperation({kind: operationKind.withdraw, subject: args.upstream}, flags);
+	}
+}
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -48,6 +48,12 @@
 			stopDecisions();
 		},
 	});
+	callers.stop.addLastTask({
+		name: 'stop following the configuration',
+		async run() {
+			parts.keeper.stop();
+		},
+	});
 	startAuthority(callers, parts.decisions.planner);
 	return callers.stop;
 }
--- a/src/entry/operators.ts
+++ b/src/entry/operators.ts
@@ -13,11 +13,14 @@
 import {readJson, sendJson} from './http.js';
 import type {KeptParts} from './configuration.js';
 
-type Operators = {readonly parts: KeptParts; readonly getMembership: () => Membership | undefined};
+/** What the operators' side uses of an entry. */
+export type OperatorParts = Pick<KeptParts, 'settings' | 'store' | 'facts' | 'timers' | 'history' | 'keeper' | 'getDeployment'>;
+
+type Operators = {readonly parts: OperatorParts; readonly getMembership: () => Membership | undefined};
 type Answer = (operators: Operators, request: Request) => Promise<unknown>;
 
 /** Adds the paths that operators use. */
-export function addOperatorRoutes(app: Polka, parts: KeptParts, getMembership: () => Membership | undefined): void {
+export function addOperatorRoutes(app: Polka, parts: OperatorParts, getMembership: () => Membership | undefined): void {
 	const operators = {parts, getMembership};
 	app.get('/ops/status', wrapAnswer(operators, createStatus));
 	app.get('/ops/configuration', wrapAnswer(operators, async () => parts.keeper.getStatus()));
@@ -74,7 +77,7 @@
 }
 
 /** The holder as the domain's order record has it; the store may be down. */
-async function readAuthority(parts: KeptParts, domain: string): Promise<unknown> {
+async function readAuthority(parts: OperatorParts, domain: string): Promise<unknown> {
 	try {
 		const found = await parts.store.read(storeKey.orders(domain));
 		const record = found && JSON.parse(found.value) as {readonly holder?: unknown; readonly fence?: unknown};
@@ -84,7 +87,7 @@
 	}
 }
 
-async function readOperations(parts: KeptParts, domain: string): Promise<unknown> {
+async function readOperations(parts: OperatorParts, domain: string): Promise<unknown> {
 	try {
 		return await listOperations(parts.store, domain);
 	} catch {
--- a/src/errors/errors.ts
+++ b/src/errors/errors.ts
@@ -75,6 +75,15 @@
 /** A call with the same idempotency key is in progress; whether it runs is not known yet. */
 export const KeyPendingError = createClass('KeyPendingError', {retryAfterMs: 1000});
 
+/** None of the entries that were asked could be reached. */
+export const EntryUnreachableError = createClass('EntryUnreachableError', {});
+
+/** An entry refused what an operator asked; `body` is what it answered. */
+export const EntryRefusedError = createClass('EntryRefusedError', {status: 0, type: '', body: {}});
+
+/** What was asked is under way and has not ended within the time given. */
+export const StillWaitingError = createClass('StillWaitingError', {});
+
 /** A message from a peer is malformed, too long or too deep. */
 export const BadFrameError = createClass('BadFrameError', {});
 
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -4,7 +4,8 @@
 	addressSchema as address, createError, parseToml, ProblemList,
 } from '../deployment/index.js';
 
-const entrySchema = z.strictObject({
+/** Keys of an entry's settings. */
+export const entrySchema = z.strictObject({
 	vm: z.string().min(1),
 	domain: z.string().min(1),
 	/** Where callers, operators and the balancer come in. */
--- /dev/null
+++ b/src/settings/test/reference.test.ts
@@ -0,0 +1,45 @@
+import {readFileSync} from 'node:fs';
+import {expect} from 'chai';
+// The reference is checked against the schemas themselves, which are no public surface.
+import * as text from '../../deployment/wire.js';
+import {entrySchema} from '../settings.js';
+
+type Shape = Readonly<Record<string, {safeParse: (value: unknown) => {success: boolean; data?: unknown}}>>;
+
+const reference = readFileSync('docs/SETTINGS.md', 'utf8');
+
+function listRows(section: string): string[] {
+	const rows = reference.split('\n').filter(line => line.startsWith(`| \`${section}`));
+	return rows.map(row => row.split('|').slice(2, 4).map(cell => cell.trim()).join(' '));
+}
+
+function listKeys(shape: Shape): string[] {
+	return Object.entries(shape).map(([key, schema]) => `\`${key}\` ${formatDefault(schema)}`);
+}
+
+function formatDefault(schema: Shape[string]): string {
+	const result = schema?.safeParse(undefined);
+	const value = result?.success ? JSON.stringify(result.data) : 'required';
+	return value === '[]' ? '`[]`' : value;
+}
+
+describe('docs/SETTINGS.md', () => {
+	const sections: ReadonlyArray<readonly [string, Record<string, unknown>]> = [
+		['[deployment]', text.headSchema.shape],
+		['[callers]', text.callersSchema.shape],
+		['[[upstreams]]', text.upstreamSchema.shape],
+		['[services.NAME]', {...text.modelSchema.shape, ...text.applicationSchema.shape, kind: undefined}],
+	];
+	for (const [section, shape] of sections) {
+		it(`names every key of ${section} with its default, and no other`, () => {
+			expect(listRows(section)).to.have.members(listKeys(shape as Shape));
+		});
+	}
+
+	it('names every key of an entry\'s settings with its default, and no other', () => {
+		const [, after = ''] = reference.split('## An entry\'s settings');
+		const [own = ''] = after.split('## How');
+		const rows = own.split('\n').filter(line => line.startsWith('| `')).map(line => line.split('|').slice(1, 3).map(cell => cell.trim()).join(' '));
+		expect(rows).to.have.members(listKeys(entrySchema.shape));
+	});
+});
