--- a/bench/feedtrial.ts
+++ b/bench/feedtrial.ts
@@ -3,6 +3,7 @@
 import {createRecords, FakeEntry, getAddress} from '../faults/fakes/fleet.js';
 import {FakeWires} from '../faults/fakes/network.js';
 import {FakePlatform} from '../faults/fakes/store.js';
+import {computeTextHash} from '../src/deployment/index.js';
 import {upstreamState} from '../src/feed/index.js';
 import {choosePoller} from '../src/membership/index.js';
 import {ManualTimers} from '../src/timers/index.js';
@@ -51,9 +52,10 @@
 		kind: 'upstream', key: 'probe', version: 1, value: {state: upstreamState.closing},
 	});
 }, entry => entry.facts.get('upstream', 'probe')?.version === 1);
+const text = 'x'.repeat(100_000);
 await measureSpread('a configuration', () => {
 	entries[0]!.facts.merge({
-		kind: 'configuration', key: '', version: 1, value: {text: 'x'.repeat(100_000), hash: 'h'},
+		kind: 'configuration', key: '', version: 1, value: {text, hash: computeTextHash(text)},
 	});
 }, entry => entry.facts.get('configuration', '')?.version === 1);
 process.exit(0);
--- a/faults/fakes/fleet.ts
+++ b/faults/fakes/fleet.ts
@@ -1,6 +1,6 @@
-import {
-	FactTable, FeedHub,
-} from '../../src/feed/index.js';
+import {ConfigurationKeeper} from '../../src/configuration/index.js';
+import {computeTextHash} from '../../src/deployment/index.js';
+import {FactTable, FeedHub} from '../../src/feed/index.js';
 import type {HubOptions} from '../../src/feed/index.js';
 import {History} from '../../src/history/index.js';
 import {Membership} from '../../src/membership/index.js';
@@ -21,14 +21,16 @@
 	readonly wires: FakeWires;
 	readonly timers: TimerService;
 	readonly seeds?: readonly string[];
-	readonly without?: HubOptions['without'];
+	/** Mechanisms taken out. */
+	readonly without?: ReadonlySet<string>;
 };
 
 /** The feed and membership of one entry, over fake wires and a fake platform. */
 export class FakeEntry {
 	readonly vm: string;
 	readonly address: string;
-	readonly facts = new FactTable();
+	readonly facts: FactTable;
+	readonly keeper: ConfigurationKeeper;
 	readonly timers: ProcessTimers;
 	readonly history: History;
 	readonly metrics = new Metrics();
@@ -43,6 +45,7 @@
 
 	constructor(options: FakeEntryOptions) {
 		this.vm = options.vm;
+		this.facts = new FactTable(!options.without?.has('highest version holds'));
 		this.#wires = options.wires;
 		this.address = getAddress(options.vm);
 		this.timers = new ProcessTimers(options.timers);
@@ -50,6 +53,18 @@
 		this.store = new FakeStore(options.platform);
 		this.vms = new FakeVmList(options.platform);
 		this.network = new FakeNetwork(options.wires, this.address);
+		this.keeper = new ConfigurationKeeper({
+			vm: options.vm,
+			store: this.store,
+			facts: this.facts,
+			timers: this.timers,
+			history: this.history,
+			metrics: this.metrics,
+			pick: () => 0.5,
+			listLive: () => this.membership.listLive(options.domain).map(member => member.vm),
+			countExpected: () => this.membership.listMembers(options.domain).length,
+			without: options.without as ReadonlySet<'highest version holds'>,
+		});
 		this.membership = new Membership({
 			vm: options.vm,
 			domain: options.domain,
@@ -63,7 +78,7 @@
 				isOpen: upstream => this.facts.get('upstream', upstream)?.value.state === 'serving',
 				countRunning: upstream => this.running.get(upstream) ?? 0,
 			},
-			getConfiguration: () => this.facts.get('configuration', '')?.version ?? 0,
+			getConfiguration: () => this.keeper.getVersion(),
 			isNear: () => true,
 		});
 		this.hub = new FeedHub({
@@ -76,8 +91,8 @@
 			timers: this.timers,
 			metrics: this.metrics,
 			listNeighbors: () => this.membership.listNeighbors(),
-			isText: () => true,
-			without: options.without,
+			isText: (text, hash) => computeTextHash(text) === hash,
+			without: options.without as HubOptions['without'],
 		});
 	}
 
