--- a/bench/feed/fleet.ts
+++ b/bench/feed/fleet.ts
@@ -2,6 +2,7 @@
 import {createRecords, FakeEntry, getAddress} from '../../faults/fakes/fleet.js';
 import {FakeWires} from '../../faults/fakes/network.js';
 import {FakePlatform} from '../../faults/fakes/store.js';
+import {computeTextHash} from '../../src/deployment/index.js';
 import {upstreamState} from '../../src/feed/index.js';
 import {choosePoller} from '../../src/membership/index.js';
 import {RandomSource} from '../../src/rates/index.js';
@@ -79,8 +80,9 @@
 
 	/** Measures how long a configuration of `bytes` takes to be known everywhere, in milliseconds. */
 	async measureConfigurationSpread(bytes: number): Promise<number> {
+		const text = 'x'.repeat(bytes);
 		this.entries[0]!.facts.merge({
-			kind: 'configuration', key: '', version: 1, value: {text: 'x'.repeat(bytes), hash: 'h'},
+			kind: 'configuration', key: '', version: 1, value: {text, hash: computeTextHash(text)},
 		});
 		return this.#waitForSpread(entry => entry.facts.get('configuration', '')?.version === 1);
 	}
