--- a/xo.config.js
+++ b/xo.config.js
@@ -7,6 +7,11 @@
 			'unicorn/prevent-abbreviations': 'off',
 			// Procedures run their steps one after another; each step waits for the one before it.
 			'no-await-in-loop': 'off',
+		},
+	},
+	{
+		files: ['**/*.ts'],
+		rules: {
 			// The brief wants type imports kept apart from the others.
 			'import-x/no-duplicates': ['error', {'prefer-inline': false}],
 			'import-x/consistent-type-specifier-style': ['error', 'prefer-top-level'],
