Stay with a silent engine that answers a probe, without a retry from the budget

The first token of a long prompt in a queue comes later than the silence limit (1.8 s); the new connection to the same, living engine was taken from the retry budget, which was empty, and each silence counted as a failure of the engine, so that its health closed it. Ruled out: longer limits (a connection gone silent would be found later); a larger budget (it bounds real retries). The new test fails without the change.

--- a/src/serving/stream.ts
+++ b/src/serving/stream.ts
@@ -13,6 +13,7 @@
 import type {EngineConnection} from './attempt.js';
 import type {AnswerCheck} from './check.js';
 import {decideFailure} from './failure.js';
+import type {Failure} from './failure.js';
 import {importPrefilled} from './kv.js';
 import type {StreamLimits} from './limits.js';
 
@@ -156,18 +157,16 @@
 	const failure = decideFailure(error);
 	const {upstream} = attempt.placement;
 	const wasSent = attempt.isSent;
-	attempt.finish(failure.outcome);
 	progress.hasRun ||= wasSent && failure.outcome !== placementOutcome.notRun;
 	if (failure.reason === retryReason.foreignAnswer) {
 		parts.metrics.count('dropped', 'foreign_event');
 	}
 
 	const isLast = failure.reason === undefined || parts.signal.aborted || progress.attempts >= maxAttempts;
-	let canAskAgain = !isLast && failure.isHeld && !progress.resumed.has(upstream.id) && parts.router.isOpen(upstream.id);
-	if (canAskAgain && failure.reason === retryReason.silentStream) {
-		canAskAgain = yield * callStep('ask the engine whether it answers', async () => attempt.isAnswering());
-	}
-
+	const canAskAgain = !isLast && failure.isHeld && (yield * checkHeld(failure, attempt, {parts, progress}));
+	// An engine that answers may have a queue: it keeps the request, and that is no failure of the engine.
+	const isKept = canAskAgain && failure.reason === retryReason.silentStream;
+	attempt.finish(isKept ? placementOutcome.cancelled : failure.outcome);
 	if (wasSent && failure.outcome !== placementOutcome.notRun && (isLast || !canAskAgain)) {
 		yield * callStep('cancel at the engine', () => {
 			void attempt.cancel();
@@ -179,7 +178,10 @@
 	}
 
 	checkDeadline(job, parts, {progress, cause: error});
-	checkBudget(failure.reason, {job, parts, progress}, error);
+	if (!isKept) {
+		checkBudget(failure.reason, {job, parts, progress}, error);
+	}
+
 	parts.metrics.countRetry(failure.reason);
 	if (canAskAgain) {
 		progress.resumed.add(upstream.id);
@@ -189,9 +191,21 @@
 	}
 }
 
+/** Finds out whether an engine may be asked again for a request that it may hold: once, and after silence only if it answers. */
+function * checkHeld(failure: Failure, attempt: Attempt, {parts, progress}: AttemptContext): Procedure<boolean> {
+	const {upstream} = attempt.placement;
+	if (progress.resumed.has(upstream.id) || !parts.router.isOpen(upstream.id)) {
+		return false;
+	}
+
+	return failure.reason !== retryReason.silentStream
+		|| (yield * callStep('ask the engine whether it answers', async () => attempt.isAnswering()));
+}
+
 /**
 The budget counts every further attempt. It does not end an answer of which the caller has a part: the caller would
-ask for the whole of it again, which is more work than the rest. Nor does it count an engine that closed before the send.
+ask for the whole of it again, which is more work than the rest. Nor does it count an engine that closed before the send,
+or a new connection to an engine that still holds the request.
 */
 function checkBudget(reason: RetryReason, {job, parts, progress}: FailureContext, error: unknown): void {
 	const isWithin = reason === retryReason.closedBeforeSend || parts.router.tryRetry(job.work.service);
--- a/src/serving/test/stream.test.ts
+++ b/src/serving/test/stream.test.ts
@@ -133,6 +133,15 @@
 		expect(broken.countStarted()).to.equal(8);
 	});
 
+	it('stays with a silent engine that answers a probe without taking from the retry budget or counting a failure', async () => {
+		const world = new StreamWorld();
+		world.router.retriesLeft = 0;
+		world.getEngine('e1').faults.push({fault: engineFault.silent, at: 0});
+		const record = await world.settle(world.start({work: world.createWork('r', size), prompt: 'p', offset: 0}));
+		expect(record.text).to.equal(createAnswer('p', size));
+		expect(world.router.ends).to.deep.equal([{upstream: 'e1', outcome: 'cancelled'}, {upstream: 'e1', outcome: 'done'}]);
+	});
+
 	it('gives up at the deadline, not later, and cancels at the engine', async () => {
 		const world = new StreamWorld();
 		const work = {...world.createWork('r', size), due: 1000};
