--- a/faults/table.ts
+++ b/faults/table.ts
@@ -41,9 +41,15 @@
 	}
 }
 
+/** Lists why cells were not applicable; the steps that share a procedure, a fault and a reason are counted together. */
 function formatReasons(results: readonly CellResult[]): string {
-	const reasons = new Set(results.flatMap(({cell}) => cell.notApplicable === undefined ? [] : [`- ${cell.procedure}, ${cell.step}, ${cell.fault}: ${cell.notApplicable}`]));
-	return ['Not applicable:', ...reasons].join('\n');
+	const counts = new Map<string, number>();
+	for (const {cell} of results.filter(({cell}) => cell.notApplicable !== undefined)) {
+		const key = `${cell.procedure}, ${cell.fault}: ${cell.notApplicable}`;
+		counts.set(key, (counts.get(key) ?? 0) + 1);
+	}
+
+	return ['Not applicable, with the number of steps:', '', ...[...counts].map(([key, count]) => `- ${key} (${count})`)].join('\n');
 }
 
 function formatFailures(results: readonly CellResult[]): string {
