--- a/bench/slopes/feed.ts
+++ b/bench/slopes/feed.ts
@@ -4,7 +4,7 @@
 	createDeployment, createFacts, createWork, longRun,
 } from './fleet.js';
 import type {Slope} from './slope.js';
-import {measureHeap, measureMicroseconds} from './usage.js';
+import {measureHeap, measureMicroseconds, measureStartedHeap} from './usage.js';
 
 const merges = 20_000;
 
@@ -68,6 +68,14 @@
 		measure: async entries => measureProcessor({entries, domains: 1, engines: 120}),
 		repeats: 1,
 	},
+	{
+		role: 'feed',
+		what: 'heap of a node\'s feed and membership, bytes',
+		against: 'entries of a domain (120 engines, one domain)',
+		sizes: [3, 10, 30, 76],
+		measure: async entries => measureNodeHeap({entries, domains: 1, engines: 120}),
+		repeats: 1,
+	},
 	{
 		role: 'feed',
 		what: 'ms until a closed upstream is known everywhere',
@@ -92,6 +100,15 @@
 	return cpuMs;
 }
 
+async function measureNodeHeap(sizes: FeedSizes): Promise<number> {
+	const heap = await measureStartedHeap(async () => {
+		const fleet = new FeedFleet(sizes);
+		await fleet.start();
+		return fleet;
+	});
+	return heap / sizes.entries;
+}
+
 async function measureSpread(sizes: FeedSizes): Promise<number> {
 	const fleet = new FeedFleet(sizes);
 	await fleet.start();
--- a/bench/slopes/usage.ts
+++ b/bench/slopes/usage.ts
@@ -27,6 +27,17 @@
 	return held === undefined ? 0 : after - before;
 }
 
+/** Measures the heap that is held after `start`, in bytes; `start` returns what holds it. Needs `--expose-gc`. */
+export async function measureStartedHeap(start: () => Promise<unknown>): Promise<number> {
+	runCollector();
+	const before = process.memoryUsage().heapUsed;
+	const held = new Set([await start()]);
+	runCollector();
+	const after = process.memoryUsage().heapUsed;
+	// Keeps what was started alive until after the reading.
+	return held.size === 0 ? 0 : after - before;
+}
+
 function runCollector(): void {
 	const {gc} = globalThis as {gc?: () => void};
 	if (!gc) {
