Count an entry as live only while it is heard from

Cause: found by reading: decisions took every member whose last fact says live, and a killed entry's last fact stays for ten minutes. Engines whose poller it was by hash had no load reports for that long, callers' local shares were too small and spill-over could go to a dead entry. Ruled out: forgetting facts sooner (status and barriers need them); the age is judged by each entry's own clock.

--- a/src/entry/decisions.ts
+++ b/src/entry/decisions.ts
@@ -10,7 +10,7 @@
 import type {RolePlanner} from '../planning/index.js';
 import {computeScore, RandomSource} from '../rates/index.js';
 import {
-	createPolicy, FleetView, LeastInFlightRouter, RoundRobinRouter,
+	createPolicy, FleetView, HeardMembers, LeastInFlightRouter, RoundRobinRouter,
 } from '../routing/index.js';
 import type {Choice, Router} from '../routing/index.js';
 import type {EntrySettings} from '../settings/index.js';
@@ -61,7 +61,8 @@
 	const {settings, timers, facts, getDeployment} = options;
 	const name = options.policy ?? process.env.CROCUS_POLICY;
 	const random = new RandomSource(options.seed ?? computeScore(settings.vm, String(timers.getWall())));
-	const view = new FleetView(facts, getDeployment, settings.domain);
+	const heard = new HeardMembers(facts, timers, settings.domain);
+	const view = new FleetView(facts, getDeployment, settings.domain, member => member.vm === settings.vm || heard.isHeard(member));
 	const meter = new DemandMeter(timers);
 	const demand = new DemandView({
 		timers, facts, view, vm: settings.vm,
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -14,3 +14,4 @@
 export {SpeedTable} from './speeds.js';
 export type {PeakRates, Speeds} from './speeds.js';
 export {FleetView} from './views.js';
+export {HeardMembers} from './heard.js';
--- a/src/routing/views.ts
+++ b/src/routing/views.ts
@@ -9,15 +9,19 @@
 export class FleetView {
 	readonly #facts: FactTable;
 	readonly #getDeployment: () => Deployment | undefined;
+	readonly #isHeard: (member: MemberFact) => boolean;
 
 	constructor(
 		facts: FactTable,
 		getDeployment: () => Deployment | undefined,
 		/** Failure domain of this entry. */
 		readonly domain: string,
+		/** Says whether an entry was heard from of late; a killed one says "live" in its last fact for long. */
+		isHeard: (member: MemberFact) => boolean = () => true,
 	) {
 		this.#facts = facts;
 		this.#getDeployment = getDeployment;
+		this.#isHeard = isHeard;
 	}
 
 	/** The deployment in force. */
@@ -50,7 +54,9 @@
 
 	/** Lists the live entries of a failure domain. */
 	listMembers(domain: string): readonly MemberFact[] {
-		return this.#facts.list('member').map((fact: Fact<'member'>) => fact.value).filter(member => member.domain === domain && member.state === vmState.live);
+		return this.#facts.list('member')
+			.map((fact: Fact<'member'>) => fact.value)
+			.filter(member => member.domain === domain && member.state === vmState.live && this.#isHeard(member));
 	}
 
 	/** Counts the live entries of this entry's failure domain, itself included. */
