Serve the users' platform: neutral serving core, dispatch decisions and the adapter, first whole path

Cause: the product had no adapter for the users' platform. A neutral serving core (src/gateway) passes requests unchanged, dispatch decisions (src/dispatch) queue and place them without I/O, platform/ decodes names once.

--- /dev/null
+++ b/src/dispatch/engine.ts
@@ -0,0 +1,73 @@
+import {EngineHealth} from './health.js';
+
+/** What part of a generation an engine does; `any` where it does both. */
+export const engineStage = {prefill: 'prefill', decode: 'decode', any: 'any'} as const;
+
+/** See {@link engineStage}. */
+export type EngineStage = (typeof engineStage)[keyof typeof engineStage];
+
+/** What an engine registered of itself. */
+export type EngineRecord = {
+	readonly id: string;
+	/** `host:port`. */
+	readonly address: string;
+	readonly domain: string;
+	readonly service: string;
+	readonly stage: EngineStage;
+	/** Requests that it processes at once. */
+	readonly slots: number;
+	readonly isLeaving: boolean;
+	/** Wall-clock start of this lifetime, in milliseconds; `undefined` when it does not say. */
+	readonly startedAt: number | undefined;
+};
+
+/** How busy an engine said that it was when it answered. */
+export type EngineLoad = {
+	readonly running: number;
+	readonly waiting: number;
+};
+
+/** Time for which a load report counts in full, in milliseconds: a few service times of short requests. */
+const freshLoadMs = 100;
+/** Half-life of an older load report, in milliseconds: about the time in which a batch of application calls ends. */
+const loadHalfLifeMs = 100;
+/** Weight of the newest duration in the average. */
+const durationWeight = 0.1;
+
+/** What this process believes of one engine: its registration, its load and its health. */
+export class EngineView {
+	record: EngineRecord;
+	readonly health = new EngineHealth();
+	/** Requests of this process that the engine has now. */
+	own = 0;
+	/** Average time of a request at this engine, in milliseconds. */
+	averageMs: number | undefined;
+	#othersAtReport = 0;
+	#reportedAt = Number.NEGATIVE_INFINITY;
+
+	constructor(record: EngineRecord) {
+		this.record = record;
+	}
+
+	/** Takes in the load that an answer carried. */
+	onLoad(load: EngineLoad, now: number): void {
+		this.#othersAtReport = Math.max(0, load.running + load.waiting - this.own);
+		this.#reportedAt = now;
+	}
+
+	/** Takes in how long a request took. */
+	onDuration(ms: number): void {
+		this.averageMs = this.averageMs === undefined ? ms : this.averageMs + ((ms - this.averageMs) * durationWeight);
+	}
+
+	/** Computes how many requests the engine has, its own callers' and other entries'. */
+	computeLoad(now: number): number {
+		const age = Math.max(0, now - this.#reportedAt - freshLoadMs);
+		return this.own + (this.#othersAtReport * (0.5 ** (age / loadHalfLifeMs)));
+	}
+
+	/** Computes the age of the newest load report, in milliseconds. */
+	computeLoadAge(now: number): number {
+		return now - this.#reportedAt;
+	}
+}
--- /dev/null
+++ b/src/dispatch/index.ts
@@ -0,0 +1,10 @@
+/** Decisions on queueing, refusing and placing requests at engines; without I/O. */
+export {EngineView, engineStage} from './engine.js';
+export type {EngineLoad, EngineRecord, EngineStage} from './engine.js';
+export {Fleet} from './fleet.js';
+export {EngineHealth, engineSign} from './health.js';
+export type {EngineSign} from './health.js';
+export {compareTurns, isOverdue, WaitingLine} from './line.js';
+export type {Waiting} from './line.js';
+export {chooseGenerationPlace, choosePlainPlace} from './placement.js';
+export type {GenerationNeeds, GenerationPlace} from './placement.js';
--- a/src/errors/errors.ts
+++ b/src/errors/errors.ts
@@ -48,6 +48,9 @@
 /** An upstream's answer broke off before its end marker. */
 export const BrokenAnswerError = createClass('BrokenAnswerError', {});
 
+/** No byte of a request left for the upstream: the connection could not be opened. */
+export const NotSentError = createClass('NotSentError', {});
+
 /** An answer carries another request's id or an offset that was not expected. */
 export const ForeignAnswerError = createClass('ForeignAnswerError', {});
 
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -15,6 +15,7 @@
 	KeyPendingError,
 	LeaseHeldError,
 	NotRunError,
+	NotSentError,
 	OperationRefusedError,
 	OrderBlockedError,
 	OrderRefusedError,
--- a/src/errors/reasons.ts
+++ b/src/errors/reasons.ts
@@ -16,6 +16,8 @@
 	keyTableFull: 'key_table_full',
 	retryBudget: 'retry_budget',
 	noConfiguration: 'no_configuration',
+	noRoute: 'no_route',
+	upstreamFailed: 'upstream_failed',
 } as const;
 
 /** See {@link refusalReason}. */
@@ -31,6 +33,8 @@
 	closedBeforeSend: 'closed_before_send',
 	repeatable: 'repeatable',
 	storeConflict: 'store_conflict',
+	upstreamFailed: 'upstream_failed',
+	prefillFailed: 'prefill_failed',
 } as const;
 
 /** See {@link retryReason}. */
--- /dev/null
+++ b/src/gateway/ending.ts
@@ -0,0 +1,74 @@
+import type {WaitingLine} from '../dispatch/index.js';
+import {NotRunError, refusalReason} from '../errors/index.js';
+import type {RefusalReason} from '../errors/index.js';
+import type {Attempt} from './attempt.js';
+import type {GatewayParts, ServedRequest} from './served.js';
+
+/** Least time to come back after a refusal, in milliseconds. */
+const leastReturnMs = 50;
+/** Part of the time left after which a caller comes back: callers honour up to a third. */
+const returnShare = 0.3;
+
+/** Waits for a place; answers the caller and returns nothing when it is refused instead. */
+export async function waitForPlace<Place>(
+	parts: GatewayParts,
+	served: ServedRequest,
+	line: WaitingLine<Place>,
+	serviceMs: number,
+	tryPlace: (now: number) => Place | undefined,
+): Promise<Place | undefined> {
+	const {targetAt, deadlineAt, route} = served;
+	try {
+		const place = await line.wait({
+			targetAt, deadlineAt, since: parts.timers.getNow(), priority: route.priority, serviceMs,
+		}, tryPlace, served.signal);
+		served.trace.onPlace();
+		return place;
+	} catch (error) {
+		if (!(error instanceof NotRunError)) {
+			throw error;
+		}
+
+		if (served.answer.signal.aborted) {
+			served.trace.end('caller_gone', undefined);
+		} else if (served.trace.attempts.some(({purpose, sign}) => purpose !== 'prefill' && sign !== 'refused' && sign !== 'unreachable' && sign !== 'other_engine')) {
+			// It may have run at an earlier engine: only an answer that promises nothing is true.
+			refuse(served, 502, refusalReason.upstreamFailed, undefined);
+		} else {
+			refuse(served, 503, error.reason as RefusalReason, error.retryAfterMs);
+		}
+
+		return undefined;
+	}
+}
+
+/** Refuses a request that has not run and never will, with a time to come back. */
+export function refuseNotRun(parts: GatewayParts, served: ServedRequest, reason: RefusalReason): void {
+	const left = served.deadlineAt - parts.timers.getNow();
+	refuse(served, 503, reason, Math.max(leastReturnMs, Math.round(left * returnShare * parts.pickUnit())));
+}
+
+/** Ends a request that may have run and has no answer to pass on. */
+export function endUnanswered(served: ServedRequest, attempt: Attempt): void {
+	if (served.answer.signal.aborted) {
+		served.trace.end('caller_gone', attempt.trace.sign);
+		return;
+	}
+
+	if (served.answer.isStarted) {
+		served.trace.end('broken', attempt.trace.detail);
+		served.answer.abort();
+		return;
+	}
+
+	if (served.signal.aborted) {
+		refuse(served, 504, refusalReason.deadline, undefined);
+	} else {
+		refuse(served, 502, refusalReason.upstreamFailed, undefined);
+	}
+}
+
+function refuse(served: ServedRequest, status: number, reason: RefusalReason, retryAfterMs: number | undefined): void {
+	served.trace.end(status === 503 ? 'refused' : 'failed', reason, status);
+	served.answer.refuse(status, reason, retryAfterMs);
+}
--- /dev/null
+++ b/src/gateway/events.ts
@@ -0,0 +1,60 @@
+const lineFeed = 10;
+const idField = 'id:';
+
+/** Whole events of a stream and the id of the last of them. */
+export type WholeEvents = {
+	readonly bytes: Uint8Array;
+	readonly lastId: string | undefined;
+};
+
+/**
+Cuts a stream into whole events, which an empty line ends, without changing a byte. A piece of an event that its
+engine did not finish is kept back, so that a resumed stream never has half an event.
+*/
+export class EventCutter {
+	#rest: Uint8Array = new Uint8Array(0);
+
+	/** Bytes of an event that is not whole yet. */
+	get restBytes(): number {
+		return this.#rest.length;
+	}
+
+	/** Takes in a piece of the stream and returns the events that are whole now, if any. */
+	add(piece: Uint8Array): WholeEvents | undefined {
+		const bytes = this.#rest.length === 0 ? piece : Buffer.concat([this.#rest, piece]);
+		const end = findLastEnd(bytes);
+		if (end === 0) {
+			this.#rest = bytes;
+			return undefined;
+		}
+
+		const whole = bytes.subarray(0, end);
+		this.#rest = bytes.subarray(end);
+		return {bytes: whole, lastId: findLastId(whole)};
+	}
+
+	/** Returns the bytes after the last whole event, which a stream that ended well may have. */
+	takeRest(): Uint8Array {
+		const rest = this.#rest;
+		this.#rest = new Uint8Array(0);
+		return rest;
+	}
+}
+
+function findLastEnd(bytes: Uint8Array): number {
+	for (let index = bytes.length - 1; index > 0; index--) {
+		const isEnd = bytes[index] === lineFeed
+			&& (bytes[index - 1] === lineFeed || (index > 1 && bytes[index - 1] === 13 && bytes[index - 2] === lineFeed));
+		if (isEnd) {
+			return index + 1;
+		}
+	}
+
+	return 0;
+}
+
+function findLastId(bytes: Uint8Array): string | undefined {
+	const lines = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('latin1').split('\n');
+	const line = lines.findLast(text => text.startsWith(idField));
+	return line?.slice(idField.length).trim();
+}
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,162 @@
+import {Fleet, WaitingLine} from '../dispatch/index.js';
+import type {GenerationPlace, EngineView} from '../dispatch/index.js';
+import {refusalReason} from '../errors/index.js';
+import {runProcedure} from '../procedures/index.js';
+import {serveGeneration} from './generation.js';
+import {servePlain} from './plain.js';
+import type {CallerAnswer} from './ports.js';
+import {chooseService, RouteTable} from './routes.js';
+import type {GatewayParts, ServedRequest} from './served.js';
+import {RequestTrace} from './trace.js';
+import type {GatewayConfiguration, GatewayRequest} from './types.js';
+
+/** Time to come back to a process that has no configuration yet, in milliseconds: a start takes about as long. */
+const startingReturnMs = 500;
+
+/**
+Serves callers' requests by the configuration in force: finds the route, lets the request wait for a place at an engine,
+sends it, and passes the answer on.
+
+@example
+```
+gateway.apply(configuration);
+await gateway.serve(request, answer);
+```
+*/
+export class Gateway {
+	readonly fleet = new Fleet();
+	readonly #parts: GatewayParts;
+	readonly #plainLines = new Map<string, WaitingLine<EngineView>>();
+	readonly #generationLines = new Map<string, WaitingLine<GenerationPlace>>();
+	#configuration: GatewayConfiguration | undefined;
+	#routes: RouteTable | undefined;
+	#inProgress = 0;
+
+	constructor(parts: GatewayParts) {
+		this.#parts = parts;
+	}
+
+	/** The configuration in force. */
+	get configuration(): GatewayConfiguration | undefined {
+		return this.#configuration;
+	}
+
+	/** Requests whose answer has not ended. */
+	get inProgress(): number {
+		return this.#inProgress;
+	}
+
+	/** Puts a configuration into force, unless the one in force is as new. Returns whether it did. */
+	apply(configuration: GatewayConfiguration): boolean {
+		if (this.#configuration && configuration.version <= this.#configuration.version) {
+			return false;
+		}
+
+		this.#configuration = configuration;
+		this.#routes = new RouteTable(configuration);
+		return true;
+	}
+
+	/** Lets waiting requests look for places again, as when an engine was added. */
+	serveWaiting(): void {
+		for (const line of this.#plainLines.values()) {
+			line.serve();
+		}
+
+		for (const line of this.#generationLines.values()) {
+			line.serve();
+		}
+	}
+
+	/** Counts the requests that wait for a place. */
+	countWaiting(): number {
+		let waiting = 0;
+		for (const line of [...this.#plainLines.values(), ...this.#generationLines.values()]) {
+			waiting += line.size;
+		}
+
+		return waiting;
+	}
+
+	/** Answers one request; never throws. */
+	async serve(request: GatewayRequest, answer: CallerAnswer): Promise<void> {
+		this.#inProgress++;
+		const trace = new RequestTrace(request, this.#parts.timers);
+		try {
+			await this.#serveRouted(request, answer, trace);
+		} catch (error) {
+			trace.onError(error);
+			if (answer.isStarted) {
+				answer.abort();
+			} else {
+				answer.refuse(502, refusalReason.upstreamFailed, undefined);
+			}
+		} finally {
+			this.#inProgress--;
+			this.#parts.report.onEnd(trace);
+		}
+	}
+
+	async #serveRouted(request: GatewayRequest, answer: CallerAnswer, trace: RequestTrace): Promise<void> {
+		if (!this.#configuration || !this.#routes) {
+			trace.end('refused', refusalReason.noConfiguration);
+			answer.refuse(503, refusalReason.noConfiguration, startingReturnMs);
+			return;
+		}
+
+		const route = this.#routes.findRoute(request.host, request.path);
+		const service = route && chooseService(route, this.#parts.pickUnit());
+		trace.onRoute(this.#configuration.version, route, service);
+		if (!route || service === undefined) {
+			trace.end('refused', refusalReason.noRoute);
+			answer.refuse(404, refusalReason.noRoute, undefined);
+			return;
+		}
+
+		this.#parts.budget.countRequest(service);
+		const model = this.#configuration.services.get(service)?.model;
+		const times = createTimes(request, route);
+		const controller = new AbortController();
+		const onEnd = () => {
+			controller.abort();
+		};
+
+		const deadline = this.#parts.timers.startTimer(times.deadlineAt - this.#parts.timers.getNow(), onEnd);
+		answer.signal.addEventListener('abort', onEnd, {once: true});
+		const served: ServedRequest = {
+			request, route, service, answer, trace, fleet: this.fleet, signal: controller.signal, ...times,
+		};
+		try {
+			await runProcedure(model
+				? serveGeneration(this.#parts, served, this.#getGenerationLine(service))
+				: servePlain(this.#parts, served, this.#getPlainLine(service)));
+		} finally {
+			deadline.cancel();
+			answer.signal.removeEventListener('abort', onEnd);
+		}
+	}
+
+	#getPlainLine(service: string): WaitingLine<EngineView> {
+		const line = this.#plainLines.get(service) ?? new WaitingLine<EngineView>(this.#parts.timers, this.#parts.pickUnit);
+		this.#plainLines.set(service, line);
+		return line;
+	}
+
+	#getGenerationLine(service: string): WaitingLine<GenerationPlace> {
+		const line = this.#generationLines.get(service) ?? new WaitingLine<GenerationPlace>(this.#parts.timers, this.#parts.pickUnit);
+		this.#generationLines.set(service, line);
+		return line;
+	}
+}
+
+/** Works out until when an answer is on time and of use. */
+function createTimes(request: GatewayRequest, route: {readonly timeoutMs: number; readonly targetMs: number}) {
+	const callerMs = request.callerDeadlineMs ?? route.timeoutMs;
+	// A caller that comes back has less time left than the route gives; its target counts from its first attempt.
+	const spentMs = Math.max(0, route.timeoutMs - callerMs);
+	return {
+		targetAt: request.arrivedAt + route.targetMs - (callerMs < route.timeoutMs ? spentMs : 0),
+		deadlineAt: request.arrivedAt + Math.min(callerMs, route.timeoutMs),
+		isReturn: callerMs < route.timeoutMs,
+	};
+}
--- /dev/null
+++ b/src/gateway/report.ts
@@ -0,0 +1,76 @@
+import type {Histogram} from 'prom-client';
+import type {LineLogs} from '../logs/index.js';
+import type {Metrics} from '../metrics/index.js';
+import {RequestReport} from './trace.js';
+import type {RequestTrace} from './trace.js';
+
+/** Upper bounds of the histograms, in seconds: around the targets of the shortest and the longest kinds of request. */
+const buckets = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 15];
+const millisecondsPerSecond = 1000;
+
+/** Writes one line for each ended request and counts it. */
+export class LoggedReport extends RequestReport {
+	readonly #logs: LineLogs;
+	readonly #metrics: Metrics;
+	readonly #total: Histogram;
+	readonly #waited: Histogram;
+	readonly #attempts: Histogram;
+
+	constructor(logs: LineLogs, metrics: Metrics) {
+		super();
+		this.#logs = logs;
+		this.#metrics = metrics;
+		this.#total = metrics.createHistogram('crocus_request_seconds', 'Time from a request to the end of its answer', buckets);
+		this.#waited = metrics.createHistogram('crocus_place_wait_seconds', 'Time that a request waited for a place', buckets);
+		this.#attempts = metrics.createHistogram('crocus_attempt_seconds', 'Time of one send to an engine', buckets);
+	}
+
+	onEnd(trace: RequestTrace): void {
+		this.#metrics.count('requests', trace.outcome ?? 'failed');
+		if (trace.outcome === 'refused') {
+			this.#metrics.count('refusals', trace.reason ?? 'unknown');
+		}
+
+		this.#total.observe(trace.totalMs / millisecondsPerSecond);
+		if (trace.waitedMs !== undefined) {
+			this.#waited.observe(trace.waitedMs / millisecondsPerSecond);
+		}
+
+		for (const {tookMs} of trace.attempts) {
+			this.#attempts.observe((tookMs ?? 0) / millisecondsPerSecond);
+		}
+
+		this.#logs.write('request', createLine(trace), `request ${trace.outcome ?? 'failed'}`);
+	}
+
+	onRetry(reason: string): void {
+		this.#metrics.count('retries', reason);
+	}
+}
+
+function createLine(trace: RequestTrace): Record<string, unknown> {
+	return {
+		id: trace.request.id,
+		version: trace.version ?? null,
+		route: trace.route?.name ?? null,
+		service: trace.service ?? null,
+		outcome: trace.outcome ?? 'failed',
+		...(trace.reason === undefined ? {} : {reason: trace.reason}),
+		status: trace.status ?? null,
+		deadlineMs: trace.request.callerDeadlineMs ?? null,
+		waitedMs: round(trace.waitedMs),
+		firstByteMs: round(trace.firstByteMs),
+		totalMs: round(trace.totalMs),
+		attempts: trace.attempts.map(attempt => ({
+			...attempt,
+			atMs: round(attempt.atMs),
+			load: round(attempt.load),
+			loadAgeMs: round(attempt.loadAgeMs),
+			tookMs: round(attempt.tookMs),
+		})),
+	};
+}
+
+function round(value: number | undefined): number | null {
+	return value === undefined || !Number.isFinite(value) ? null : Math.round(value * 10) / 10;
+}
--- /dev/null
+++ b/src/gateway/served.ts
@@ -0,0 +1,45 @@
+import type {EngineView, Fleet} from '../dispatch/index.js';
+import type {ArrivalBudget} from '../retries/index.js';
+import type {TimerService} from '../timers/index.js';
+import type {CallerAnswer, EngineLink} from './ports.js';
+import type {RequestReport, RequestTrace} from './trace.js';
+import type {GatewayRequest, Route} from './types.js';
+
+/** What serving needs beside the request. */
+export type GatewayParts = {
+	readonly timers: TimerService;
+	readonly link: EngineLink;
+	readonly budget: ArrivalBudget;
+	readonly report: RequestReport;
+	/** Picks a random number from 0 up to, and without, 1. */
+	readonly pickUnit: () => number;
+};
+
+/** One request on its way; times are monotonic, in milliseconds. */
+export type ServedRequest = {
+	readonly request: GatewayRequest;
+	readonly route: Route;
+	readonly service: string;
+	readonly answer: CallerAnswer;
+	readonly trace: RequestTrace;
+	readonly fleet: Fleet;
+	/** Aborted when the caller has gone or its deadline has passed. */
+	readonly signal: AbortSignal;
+	readonly targetAt: number;
+	readonly deadlineAt: number;
+	/** The caller comes back after a refusal or a failure. */
+	readonly isReturn: boolean;
+};
+
+/** Marks an engine as having one more request, until the returned function is called. */
+export function acquirePlace(view: EngineView): () => void {
+	view.own++;
+	view.health.onSend();
+	let isHeld = true;
+	return () => {
+		if (isHeld) {
+			isHeld = false;
+			view.own--;
+		}
+	};
+}
--- a/src/logs/index.ts
+++ b/src/logs/index.ts
@@ -1,2 +1,4 @@
-/** Structured log lines, one for each change of state. */
+/** Structured log lines. */
 export {startLogs} from './logs.js';
+export {LineLogs, LogOutput, StandardOutput} from './output.js';
+export type {LogFields} from './output.js';
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -19,6 +19,10 @@
 	takeovers: {name: 'crocus_takeovers_total', help: 'Takeovers of the domain\'s authority, by outcome', label: 'outcome'},
 	/** Calls of the platform's store by how they ended. */
 	storeCalls: {name: 'crocus_store_calls_total', help: 'Calls of the store, by outcome', label: 'outcome'},
+	/** Configurations that were read, by what became of them. */
+	configurations: {name: 'crocus_configurations_total', help: 'Configurations read, by outcome', label: 'outcome'},
+	/** Changes of engines' registrations. */
+	registrations: {name: 'crocus_registrations_total', help: 'Changes of registrations, by kind', label: 'kind'},
 	/** Bytes between entries. */
 	peerBytes: {name: 'crocus_peer_bytes_total', help: 'Bytes sent to and received from other entries', label: 'direction'},
 } as const;
