Share places among entries through one keeper a service

Change: one entry, by rendezvous over the registered ones, gives all places of a generation service; others ask it over TCP with CBOR and fall back to their part when it is lost. The line refuses what can't be in time at its pace.

--- a/src/dispatch/fleet.ts
+++ b/src/dispatch/fleet.ts
@@ -50,6 +50,12 @@
 		return (this.#byService.get(service) ?? []).filter(view => !view.record.isLeaving);
 	}
 
+	/** Finds an engine that may be sent work: known and not leaving. */
+	findServing(id: string): EngineView | undefined {
+		const view = this.#engines.get(id);
+		return view && !view.record.isLeaving ? view : undefined;
+	}
+
 	/** Tells whether an engine may still be sent work: known under this lifetime and not leaving. */
 	isServing(view: EngineView): boolean {
 		return this.#engines.get(view.record.id) === view && !view.record.isLeaving;
--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -1,6 +1,8 @@
 import {computeScore} from '../rates/index.js';
 import {engineStage} from './engine.js';
 import type {EngineView} from './engine.js';
+import {isLong} from './use.js';
+import type {EngineUse} from './use.js';
 
 /** What a generation asks of its place. */
 export type GenerationNeeds = {
@@ -9,6 +11,8 @@
 	readonly sharedTokens: number;
 	/** Tokens that only this request has. */
 	readonly ownTokens: number;
+	/** Most tokens that it generates. */
+	readonly outputTokens: number;
 };
 
 /** Where a generation runs. */
@@ -20,16 +24,26 @@
 	readonly keeper: EngineView | undefined;
 };
 
+/** What the choice of a place is made by, beside the engines. */
+export type PlacementPicture = {
+	readonly now: number;
+	/** Part of each engine's places that may be given, above 0 up to 1. */
+	readonly share: number;
+	readonly getUse: (view: EngineView) => EngineUse;
+};
+
 /** Shared tokens below which a prompt is read anew at any engine: less than the cost of one piece of a prompt. */
 const leastSharedTokens = 512;
 /** Own tokens up to which an engine that also writes reads them itself while it has little to do. */
 const directTokens = 6000;
-/** Load up to which an engine that writes reads prompts itself: then nobody waits for its slower reading. */
-const directLoad = 1.5;
-/** Requests at an engine that reads, as a multiple of its slots: a short queue keeps it busy between messages. */
-const readerFill = 1.5;
-/** Requests at an engine that writes, as a multiple of its slots. */
-const writerFill = 1;
+/** Requests at an engine that writes up to which it also reads prompts: then few wait for its slower reading. */
+const directUse = 1;
+/** Prompts at an engine that only reads: it reads one after another, the second one keeps it busy between messages. */
+const mostReading = 3;
+/** Part of an engine's places that generations may hold for long, so that short ones always find some. */
+const longShare = 0.5;
+/** Weight of a request whose prompt is still being read elsewhere: its place is needed only when that is done. */
+const expectedWeight = 0.6;
 /** Requests at an engine of an application service, as a multiple of its slots. */
 const plainFill = 1;
 /** Duration assumed of an engine without a measured one, in milliseconds. */
@@ -66,44 +80,57 @@
 export function chooseGenerationPlace(
 	views: readonly EngineView[],
 	needs: GenerationNeeds,
-	tried: ReadonlySet<EngineView>,
-	now: number,
+	picture: PlacementPicture,
 ): GenerationPlace | undefined {
-	const open = views.filter(view => !tried.has(view) && view.health.isOpen(now));
+	const open = views.filter(view => view.health.isOpen(picture.now));
 	const writers = open.filter(view => view.record.stage !== engineStage.prefill);
 	const isShared = needs.sharedKey !== undefined && needs.sharedTokens >= leastSharedTokens;
-	const sorted = isShared ? sortByHome(writers, needs.sharedKey) : sortByLoad(writers, now);
-	const writer = sorted.find(view => view.computeLoad(now) < view.record.slots * writerFill);
+	const home = isShared ? findHome(writers, needs.sharedKey) : undefined;
+	const free = writers.filter(view => hasRoom(view, needs, picture));
+	const writer = home && free.includes(home) ? home : findLeastUsed(free, view => computeWriting(picture.getUse(view)));
 	if (!writer) {
 		return undefined;
 	}
 
-	const home = isShared ? sorted[0] : undefined;
 	const keeper = home === writer ? undefined : home;
-	const canRead = needs.ownTokens <= directTokens && writer.computeLoad(now) <= directLoad;
-	if (!isShared || canRead || writer.record.stage === engineStage.any) {
+	const readers = open.filter(view => view.record.stage === engineStage.prefill);
+	const isQuiet = needs.ownTokens <= directTokens && picture.getUse(writer).writing <= directUse;
+	if (!isShared || isQuiet || readers.length === 0 || writer.record.stage === engineStage.any) {
 		return {reader: undefined, writer, keeper};
 	}
 
-	const readers = open.filter(view => view.record.stage === engineStage.prefill);
-	const reader = sortByLoad(readers, now).find(view => view.computeLoad(now) < view.record.slots * readerFill);
-	if (reader) {
-		return {reader, writer, keeper: home};
-	}
+	const reader = findLeastUsed(
+		readers.filter(view => picture.getUse(view).reading < Math.max(1, mostReading * picture.share)),
+		view => picture.getUse(view).reading,
+	);
+	return reader && {reader, writer, keeper: home};
+}
+
+function hasRoom(view: EngineView, needs: GenerationNeeds, {share, getUse}: PlacementPicture): boolean {
+	const use = getUse(view);
+	const places = Math.max(1, view.record.slots * share);
+	const isOverLong = isLong(needs) && use.long + 1 > Math.max(1, places * longShare);
+	return !isOverLong && computeWriting(use) + 1 <= places;
+}
 
-	return readers.length === 0 ? {reader: undefined, writer, keeper} : undefined;
+function computeWriting(use: EngineUse): number {
+	return use.writing - (use.expected * (1 - expectedWeight));
 }
 
-function sortByHome(views: readonly EngineView[], key: string | undefined): EngineView[] {
-	return views
-		.map(view => ({view, score: computeScore(key ?? '', view.record.id)}))
-		.sort((left, right) => right.score - left.score)
-		.map(({view}) => view);
+function findHome(views: readonly EngineView[], key: string | undefined): EngineView | undefined {
+	return findLeastUsed(views, view => -computeScore(key ?? '', view.record.id));
 }
 
-function sortByLoad(views: readonly EngineView[], now: number): EngineView[] {
-	return views
-		.map(view => ({view, load: view.computeLoad(now) * (1 + (view.health.failureShare * failureCost))}))
-		.sort((left, right) => left.load - right.load)
-		.map(({view}) => view);
+function findLeastUsed(views: readonly EngineView[], measure: (view: EngineView) => number): EngineView | undefined {
+	let best: EngineView | undefined;
+	let least = Number.POSITIVE_INFINITY;
+	for (const view of views) {
+		const value = measure(view);
+		if (value < least) {
+			best = view;
+			least = value;
+		}
+	}
+
+	return best;
 }
--- a/src/gateway/ending.ts
+++ b/src/gateway/ending.ts
@@ -15,30 +15,38 @@
 	served: ServedRequest,
 	line: WaitingLine<Place>,
 	serviceMs: number,
+	mayHaveRun: boolean,
 	tryPlace: (now: number) => Place | undefined,
 ): Promise<Place | undefined> {
-	const {targetAt, deadlineAt, route} = served;
+	const {targetAt, deadlineAt, route, isReturn} = served;
 	try {
 		const place = await line.wait({
-			targetAt, deadlineAt, since: parts.timers.getNow(), priority: route.priority, serviceMs,
+			targetAt, deadlineAt, since: parts.timers.getNow(), priority: route.priority, serviceMs, isReturn, group: route.kind,
 		}, tryPlace, served.signal);
 		served.trace.onPlace();
 		return place;
 	} catch (error) {
-		if (!(error instanceof NotRunError)) {
-			throw error;
-		}
+		endWithoutPlace(served, error, mayHaveRun);
+		return undefined;
+	}
+}
 
-		if (served.answer.signal.aborted) {
-			served.trace.end('caller_gone', undefined);
-		} else if (served.trace.attempts.some(({purpose, sign}) => purpose !== 'prefill' && sign !== 'refused' && sign !== 'unreachable' && sign !== 'other_engine')) {
-			// It may have run at an earlier engine: only an answer that promises nothing is true.
-			refuse(served, 502, refusalReason.upstreamFailed, undefined);
-		} else {
-			refuse(served, 503, error.reason as RefusalReason, error.retryAfterMs);
-		}
+/** Answers a request that got no place; throws an error that says something else. */
+export function endWithoutPlace(served: ServedRequest, error: unknown, mayHaveRun: boolean): void {
+	if (!(error instanceof NotRunError)) {
+		throw error;
+	}
 
-		return undefined;
+	if (served.answer.signal.aborted) {
+		served.trace.end('caller_gone', undefined);
+	} else if (served.answer.isStarted) {
+		served.trace.end('broken', error.reason);
+		served.answer.abort();
+	} else if (mayHaveRun) {
+		// It may have run at an earlier engine: only an answer that promises nothing is true.
+		refuse(served, 502, refusalReason.upstreamFailed, undefined);
+	} else {
+		refuse(served, 503, error.reason as RefusalReason, error.retryAfterMs);
 	}
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,5 @@
-import {Fleet, WaitingLine} from '../dispatch/index.js';
-import type {GenerationPlace, EngineView} from '../dispatch/index.js';
+import {WaitingLine} from '../dispatch/index.js';
+import type {EngineView, Fleet} from '../dispatch/index.js';
 import {refusalReason} from '../errors/index.js';
 import {runProcedure} from '../procedures/index.js';
 import {serveGeneration} from './generation.js';
@@ -24,15 +24,15 @@
 ```
 */
 export class Gateway {
-	readonly fleet = new Fleet();
+	readonly fleet: Fleet;
 	readonly #parts: GatewayParts;
 	readonly #plainLines = new Map<string, WaitingLine<EngineView>>();
-	readonly #generationLines = new Map<string, WaitingLine<GenerationPlace>>();
 	#configuration: GatewayConfiguration | undefined;
 	#routes: RouteTable | undefined;
 	#inProgress = 0;
 
-	constructor(parts: GatewayParts) {
+	constructor(fleet: Fleet, parts: GatewayParts) {
+		this.fleet = fleet;
 		this.#parts = parts;
 	}
 
@@ -57,21 +57,17 @@
 		return true;
 	}
 
-	/** Lets waiting requests look for places again, as when an engine was added. */
+	/** Lets requests of application services that wait look for places again, as when an engine was added. */
 	serveWaiting(): void {
 		for (const line of this.#plainLines.values()) {
 			line.serve();
 		}
-
-		for (const line of this.#generationLines.values()) {
-			line.serve();
-		}
 	}
 
-	/** Counts the requests that wait for a place. */
+	/** Counts the requests of application services that wait for a place. */
 	countWaiting(): number {
 		let waiting = 0;
-		for (const line of [...this.#plainLines.values(), ...this.#generationLines.values()]) {
+		for (const line of this.#plainLines.values()) {
 			waiting += line.size;
 		}
 
@@ -128,7 +124,7 @@
 		};
 		try {
 			await runProcedure(model
-				? serveGeneration(this.#parts, served, this.#getGenerationLine(service))
+				? serveGeneration(this.#parts, served)
 				: servePlain(this.#parts, served, this.#getPlainLine(service)));
 		} finally {
 			deadline.cancel();
@@ -141,12 +137,6 @@
 		this.#plainLines.set(service, line);
 		return line;
 	}
-
-	#getGenerationLine(service: string): WaitingLine<GenerationPlace> {
-		const line = this.#generationLines.get(service) ?? new WaitingLine<GenerationPlace>(this.#parts.timers, this.#parts.pickUnit);
-		this.#generationLines.set(service, line);
-		return line;
-	}
 }
 
 /** Works out until when an answer is on time and of use. */
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -1,127 +1,204 @@
-import {chooseGenerationPlace} from '../dispatch/index.js';
-import type {
-	EngineView, GenerationNeeds, GenerationPlace, WaitingLine,
-} from '../dispatch/index.js';
+import type {EngineSign, EngineView, GenerationNeeds} from '../dispatch/index.js';
 import {refusalReason, retryReason} from '../errors/index.js';
+import type {HeldPlace} from '../places/index.js';
 import {callStep} from '../procedures/index.js';
 import type {Procedure} from '../procedures/index.js';
 import {callEngine} from './attempt.js';
 import type {Attempt} from './attempt.js';
-import {endUnanswered, refuseNotRun, waitForPlace} from './ending.js';
+import {endUnanswered, endWithoutPlace, refuseNotRun} from './ending.js';
 import {EventCutter} from './events.js';
 import type {PromptHandle} from './ports.js';
 import type {GatewayParts, ServedRequest} from './served.js';
 import type {Prompt} from './types.js';
 
 /** Multiple of the target after which an engine that only reads is given up: the engine that writes can read too. */
-const silentReaderTargets = 1.5;
+const silentReaderTargets = 2.5;
 /** Multiple of the target after which a silent stream that can be resumed goes on elsewhere. */
-const silentWriterTargets = 2;
+const silentWriterTargets = 3.3;
 /** Least silence before a stream goes on elsewhere, in milliseconds: longer than the pauses that callers accept. */
-const leastSilenceMs = 250;
-/** Time from a place to the first event at an engine that is not busy, in milliseconds: reading, a message each way, one token. */
-const serviceMs = 25;
+const leastSilenceMs = 400;
 /** Engines that one request may fail to reach; none of them was sent it. */
 const mostUnreached = 4;
 
+/** How far one generation has come. */
+class Generation {
+	readonly needs: GenerationNeeds;
+	/** Ids of engines that failed it. */
+	readonly tried = new Set<string>();
+	/** Engines that may have run it. */
+	runs = 0;
+	/** Engines that could not be reached. */
+	unreached = 0;
+	/** Prompts that engines were asked to read. */
+	reads = 0;
+	/** Id of the last event that the caller has. */
+	lastId: string | undefined;
+
+	constructor(prompt: Prompt | undefined) {
+		this.needs = createNeeds(prompt);
+	}
+}
+
 /** Serves one generation: a place, the prompt read, the stream passed on, and resumed where it breaks and that is allowed. */
-export function * serveGeneration(parts: GatewayParts, served: ServedRequest, line: WaitingLine<GenerationPlace>): Procedure<void> {
-	const needs = createNeeds(served.request.prompt);
-	const tried = new Set<EngineView>();
-	const state: StreamState = {lastId: undefined, cutter: new EventCutter()};
-	let runs = 0;
-	let unreached = 0;
+export function * serveGeneration(parts: GatewayParts, served: ServedRequest): Procedure<void> {
+	const generation = new Generation(served.request.prompt);
 	for (;;) {
-		const place = yield * callStep('wait for a place', async () => waitForPlace(parts, served, line, serviceMs, now =>
-			chooseGenerationPlace(served.fleet.listServing(served.service), needs, tried, now)));
+		const place = yield * callStep('wait for a place', async () => acquirePlace(parts, served, generation));
+		const writer = place && served.fleet.findServing(place.engines.writer);
 		if (!place) {
-			if (served.answer.isStarted) {
-				served.answer.abort();
-			}
+			return;
+		}
 
+		if (!writer) {
+			// The keeper knows an engine that this process does not, or no longer.
+			place.release(undefined);
+			generation.tried.add(place.engines.writer);
+			continue;
+		}
+
+		const attempt = yield * runAtPlace(parts, served, generation, place, writer);
+		if (!attempt || !mayGoOn(parts, served, generation, attempt)) {
 			return;
 		}
+	}
+}
 
-		const isPrefillUsed = place.reader !== undefined && !served.trace.attempts.some(({purpose}) => purpose === 'prefill');
-		const handle = isPrefillUsed ? yield * readPrompt(parts, served, place) : undefined;
+/** Runs a generation at its place; returns the attempt when the caller's answer has not ended. */
+function * runAtPlace(
+	parts: GatewayParts,
+	served: ServedRequest,
+	generation: Generation,
+	place: HeldPlace,
+	writer: EngineView,
+): Procedure<Attempt | undefined> {
+	let sign: EngineSign | undefined;
+	try {
+		const handle = yield * readPrompt(parts, served, generation, place);
 		if (handle === 'rejected' && !parts.budget.tryTake(served.service)) {
 			refuseNotRun(parts, served, refusalReason.retryBudget);
-			return;
+			return undefined;
 		}
 
-		const mayResume = served.route.resumable && runs + 1 < served.route.attempts;
-		const attempt = yield * callStep('send to the engine that writes', async () => callEngine(parts, served, place.writer, {
-			purpose: state.lastId === undefined ? 'run' : 'resume',
-			continueFrom: typeof handle === 'object' ? handle : undefined,
-			fetchFrom: typeof handle === 'object' ? undefined : place.keeper?.record.address,
-			resumeAfter: state.lastId,
+		const mayResume = served.route.resumable && generation.runs + 1 < served.route.attempts;
+		const kept = typeof handle === 'object' ? handle : undefined;
+		const attempt = yield * callStep('send to the engine that writes', async () => callEngine(parts, served, writer, {
+			purpose: generation.lastId === undefined ? 'run' : 'resume',
+			continueFrom: kept,
+			fetchFrom: kept ? undefined : findAddress(served, place.engines.keeper),
+			resumeAfter: generation.lastId,
 			silenceMs: mayResume ? Math.max(leastSilenceMs, served.route.targetMs * silentWriterTargets) : undefined,
 			mayReuseIdle: served.route.resumable,
 		}));
-		const isDone = yield * callStep('pass the stream on', async () => passStream(served, attempt, state, mayResume));
-		line.serve();
-		if (isDone) {
-			return;
+		const isDone = yield * callStep('pass the stream on', async () => passStream(parts, served, generation, attempt, mayResume));
+		sign = attempt.trace.sign;
+		if (attempt.isNotRun && kept && place.engines.reader !== undefined) {
+			parts.link.release(kept, place.engines.reader);
 		}
 
-		if (attempt.isNotRun && typeof handle === 'object') {
-			parts.link.release(handle, place.reader?.record.id ?? '');
-		}
+		return isDone ? undefined : attempt;
+	} finally {
+		place.release(sign);
+	}
+}
 
-		tried.add(place.writer);
-		runs += attempt.isNotRun ? 0 : 1;
-		unreached += attempt.isNotSent ? 1 : 0;
-		const isFree = attempt.isNotSent && unreached < mostUnreached;
-		const mayTryAgain = !served.signal.aborted && (attempt.isNotRun || mayResume);
-		if (mayTryAgain && (isFree || (!attempt.isNotSent && parts.budget.tryTake(served.service)))) {
-			parts.report.onRetry(selectReason(attempt));
-		} else if (attempt.isNotRun && runs === 0 && !served.signal.aborted) {
-			refuseNotRun(parts, served, refusalReason.retryBudget);
-			return;
-		} else {
-			endUnanswered(served, attempt);
-			return;
-		}
+/** Decides whether a generation that has not ended goes on at another engine; ends it where it doesn't. */
+function mayGoOn(parts: GatewayParts, served: ServedRequest, generation: Generation, attempt: Attempt): boolean {
+	generation.tried.add(attempt.view.record.id);
+	generation.runs += attempt.isNotRun ? 0 : 1;
+	generation.unreached += attempt.isNotSent ? 1 : 0;
+	const mayResume = served.route.resumable && generation.runs < served.route.attempts;
+	const isFree = attempt.isNotSent && generation.unreached < mostUnreached;
+	const mayTryAgain = !served.signal.aborted && (attempt.isNotRun || mayResume);
+	if (mayTryAgain && (isFree || (!attempt.isNotSent && parts.budget.tryTake(served.service)))) {
+		parts.report.onRetry(selectReason(attempt));
+		return true;
 	}
+
+	if (attempt.isNotRun && generation.runs === 0 && !served.signal.aborted) {
+		refuseNotRun(parts, served, refusalReason.retryBudget);
+	} else {
+		endUnanswered(served, attempt);
+	}
+
+	return false;
 }
 
-/** How far the caller's stream has come. */
-type StreamState = {
-	lastId: string | undefined;
-	cutter: EventCutter;
-};
+async function acquirePlace(parts: GatewayParts, served: ServedRequest, generation: Generation): Promise<HeldPlace | undefined> {
+	const now = parts.timers.getNow();
+	const closed = served.fleet.listServing(served.service).filter(view => !view.health.isOpen(now)).map(view => view.record.id);
+	try {
+		const place = await parts.places.acquire({
+			...generation.needs,
+			service: served.service,
+			priority: served.route.priority,
+			targetMs: served.targetAt - now,
+			deadlineMs: served.deadlineAt - now,
+			serviceMs: parts.serviceTimes.get(served.route.name),
+			isReturn: served.isReturn,
+			tried: [...generation.tried, ...closed],
+		}, served.signal);
+		served.trace.onPlace();
+		return place;
+	} catch (error) {
+		endWithoutPlace(served, error, generation.runs > 0);
+		return undefined;
+	}
+}
 
-/** Has the prompt read; the engine that writes reads it itself where that fails. */
-function * readPrompt(parts: GatewayParts, served: ServedRequest, place: GenerationPlace): Procedure<PromptHandle | 'rejected' | undefined> {
-	const {reader, keeper} = place;
-	if (!reader) {
+/** Has the prompt read where the place names a reader; the engine that writes reads it itself where that fails. */
+function * readPrompt(
+	parts: GatewayParts,
+	served: ServedRequest,
+	generation: Generation,
+	place: HeldPlace,
+): Procedure<PromptHandle | 'rejected' | undefined> {
+	const reader = place.engines.reader === undefined ? undefined : served.fleet.findServing(place.engines.reader);
+	// A second read would count as a further send.
+	if (!reader || generation.reads > 0) {
+		place.releaseReader(undefined);
 		return undefined;
 	}
 
+	generation.reads++;
 	const attempt = yield * callStep('send to the engine that reads', async () => callEngine(parts, served, reader, {
 		purpose: 'prefill',
-		fetchFrom: keeper?.record.address,
-		silenceMs: served.route.targetMs * silentReaderTargets,
+		fetchFrom: findAddress(served, place.engines.keeper),
+		silenceMs: Math.max(leastSilenceMs, served.route.targetMs * silentReaderTargets),
 		mayReuseIdle: true,
 	}));
+	const handle = yield * callStep('read the handle', async () => readHandle(parts, attempt));
+	place.releaseReader(attempt.trace.sign);
+	if (handle !== undefined) {
+		return {address: reader.record.address, handle};
+	}
+
+	parts.report.onRetry(retryReason.prefillFailed);
+	return attempt.isNotRun && !attempt.isNotSent ? 'rejected' : undefined;
+}
+
+async function readHandle(parts: GatewayParts, attempt: Attempt): Promise<string | undefined> {
 	if (!attempt.reply || attempt.isNotRun) {
-		parts.report.onRetry(retryReason.prefillFailed);
-		return attempt.isNotRun && !attempt.isNotSent ? 'rejected' : undefined;
+		return undefined;
 	}
 
 	try {
-		const handle = yield * callStep('read the handle', async () => parts.link.readHandle(attempt.reply!));
+		const handle = await parts.link.readHandle(attempt.reply);
 		attempt.finish();
-		return {address: reader.record.address, handle};
+		return handle;
 	} catch (error) {
 		attempt.fail(error);
-		parts.report.onRetry(retryReason.prefillFailed);
 		return undefined;
 	}
 }
 
 /** Passes on whole events; returns whether the caller's answer has ended. */
-async function passStream(served: ServedRequest, attempt: Attempt, state: StreamState, mayResume: boolean): Promise<boolean> {
+async function passStream(
+	parts: GatewayParts,
+	served: ServedRequest,
+	generation: Generation,
+	attempt: Attempt,
+	mayResume: boolean,
+): Promise<boolean> {
 	const {reply} = attempt;
 	if (!reply || attempt.isNotRun) {
 		return false;
@@ -136,17 +213,17 @@
 		return false;
 	}
 
-	state.cutter = new EventCutter();
+	const cutter = new EventCutter();
 	try {
 		for await (const piece of attempt.generateBody()) {
-			const events = state.cutter.add(piece);
+			const events = cutter.add(piece);
 			if (events) {
-				await writeEvents(served, attempt, events.bytes);
-				state.lastId = events.lastId ?? state.lastId;
+				await writeEvents(parts, served, attempt, events.bytes);
+				generation.lastId = events.lastId ?? generation.lastId;
 			}
 		}
 
-		await writeEvents(served, attempt, state.cutter.takeRest());
+		await writeEvents(parts, served, attempt, cutter.takeRest());
 	} catch (error) {
 		attempt.fail(error);
 		return false;
@@ -158,10 +235,11 @@
 	return true;
 }
 
-async function writeEvents(served: ServedRequest, attempt: Attempt, bytes: Uint8Array): Promise<void> {
+async function writeEvents(parts: GatewayParts, served: ServedRequest, attempt: Attempt, bytes: Uint8Array): Promise<void> {
 	if (!served.answer.isStarted && attempt.reply) {
 		served.answer.start(attempt.reply.status, attempt.reply.headers, undefined);
 		served.trace.onFirstByte();
+		parts.serviceTimes.add(served.route.name, (served.trace.firstByteMs ?? 0) - (served.trace.waitedMs ?? 0));
 	}
 
 	if (bytes.length > 0) {
@@ -172,27 +250,30 @@
 /** Passes an engine's failure on, unless the request may go on elsewhere. */
 async function passFailure(served: ServedRequest, attempt: Attempt, mayResume: boolean): Promise<boolean> {
 	const body = await attempt.readBody();
+	attempt.finish();
 	if (!body || !attempt.reply || mayResume || served.answer.isStarted) {
-		attempt.finish();
 		return false;
 	}
 
-	attempt.finish();
 	served.answer.start(attempt.reply.status, attempt.reply.headers, body.length);
 	void served.answer.write(body);
 	served.answer.finish();
-	served.trace.end('answered', 'upstream_failed', attempt.reply.status);
+	served.trace.end('answered', refusalReason.upstreamFailed, attempt.reply.status);
 	return true;
 }
 
+function findAddress(served: ServedRequest, engineId: string | undefined): string | undefined {
+	return engineId === undefined ? undefined : served.fleet.findServing(engineId)?.record.address;
+}
+
 function createNeeds(prompt: Prompt | undefined): GenerationNeeds {
-	const parts = prompt?.parts ?? [];
-	const shared = parts.slice(0, -1);
+	const shared = (prompt?.parts ?? []).slice(0, -1);
 	const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
 	return {
 		sharedKey: shared.at(-1)?.id,
 		sharedTokens,
 		ownTokens: Math.max(0, (prompt?.promptTokens ?? 0) - sharedTokens),
+		outputTokens: prompt?.outputTokens ?? 0,
 	};
 }
 
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -7,6 +7,7 @@
 export {LoggedReport} from './report.js';
 export {chooseService, RouteTable} from './routes.js';
 export type {GatewayParts} from './served.js';
+export {ServiceTimes} from './servicetimes.js';
 export {requestOutcome, RequestReport, RequestTrace} from './trace.js';
 export type {AttemptTrace, RequestOutcome} from './trace.js';
 export {requestKind} from './types.js';
--- a/src/gateway/plain.ts
+++ b/src/gateway/plain.ts
@@ -22,7 +22,7 @@
 	const isRepeatable = served.route.kind === requestKind.idempotent;
 	let runs = 0;
 	for (let unreached = 0; ;) {
-		const view = yield * callStep('wait for a place', async () => waitForPlace(parts, served, line, leastServiceMs, now =>
+		const view = yield * callStep('wait for a place', async () => waitForPlace(parts, served, line, leastServiceMs, runs > 0, now =>
 			choosePlainPlace(served.fleet.listServing(served.service), tried, now)
 				?? choosePlainPlace(served.fleet.listServing(served.service), new Set(), now)));
 		if (!view) {
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -1,7 +1,9 @@
 import type {EngineView, Fleet} from '../dispatch/index.js';
 import type {ArrivalBudget} from '../retries/index.js';
+import type {PlaceSource} from '../places/index.js';
 import type {TimerService} from '../timers/index.js';
 import type {CallerAnswer, EngineLink} from './ports.js';
+import type {ServiceTimes} from './servicetimes.js';
 import type {RequestReport, RequestTrace} from './trace.js';
 import type {GatewayRequest, Route} from './types.js';
 
@@ -9,6 +11,9 @@
 export type GatewayParts = {
 	readonly timers: TimerService;
 	readonly link: EngineLink;
+	/** Places of generation services. */
+	readonly places: PlaceSource;
+	readonly serviceTimes: ServiceTimes;
 	readonly budget: ArrivalBudget;
 	readonly report: RequestReport;
 	/** Picks a random number from 0 up to, and without, 1. */
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -1,3 +1,5 @@
-/** The feed's connections over TCP, with CBOR frames. */
+/** Connections between entries over TCP, with CBOR frames. */
 export {FrameCodec} from './codec.js';
+export {MessageLink, MessageNetwork, TcpMessageNetwork} from './messages.js';
+export type {MessageHandlers} from './messages.js';
 export {TcpNetwork} from './tcp.js';
--- /dev/null
+++ b/src/peers/messages.ts
@@ -0,0 +1,174 @@
+import {connect, createServer} from 'node:net';
+import type {Server, Socket} from 'node:net';
+import {Decoder, Encoder} from 'cbor-x';
+import {BadFrameError} from '../errors/index.js';
+import type {Metrics} from '../metrics/index.js';
+import {encodeFrame, FrameSplitter} from './frames.js';
+
+/** Longest message, in bytes. */
+const longestBytes = 65_536;
+/** Most bytes that may wait for one connection; a slower reader is cut off. */
+const mostQueuedBytes = 1_000_000;
+
+const options = {useRecords: false, mapsAsObjects: true, variableMapSize: true} as const;
+const encoder = new Encoder(options);
+const decoder = new Decoder(options);
+
+/** What a connection calls. */
+export type MessageHandlers = {
+	/** Takes in what a message holds, still unchecked; may throw `BadFrameError`, which closes the connection. */
+	readonly onMessage: (items: unknown) => void;
+	/** Called once, also when the connection could not be opened. */
+	readonly onClose: () => void;
+};
+
+/** One connection that carries short messages both ways. */
+export abstract class MessageLink {
+	/** Queues a message; messages of one turn of the loop leave together. */
+	abstract send(items: readonly unknown[]): void;
+
+	/** Closes the connection; `onClose` is called once. */
+	abstract close(): void;
+}
+
+/** Connections for short messages between entries. */
+export abstract class MessageNetwork {
+	/** Opens a connection to `address` (`host:port`); messages sent before it is open wait in its queue. */
+	abstract open(address: string, handlers: MessageHandlers): MessageLink;
+
+	/** Takes connections at `address`; `onLink` returns the handlers of each. */
+	abstract serve(address: string, onLink: (link: MessageLink) => MessageHandlers): Promise<void>;
+
+	/** Closes every connection and takes no more. */
+	abstract close(): void;
+}
+
+/** Connections for short messages over TCP: frames of a length and a CBOR list. */
+export class TcpMessageNetwork extends MessageNetwork {
+	readonly #metrics: Metrics;
+	readonly #links = new Set<TcpMessageLink>();
+	readonly #servers = new Set<Server>();
+
+	constructor(metrics: Metrics) {
+		super();
+		this.#metrics = metrics;
+	}
+
+	open(address: string, handlers: MessageHandlers): MessageLink {
+		const [host, port] = address.split(':');
+		return this.#addLink(connect({host, port: Number(port), noDelay: true}), () => handlers);
+	}
+
+	async serve(address: string, onLink: (link: MessageLink) => MessageHandlers): Promise<void> {
+		const [host, port] = address.split(':');
+		const server = createServer({noDelay: true}, socket => {
+			this.#addLink(socket, onLink);
+		});
+		this.#servers.add(server);
+		await new Promise<void>((resolve, reject) => {
+			server.once('error', reject);
+			server.listen(Number(port), host, resolve);
+		});
+	}
+
+	close(): void {
+		for (const server of this.#servers) {
+			server.close();
+		}
+
+		for (const link of this.#links) {
+			link.close();
+		}
+	}
+
+	#addLink(socket: Socket, onLink: (link: MessageLink) => MessageHandlers): MessageLink {
+		const link = new TcpMessageLink(socket, this.#metrics);
+		this.#links.add(link);
+		link.start(onLink(link));
+		socket.once('close', () => {
+			this.#links.delete(link);
+		});
+		return link;
+	}
+}
+
+class TcpMessageLink extends MessageLink {
+	readonly #socket: Socket;
+	readonly #metrics: Metrics;
+	readonly #splitter = new FrameSplitter(longestBytes);
+	#isCorked = false;
+
+	constructor(socket: Socket, metrics: Metrics) {
+		super();
+		this.#socket = socket;
+		this.#metrics = metrics;
+	}
+
+	start(handlers: MessageHandlers): void {
+		this.#socket.on('data', (chunk: Uint8Array) => {
+			this.#metrics.count('peerBytes', 'received', chunk.length);
+			this.#onData(chunk, handlers);
+		});
+		this.#socket.on('error', () => {
+			this.#socket.destroy();
+		});
+		this.#socket.once('close', () => {
+			handlers.onClose();
+		});
+	}
+
+	send(items: readonly unknown[]): void {
+		if (this.#socket.destroyed) {
+			return;
+		}
+
+		if (this.#socket.writableLength > mostQueuedBytes) {
+			this.#metrics.count('dropped', 'slow_link');
+			this.#socket.destroy();
+			return;
+		}
+
+		if (!this.#isCorked) {
+			this.#isCorked = true;
+			this.#socket.cork();
+			setImmediate(() => {
+				this.#isCorked = false;
+				this.#socket.uncork();
+			});
+		}
+
+		const frame = encodeFrame(encoder.encode(items));
+		this.#metrics.count('peerBytes', 'sent', frame.length);
+		this.#socket.write(frame);
+	}
+
+	close(): void {
+		this.#socket.destroy();
+	}
+
+	#onData(chunk: Uint8Array, handlers: MessageHandlers): void {
+		try {
+			for (const frame of this.#splitter.generateFrames(chunk)) {
+				handlers.onMessage(decodeItems(frame));
+				if (this.#socket.destroyed) {
+					return;
+				}
+			}
+		} catch (error) {
+			if (!(error instanceof BadFrameError)) {
+				throw error;
+			}
+
+			this.#metrics.count('dropped', 'bad_frame');
+			this.#socket.destroy();
+		}
+	}
+}
+
+function decodeItems(frame: Uint8Array): unknown {
+	try {
+		return decoder.decode(frame) as unknown;
+	} catch (error) {
+		throw new BadFrameError('a message that can not be decoded', {cause: error});
+	}
+}
--- a/src/peers/tcp.ts
+++ b/src/peers/tcp.ts
@@ -1,12 +1,12 @@
-import {Buffer} from 'node:buffer';
 import {connect, createServer} from 'node:net';
 import type {Server, Socket} from 'node:net';
 import {PeerLink, PeerNetwork} from '../feed/index.js';
 import type {LinkHandlers, PeerMessage} from '../feed/index.js';
 import type {Metrics} from '../metrics/index.js';
+import {BadFrameError} from '../errors/index.js';
 import {FrameCodec, maxFrameBytes} from './codec.js';
+import {encodeFrame, FrameSplitter} from './frames.js';
 
-const lengthBytes = 4;
 /** Most bytes that may wait for one connection; a slower reader is cut off and repaired by anti-entropy. */
 const maxQueuedBytes = 4_000_000;
 
@@ -66,7 +66,7 @@
 	readonly #metrics: Metrics;
 	readonly #sent = new FrameCodec();
 	readonly #received = new FrameCodec();
-	#waiting: Uint8Array = Buffer.alloc(0);
+	readonly #splitter = new FrameSplitter(maxFrameBytes);
 
 	constructor(socket: Socket, metrics: Metrics) {
 		super();
@@ -98,11 +98,9 @@
 			return;
 		}
 
-		const frame = this.#sent.encode(message);
-		const head = Buffer.alloc(lengthBytes);
-		head.writeUInt32BE(frame.length);
-		this.#metrics.count('peerBytes', 'sent', lengthBytes + frame.length);
-		this.#socket.write(Buffer.concat([head, frame]));
+		const frame = encodeFrame(this.#sent.encode(message));
+		this.#metrics.count('peerBytes', 'sent', frame.length);
+		this.#socket.write(frame);
 	}
 
 	close(): void {
@@ -115,22 +113,19 @@
 	}
 
 	#onData(chunk: Uint8Array, handlers: LinkHandlers): void {
-		this.#waiting = this.#waiting.length === 0 ? chunk : Buffer.concat([this.#waiting, chunk]);
-		while (this.#waiting.length >= lengthBytes && !this.#socket.destroyed) {
-			const view = new DataView(this.#waiting.buffer, this.#waiting.byteOffset, lengthBytes);
-			const size = view.getUint32(0);
-			if (size > maxFrameBytes) {
-				this.#refuseFrame('long_frame');
-				return;
+		try {
+			for (const frame of this.#splitter.generateFrames(chunk)) {
+				this.#onFrame(frame, handlers);
+				if (this.#socket.destroyed) {
+					return;
+				}
 			}
-
-			if (this.#waiting.length < lengthBytes + size) {
-				return;
+		} catch (error) {
+			if (!(error instanceof BadFrameError)) {
+				throw error;
 			}
 
-			const frame = this.#waiting.subarray(lengthBytes, lengthBytes + size);
-			this.#waiting = this.#waiting.subarray(lengthBytes + size);
-			this.#onFrame(frame, handlers);
+			this.#refuseFrame('long_frame');
 		}
 	}
 
--- /dev/null
+++ b/src/places/keeper.ts
@@ -0,0 +1,167 @@
+import {
+	chooseGenerationPlace, EngineUse, isLong, WaitingLine,
+} from '../dispatch/index.js';
+import type {
+	EngineSign, EngineView, Fleet, GenerationPlace,
+} from '../dispatch/index.js';
+import type {Timer, TimerService} from '../timers/index.js';
+import {HeldPlace} from './types.js';
+import type {GrantedEngines, PlaceAsk} from './types.js';
+
+/** Time after a request's deadline when its place is taken back from a holder that was not heard, in milliseconds. */
+const expirySlackMs = 500;
+
+/** What keeping places needs. */
+export type KeeperParts = {
+	readonly timers: TimerService;
+	readonly fleet: Fleet;
+	readonly pickUnit: () => number;
+	/** Part of each engine's places that this keeper may give, above 0 up to 1. */
+	readonly getShare: () => number;
+};
+
+/**
+Gives the places of generation services: knows each place that it gave, so that engines get what they can take and the
+rest waits in one line. Without I/O; callers on this or other VMs ask through a `PlaceSource`.
+*/
+export class PlaceKeeper {
+	readonly #parts: KeeperParts;
+	readonly #lines = new Map<string, WaitingLine<GenerationPlace>>();
+	readonly #uses = new WeakMap<EngineView, EngineUse>();
+
+	constructor(parts: KeeperParts) {
+		this.#parts = parts;
+	}
+
+	/** Number of requests that wait for a place. */
+	get waiting(): number {
+		let waiting = 0;
+		for (const line of this.#lines.values()) {
+			waiting += line.size;
+		}
+
+		return waiting;
+	}
+
+	/** Waits for a place. Throws `NotRunError` when the request is refused instead. */
+	async acquire(ask: PlaceAsk, signal: AbortSignal): Promise<KeptPlace> {
+		const {timers, fleet} = this.#parts;
+		const now = timers.getNow();
+		const tried = new Set(ask.tried);
+		const place = await this.#getLine(ask.service).wait({
+			targetAt: now + ask.targetMs, deadlineAt: now + ask.deadlineMs, since: now, priority: ask.priority, serviceMs: ask.serviceMs, isReturn: ask.isReturn,
+			group: isLong(ask) ? 'long' : 'short',
+		}, at => this.#tryPlace(ask, fleet.listServing(ask.service).filter(view => !tried.has(view.record.id)), at), signal);
+		return new KeptPlace(this, place, ask, this.#parts.timers);
+	}
+
+	/** Lets waiting requests look for places again, as when an engine was added. */
+	serveWaiting(): void {
+		for (const line of this.#lines.values()) {
+			line.serve();
+		}
+	}
+
+	/** Returns what is given of an engine's places. */
+	getUse(view: EngineView): EngineUse {
+		let use = this.#uses.get(view);
+		if (!use) {
+			use = new EngineUse();
+			this.#uses.set(view, use);
+		}
+
+		return use;
+	}
+
+	/** Lets the line of a service go on after a place became free. */
+	onFree(service: string): void {
+		this.#lines.get(service)?.serve();
+	}
+
+	#tryPlace(ask: PlaceAsk, views: readonly EngineView[], now: number): GenerationPlace | undefined {
+		const place = chooseGenerationPlace(views, ask, {
+			now, share: this.#parts.getShare(), getUse: view => this.getUse(view),
+		});
+		if (!place) {
+			return undefined;
+		}
+
+		if (place.reader) {
+			this.getUse(place.reader).reading++;
+			place.reader.health.onSend();
+		}
+
+		this.getUse(place.writer).startWriting(ask, place.reader !== undefined);
+		place.writer.health.onSend();
+		return place;
+	}
+
+	#getLine(service: string): WaitingLine<GenerationPlace> {
+		let line = this.#lines.get(service);
+		if (!line) {
+			line = new WaitingLine<GenerationPlace>(this.#parts.timers, this.#parts.pickUnit);
+			this.#lines.set(service, line);
+		}
+
+		return line;
+	}
+}
+
+/** A place given by the keeper of this process. */
+export class KeptPlace extends HeldPlace {
+	readonly engines: GrantedEngines;
+	readonly #keeper: PlaceKeeper;
+	readonly #place: GenerationPlace;
+	readonly #ask: PlaceAsk;
+	readonly #timers: TimerService;
+	readonly #expiry: Timer;
+	#isReading: boolean;
+	#isWriting = true;
+
+	constructor(keeper: PlaceKeeper, place: GenerationPlace, ask: PlaceAsk, timers: TimerService) {
+		super();
+		this.#keeper = keeper;
+		this.#place = place;
+		this.#ask = ask;
+		this.#timers = timers;
+		this.#isReading = place.reader !== undefined;
+		this.engines = {reader: place.reader?.record.id, writer: place.writer.record.id, keeper: place.keeper?.record.id};
+		this.#expiry = timers.startTimer(ask.deadlineMs + expirySlackMs, () => {
+			this.release(undefined);
+		});
+	}
+
+	releaseReader(sign: EngineSign | undefined): void {
+		const {reader, writer} = this.#place;
+		if (!this.#isReading || !reader) {
+			return;
+		}
+
+		this.#isReading = false;
+		this.#keeper.getUse(reader).reading--;
+		this.#keeper.getUse(writer).onRead();
+		this.#onSign(reader, sign);
+		this.#keeper.onFree(this.#ask.service);
+	}
+
+	release(sign: EngineSign | undefined): void {
+		if (!this.#isWriting) {
+			return;
+		}
+
+		this.releaseReader(undefined);
+		this.#isWriting = false;
+		this.#expiry.cancel();
+		this.#keeper.getUse(this.#place.writer).finishWriting(this.#ask);
+		this.#onSign(this.#place.writer, sign);
+		this.#keeper.onFree(this.#ask.service);
+	}
+
+	#onSign(view: EngineView, sign: EngineSign | undefined): void {
+		if (sign) {
+			view.health.onSign(sign, this.#timers.getNow());
+		} else {
+			view.health.onGivenUp();
+		}
+	}
+}
--- /dev/null
+++ b/src/places/shared.ts
@@ -0,0 +1,103 @@
+import {selectOwners} from '../rates/index.js';
+import type {MessageNetwork} from '../peers/index.js';
+import type {TimerService} from '../timers/index.js';
+import type {PlaceKeeper} from './keeper.js';
+import {KeeperLostError, RemoteKeeper} from './remote.js';
+import {PlaceSource} from './types.js';
+import type {HeldPlace, PlaceAsk} from './types.js';
+
+/** How long a keeper that was lost is not asked again, in milliseconds. */
+const lostPauseMs = 1500;
+/** Owners of a service that are tried in turn; with more lost, each entry keeps its own places. */
+const mostOwners = 3;
+
+/** What sharing places needs. */
+export type SharedPlacesParts = {
+	readonly timers: TimerService;
+	readonly network: MessageNetwork;
+	/** The keeper of this process. */
+	readonly keeper: PlaceKeeper;
+	/** Address that this process serves other entries' asks at. */
+	readonly ownAddress: string;
+	/** Addresses of all entries that are believed to live, this one included. */
+	readonly listAddresses: () => readonly string[];
+	/** Told of each keeper that is lost or asked for the first time. */
+	readonly onKeeper: (address: string, change: string) => void;
+};
+
+/**
+One entry keeps the places of each service: the one that rendezvous chooses among the living. The others ask it over
+their own connection, so that all requests of a service wait in one line and no engine is given more than it can take.
+An entry that reaches no keeper keeps its part of the places by itself. The keeper's word saves work and is no promise:
+an engine that is full still refuses.
+*/
+export class SharedPlaces extends PlaceSource {
+	readonly #parts: SharedPlacesParts;
+	readonly #remotes = new Map<string, RemoteKeeper>();
+	readonly #lostUntil = new Map<string, number>();
+	#isAlone = false;
+
+	constructor(parts: SharedPlacesParts) {
+		super();
+		this.#parts = parts;
+	}
+
+	/** Part of each engine's places that the keeper of this process may give. */
+	computeShare(): number {
+		return this.#isAlone ? 1 / Math.max(1, this.#parts.listAddresses().length) : 1;
+	}
+
+	async acquire(ask: PlaceAsk, signal: AbortSignal): Promise<HeldPlace> {
+		const {timers, keeper, ownAddress, listAddresses} = this.#parts;
+		const askedAt = timers.getNow();
+		for (const address of selectOwners(ask.service, listAddresses(), mostOwners)) {
+			if (address === ownAddress) {
+				this.#isAlone = false;
+				return keeper.acquire(this.#shorten(ask, askedAt), signal);
+			}
+
+			if ((this.#lostUntil.get(address) ?? 0) > timers.getNow()) {
+				continue;
+			}
+
+			try {
+				return await this.#getRemote(address).acquire(this.#shorten(ask, askedAt), signal);
+			} catch (error) {
+				if (!(error instanceof KeeperLostError)) {
+					throw error;
+				}
+			}
+		}
+
+		this.#isAlone = true;
+		return keeper.acquire(this.#shorten(ask, askedAt), signal);
+	}
+
+	/** Closes the connections to other keepers. */
+	stop(): void {
+		for (const remote of this.#remotes.values()) {
+			remote.close();
+		}
+	}
+
+	/** Counts the time that was lost with an earlier keeper. */
+	#shorten(ask: PlaceAsk, askedAt: number): PlaceAsk {
+		const lostMs = this.#parts.timers.getNow() - askedAt;
+		return lostMs === 0 ? ask : {...ask, targetMs: ask.targetMs - lostMs, deadlineMs: ask.deadlineMs - lostMs};
+	}
+
+	#getRemote(address: string): RemoteKeeper {
+		let remote = this.#remotes.get(address);
+		if (!remote) {
+			this.#parts.onKeeper(address, 'asked');
+			remote = new RemoteKeeper(this.#parts.timers, this.#parts.network, address, reason => {
+				this.#remotes.delete(address);
+				this.#lostUntil.set(address, this.#parts.timers.getNow() + lostPauseMs);
+				this.#parts.onKeeper(address, `lost: ${reason}`);
+			});
+			this.#remotes.set(address, remote);
+		}
+
+		return remote;
+	}
+}
--- /dev/null
+++ b/src/places/types.ts
@@ -0,0 +1,43 @@
+import type {EngineSign, GenerationNeeds} from '../dispatch/index.js';
+
+/** A request for a place where a generation may run. Times are spans from now, in milliseconds, since clocks differ. */
+export type PlaceAsk = GenerationNeeds & {
+	readonly service: string;
+	readonly priority: number;
+	/** Time left until its answer is late; negative when it is. */
+	readonly targetMs: number;
+	/** Time left until its answer is of no use. */
+	readonly deadlineMs: number;
+	/** Time from a place to the first byte of an answer. */
+	readonly serviceMs: number;
+	/** The caller was refused before. */
+	readonly isReturn: boolean;
+	/** Ids of engines that failed this request. */
+	readonly tried: readonly string[];
+};
+
+/** The engines of a place, by their ids. */
+export type GrantedEngines = {
+	/** Reads the prompt; `undefined` when the writer does. */
+	readonly reader: string | undefined;
+	readonly writer: string;
+	/** Has the shared parts of the prompt, if it is another engine than the one that reads. */
+	readonly keeper: string | undefined;
+};
+
+/** A place that is held until it is released. */
+export abstract class HeldPlace {
+	abstract readonly engines: GrantedEngines;
+
+	/** Tells that the reader has done its part, and how. */
+	abstract releaseReader(sign: EngineSign | undefined): void;
+
+	/** Gives the place up; tells how the writer's part ended. */
+	abstract release(sign: EngineSign | undefined): void;
+}
+
+/** Gives places to requests. */
+export abstract class PlaceSource {
+	/** Waits for a place. Throws `NotRunError` when the request is refused instead, or `signal` is aborted. */
+	abstract acquire(ask: PlaceAsk, signal: AbortSignal): Promise<HeldPlace>;
+}
