Let the engine that will have read first read, and tell long generations by tokens

Cause: the two engines that only read were the bottleneck (13 ms a prompt each) while those that write were idle; a generation counted as long from 16 tokens though an event holds 69.

--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -1,4 +1,6 @@
 /** Decisions on queueing, refusing and placing requests at engines; without I/O. */
+export {CachePicture} from './cache.js';
+export type {SharedPart} from './cache.js';
 export {EngineView, engineStage} from './engine.js';
 export type {EngineLoad, EngineRecord, EngineStage} from './engine.js';
 export {Fleet} from './fleet.js';
@@ -9,3 +11,4 @@
 export {chooseGenerationPlace, choosePlainPlace} from './placement.js';
 export type {GenerationNeeds, GenerationPlace, PlacementPicture} from './placement.js';
 export {EngineUse, isLong} from './use.js';
+export type {Reading} from './use.js';
--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -1,4 +1,5 @@
 import {computeScore} from '../rates/index.js';
+import type {CachePicture, SharedPart} from './cache.js';
 import {engineStage} from './engine.js';
 import type {EngineView} from './engine.js';
 import {isLong} from './use.js';
@@ -6,9 +7,8 @@
 
 /** What a generation asks of its place. */
 export type GenerationNeeds = {
-	/** Names the shared parts of the prompt; requests with the same key are read cheaply where one was read before. */
-	readonly sharedKey: string | undefined;
-	readonly sharedTokens: number;
+	/** Parts of the prompt that other requests share, in order. */
+	readonly shared: readonly SharedPart[];
 	/** Tokens that only this request has. */
 	readonly ownTokens: number;
 	/** Most tokens that it generates. */
@@ -20,8 +20,10 @@
 	/** Reads the prompt; `undefined` when the writer reads it itself. */
 	readonly reader: EngineView | undefined;
 	readonly writer: EngineView;
-	/** Keeps the shared parts of the prompt, if another engine than the one that reads. */
+	/** Has the shared parts that the engine that reads lacks. */
 	readonly keeper: EngineView | undefined;
+	/** Tokens that have to be read. */
+	readonly readTokens: number;
 };
 
 /** What the choice of a place is made by, beside the engines. */
@@ -30,18 +32,17 @@
 	/** Part of each engine's places that may be given, above 0 up to 1. */
 	readonly share: number;
 	readonly getUse: (view: EngineView) => EngineUse;
+	readonly caches: CachePicture;
 };
 
-/** Shared tokens below which a prompt is read anew at any engine: less than the cost of one piece of a prompt. */
-const leastSharedTokens = 512;
-/** Own tokens up to which an engine that also writes reads them itself while it has little to do. */
-const directTokens = 6000;
-/** Requests at an engine that writes up to which it also reads prompts: then few wait for its slower reading. */
-const directUse = 1;
-/** Prompts at an engine that only reads: it reads one after another, the second one keeps it busy between messages. */
+/** Prompts at an engine that only reads: it reads one after another, further ones keep it busy between messages. */
 const mostReading = 3;
-/** Part of an engine's places that generations may hold for long, so that short ones always find some. */
-const longShare = 0.5;
+/** Prompts that an engine reads beside writing: each slows the streams that it writes. */
+const mostDirectReading = 2;
+/** Places of an engine that generations may hold for long, as a part: the others are for short ones. */
+const longShare = 0.84;
+/** Time for a prompt that was read elsewhere to reach its writer, in milliseconds: a message each way and the transfer. */
+const handOverMs = 6;
 /** Weight of a request whose prompt is still being read elsewhere: its place is needed only when that is done. */
 const expectedWeight = 0.6;
 /** Requests at an engine of an application service, as a multiple of its slots. */
@@ -73,9 +74,9 @@
 }
 
 /**
-Chooses where a generation runs. The shared parts of each prompt have a home among the engines that write, chosen by
-rendezvous, so that all entries agree without a message. While its home has little to do it reads the prompt itself;
-else an engine that only reads does, fetching the shared parts from the home.
+Chooses where a generation runs: at the engine that is expected to have read its prompt first, one that only reads or
+one that also writes. What the engine lacks of the shared parts it fetches from one that has them; each prompt's shared
+parts have a home among the engines that write, chosen by rendezvous, so that they are not kept everywhere.
 */
 export function chooseGenerationPlace(
 	views: readonly EngineView[],
@@ -83,27 +84,49 @@
 	picture: PlacementPicture,
 ): GenerationPlace | undefined {
 	const open = views.filter(view => view.health.isOpen(picture.now));
-	const writers = open.filter(view => view.record.stage !== engineStage.prefill);
-	const isShared = needs.sharedKey !== undefined && needs.sharedTokens >= leastSharedTokens;
-	const home = isShared ? findHome(writers, needs.sharedKey) : undefined;
-	const free = writers.filter(view => hasRoom(view, needs, picture));
-	const writer = home && free.includes(home) ? home : findLeastUsed(free, view => computeWriting(picture.getUse(view)));
-	if (!writer) {
+	const free = open.filter(view => view.record.stage !== engineStage.prefill && hasRoom(view, needs, picture));
+	if (free.length === 0) {
 		return undefined;
 	}
 
-	const keeper = home === writer ? undefined : home;
-	const readers = open.filter(view => view.record.stage === engineStage.prefill);
-	const isQuiet = needs.ownTokens <= directTokens && picture.getUse(writer).writing <= directUse;
-	if (!isShared || isQuiet || readers.length === 0 || writer.record.stage === engineStage.any) {
-		return {reader: undefined, writer, keeper};
+	const key = needs.shared.at(-1)?.id;
+	const home = key === undefined ? undefined : findLeast(free, view => -computeScore(key, view.record.id));
+	const writer = home ?? findLeast(free, view => computeWriting(picture.getUse(view)))!;
+	const direct = isLong(needs)
+		? findLeast(free, view => computeWriting(picture.getUse(view)))
+		: findLeast(
+			free.filter(view => picture.getUse(view).reading < Math.max(1, mostDirectReading * picture.share)),
+			view => computeReadMs(view, open, needs, picture),
+		);
+	const reader = findLeast(
+		open.filter(view => view.record.stage === engineStage.prefill && picture.getUse(view).reading < Math.max(1, mostReading * picture.share)),
+		view => computeReadMs(view, open, needs, picture),
+	);
+	const isReadApart = reader && !isLong(needs)
+		&& (!direct || computeReadMs(reader, open, needs, picture) + handOverMs < computeReadMs(direct, open, needs, picture));
+	if (isReadApart) {
+		return {reader, writer, ...findKept(reader, open, needs, picture)};
 	}
 
-	const reader = findLeastUsed(
-		readers.filter(view => picture.getUse(view).reading < Math.max(1, mostReading * picture.share)),
-		view => picture.getUse(view).reading,
-	);
-	return reader && {reader, writer, keeper: home};
+	return direct && {reader: undefined, writer: direct, ...findKept(direct, open, needs, picture)};
+}
+
+function computeReadMs(view: EngineView, open: readonly EngineView[], needs: GenerationNeeds, picture: PlacementPicture): number {
+	return picture.getUse(view).computeReadMs(findKept(view, open, needs, picture).readTokens);
+}
+
+/** Finds an engine that has more of the shared parts than `view`, and what is left to be read with its help. */
+function findKept(view: EngineView, open: readonly EngineView[], needs: GenerationNeeds, {caches}: PlacementPicture) {
+	const lacking = caches.countMissing(view, needs.shared);
+	if (lacking === 0) {
+		return {keeper: undefined, readTokens: needs.ownTokens};
+	}
+
+	const keeper = findLeast(open, other => caches.countMissing(other, needs.shared))!;
+	const missing = caches.countMissing(keeper, needs.shared);
+	return missing < lacking
+		? {keeper, readTokens: needs.ownTokens + missing}
+		: {keeper: undefined, readTokens: needs.ownTokens + lacking};
 }
 
 function hasRoom(view: EngineView, needs: GenerationNeeds, {share, getUse}: PlacementPicture): boolean {
@@ -117,11 +140,7 @@
 	return use.writing - (use.expected * (1 - expectedWeight));
 }
 
-function findHome(views: readonly EngineView[], key: string | undefined): EngineView | undefined {
-	return findLeastUsed(views, view => -computeScore(key ?? '', view.record.id));
-}
-
-function findLeastUsed(views: readonly EngineView[], measure: (view: EngineView) => number): EngineView | undefined {
+function findLeast(views: readonly EngineView[], measure: (view: EngineView) => number): EngineView | undefined {
 	let best: EngineView | undefined;
 	let least = Number.POSITIVE_INFINITY;
 	for (const view of views) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -120,7 +120,7 @@
 		const deadline = this.#parts.timers.startTimer(times.deadlineAt - this.#parts.timers.getNow(), onEnd);
 		answer.signal.addEventListener('abort', onEnd, {once: true});
 		const served: ServedRequest = {
-			request, route, service, answer, trace, fleet: this.fleet, signal: controller.signal, ...times,
+			request, route, service, answer, trace, fleet: this.fleet, signal: controller.signal, engineTokens: model?.memoryTokens ?? 0, ...times,
 		};
 		try {
 			await runProcedure(model
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -89,7 +89,7 @@
 			silenceMs: mayResume ? Math.max(leastSilenceMs, served.route.targetMs * silentWriterTargets) : undefined,
 			mayReuseIdle: served.route.resumable,
 		}));
-		const isDone = yield * callStep('pass the stream on', async () => passStream(parts, served, generation, attempt, mayResume));
+		const isDone = yield * callStep('pass the stream on', async () => passStream(parts, served, {generation, attempt, place, mayResume}));
 		sign = attempt.trace.sign;
 		if (attempt.isNotRun && kept && place.engines.reader !== undefined) {
 			parts.link.release(kept, place.engines.reader);
@@ -134,6 +134,7 @@
 			targetMs: served.targetAt - now,
 			deadlineMs: served.deadlineAt - now,
 			serviceMs: parts.serviceTimes.get(served.route.name),
+			engineTokens: served.engineTokens,
 			isReturn: served.isReturn,
 			tried: [...generation.tried, ...closed],
 		}, served.signal);
@@ -153,9 +154,12 @@
 	place: HeldPlace,
 ): Procedure<PromptHandle | 'rejected' | undefined> {
 	const reader = place.engines.reader === undefined ? undefined : served.fleet.findServing(place.engines.reader);
-	// A second read would count as a further send.
 	if (!reader || generation.reads > 0) {
-		place.releaseReader(undefined);
+		// A second read would count as a further send.
+		if (place.engines.reader !== undefined) {
+			place.onRead(undefined);
+		}
+
 		return undefined;
 	}
 
@@ -167,7 +171,7 @@
 		mayReuseIdle: true,
 	}));
 	const handle = yield * callStep('read the handle', async () => readHandle(parts, attempt));
-	place.releaseReader(attempt.trace.sign);
+	place.onRead(attempt.trace.sign);
 	if (handle !== undefined) {
 		return {address: reader.record.address, handle};
 	}
@@ -191,14 +195,17 @@
 	}
 }
 
+/** One stream on its way from an engine to the caller. */
+type Passage = {
+	readonly generation: Generation;
+	readonly attempt: Attempt;
+	readonly place: HeldPlace;
+	readonly mayResume: boolean;
+};
+
 /** Passes on whole events; returns whether the caller's answer has ended. */
-async function passStream(
-	parts: GatewayParts,
-	served: ServedRequest,
-	generation: Generation,
-	attempt: Attempt,
-	mayResume: boolean,
-): Promise<boolean> {
+async function passStream(parts: GatewayParts, served: ServedRequest, passage: Passage): Promise<boolean> {
+	const {generation, attempt, mayResume} = passage;
 	const {reply} = attempt;
 	if (!reply || attempt.isNotRun) {
 		return false;
@@ -218,12 +225,12 @@
 		for await (const piece of attempt.generateBody()) {
 			const events = cutter.add(piece);
 			if (events) {
-				await writeEvents(parts, served, attempt, events.bytes);
+				await writeEvents(parts, served, passage, events.bytes);
 				generation.lastId = events.lastId ?? generation.lastId;
 			}
 		}
 
-		await writeEvents(parts, served, attempt, cutter.takeRest());
+		await writeEvents(parts, served, passage, cutter.takeRest());
 	} catch (error) {
 		attempt.fail(error);
 		return false;
@@ -235,8 +242,10 @@
 	return true;
 }
 
-async function writeEvents(parts: GatewayParts, served: ServedRequest, attempt: Attempt, bytes: Uint8Array): Promise<void> {
+async function writeEvents(parts: GatewayParts, served: ServedRequest, {attempt, place}: Passage, bytes: Uint8Array): Promise<void> {
 	if (!served.answer.isStarted && attempt.reply) {
+		// Its first event tells that the prompt was read, wherever that was.
+		place.onRead('answered');
 		served.answer.start(attempt.reply.status, attempt.reply.headers, undefined);
 		served.trace.onFirstByte();
 		parts.serviceTimes.add(served.route.name, (served.trace.firstByteMs ?? 0) - (served.trace.waitedMs ?? 0));
@@ -270,8 +279,7 @@
 	const shared = (prompt?.parts ?? []).slice(0, -1);
 	const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
 	return {
-		sharedKey: shared.at(-1)?.id,
-		sharedTokens,
+		shared,
 		ownTokens: Math.max(0, (prompt?.promptTokens ?? 0) - sharedTokens),
 		outputTokens: prompt?.outputTokens ?? 0,
 	};
--- a/src/gateway/report.ts
+++ b/src/gateway/report.ts
@@ -58,6 +58,7 @@
 		...(trace.reason === undefined ? {} : {reason: trace.reason}),
 		status: trace.status ?? null,
 		deadlineMs: trace.request.callerDeadlineMs ?? null,
+		...(trace.request.prompt ? {promptTokens: trace.request.prompt.promptTokens, outputTokens: trace.request.prompt.outputTokens} : {}),
 		waitedMs: round(trace.waitedMs),
 		firstByteMs: round(trace.firstByteMs),
 		totalMs: round(trace.totalMs),
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -30,6 +30,8 @@
 	readonly fleet: Fleet;
 	/** Aborted when the caller has gone or its deadline has passed. */
 	readonly signal: AbortSignal;
+	/** Memory of an engine that generates, in tokens; 0 where the service does not. */
+	readonly engineTokens: number;
 	readonly targetAt: number;
 	readonly deadlineAt: number;
 	/** The caller comes back after a refusal or a failure. */
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -35,6 +35,8 @@
 export type ModelEngineSpec = {
 	/** Requests that an engine batches. */
 	readonly slots: number;
+	/** Tokens whose KV cache an engine's memory holds. */
+	readonly memoryTokens: number;
 };
 
 /** One service of the configuration. */
--- a/src/places/keeper.ts
+++ b/src/places/keeper.ts
@@ -1,8 +1,8 @@
 import {
-	chooseGenerationPlace, EngineUse, isLong, WaitingLine,
+	CachePicture, chooseGenerationPlace, engineSign, engineStage, EngineUse, isLong, WaitingLine,
 } from '../dispatch/index.js';
 import type {
-	EngineSign, EngineView, Fleet, GenerationPlace,
+	EngineSign, EngineView, Fleet, GenerationPlace, Reading,
 } from '../dispatch/index.js';
 import type {Timer, TimerService} from '../timers/index.js';
 import {HeldPlace} from './types.js';
@@ -26,8 +26,9 @@
 */
 export class PlaceKeeper {
 	readonly #parts: KeeperParts;
-	readonly #lines = new Map<string, WaitingLine<GenerationPlace>>();
+	readonly #lines = new Map<string, WaitingLine<GivenPlace>>();
 	readonly #uses = new WeakMap<EngineView, EngineUse>();
+	readonly #caches = new CachePicture();
 
 	constructor(parts: KeeperParts) {
 		this.#parts = parts;
@@ -48,11 +49,11 @@
 		const {timers, fleet} = this.#parts;
 		const now = timers.getNow();
 		const tried = new Set(ask.tried);
-		const place = await this.#getLine(ask.service).wait({
+		const given = await this.#getLine(ask.service).wait({
 			targetAt: now + ask.targetMs, deadlineAt: now + ask.deadlineMs, since: now, priority: ask.priority, serviceMs: ask.serviceMs, isReturn: ask.isReturn,
 			group: isLong(ask) ? 'long' : 'short',
 		}, at => this.#tryPlace(ask, fleet.listServing(ask.service).filter(view => !tried.has(view.record.id)), at), signal);
-		return new KeptPlace(this, place, ask, this.#parts.timers);
+		return new KeptPlace(this, given, ask, this.#parts.timers);
 	}
 
 	/** Lets waiting requests look for places again, as when an engine was added. */
@@ -66,7 +67,7 @@
 	getUse(view: EngineView): EngineUse {
 		let use = this.#uses.get(view);
 		if (!use) {
-			use = new EngineUse();
+			use = new EngineUse(view.record.stage === engineStage.prefill);
 			this.#uses.set(view, use);
 		}
 
@@ -78,28 +79,31 @@
 		this.#lines.get(service)?.serve();
 	}
 
-	#tryPlace(ask: PlaceAsk, views: readonly EngineView[], now: number): GenerationPlace | undefined {
+	#tryPlace(ask: PlaceAsk, views: readonly EngineView[], now: number): GivenPlace | undefined {
 		const place = chooseGenerationPlace(views, ask, {
-			now, share: this.#parts.getShare(), getUse: view => this.getUse(view),
+			now, share: this.#parts.getShare(), getUse: view => this.getUse(view), caches: this.#caches,
 		});
 		if (!place) {
 			return undefined;
 		}
 
-		if (place.reader) {
-			this.getUse(place.reader).reading++;
-			place.reader.health.onSend();
+		const {reader, writer} = place;
+		reader?.health.onSend();
+		writer.health.onSend();
+		const reading = this.getUse(reader ?? writer).startReading(place.readTokens, now);
+		this.getUse(writer).startWriting(ask, reader !== undefined);
+		// Both have the shared parts when the prompt was read: one read or fetched them, the other was handed them.
+		for (const view of reader ? [reader, writer] : [writer]) {
+			this.#caches.add(view, ask.shared, ask.engineTokens);
 		}
 
-		this.getUse(place.writer).startWriting(ask, place.reader !== undefined);
-		place.writer.health.onSend();
-		return place;
+		return {place, reading};
 	}
 
-	#getLine(service: string): WaitingLine<GenerationPlace> {
+	#getLine(service: string): WaitingLine<GivenPlace> {
 		let line = this.#lines.get(service);
 		if (!line) {
-			line = new WaitingLine<GenerationPlace>(this.#parts.timers, this.#parts.pickUnit);
+			line = new WaitingLine<GivenPlace>(this.#parts.timers, this.#parts.pickUnit);
 			this.#lines.set(service, line);
 		}
 
@@ -107,40 +111,46 @@
 	}
 }
 
+type GivenPlace = {readonly place: GenerationPlace; readonly reading: Reading};
+
 /** A place given by the keeper of this process. */
 export class KeptPlace extends HeldPlace {
 	readonly engines: GrantedEngines;
 	readonly #keeper: PlaceKeeper;
 	readonly #place: GenerationPlace;
+	readonly #reading: Reading;
 	readonly #ask: PlaceAsk;
 	readonly #timers: TimerService;
 	readonly #expiry: Timer;
-	#isReading: boolean;
+	#isReading = true;
 	#isWriting = true;
 
-	constructor(keeper: PlaceKeeper, place: GenerationPlace, ask: PlaceAsk, timers: TimerService) {
+	constructor(keeper: PlaceKeeper, {place, reading}: GivenPlace, ask: PlaceAsk, timers: TimerService) {
 		super();
 		this.#keeper = keeper;
 		this.#place = place;
+		this.#reading = reading;
 		this.#ask = ask;
 		this.#timers = timers;
-		this.#isReading = place.reader !== undefined;
 		this.engines = {reader: place.reader?.record.id, writer: place.writer.record.id, keeper: place.keeper?.record.id};
 		this.#expiry = timers.startTimer(ask.deadlineMs + expirySlackMs, () => {
 			this.release(undefined);
 		});
 	}
 
-	releaseReader(sign: EngineSign | undefined): void {
-		const {reader, writer} = this.#place;
-		if (!this.#isReading || !reader) {
+	onRead(sign: EngineSign | undefined): void {
+		if (!this.#isReading) {
 			return;
 		}
 
 		this.#isReading = false;
-		this.#keeper.getUse(reader).reading--;
-		this.#keeper.getUse(writer).onRead();
-		this.#onSign(reader, sign);
+		const {reader, writer} = this.#place;
+		this.#keeper.getUse(reader ?? writer).finishReading(this.#reading, this.#timers.getNow(), sign === engineSign.answered);
+		if (reader) {
+			this.#keeper.getUse(writer).onRead();
+			this.#onSign(reader, sign);
+		}
+
 		this.#keeper.onFree(this.#ask.service);
 	}
 
@@ -149,7 +159,7 @@
 			return;
 		}
 
-		this.releaseReader(undefined);
+		this.onRead(undefined);
 		this.#isWriting = false;
 		this.#expiry.cancel();
 		this.#keeper.getUse(this.#place.writer).finishWriting(this.#ask);
--- a/src/places/messages.ts
+++ b/src/places/messages.ts
@@ -1,5 +1,5 @@
 import {engineSign} from '../dispatch/index.js';
-import type {EngineSign} from '../dispatch/index.js';
+import type {EngineSign, SharedPart} from '../dispatch/index.js';
 import {BadFrameError, refusalReason} from '../errors/index.js';
 import type {RefusalReason} from '../errors/index.js';
 import type {GrantedEngines, PlaceAsk} from './types.js';
@@ -31,7 +31,7 @@
 			const {place} = message;
 			return [
 				message.kind, message.ask, place.service, place.priority, Math.round(place.targetMs), Math.round(place.deadlineMs), Math.round(place.serviceMs),
-				place.sharedKey ?? '', place.sharedTokens, place.ownTokens, place.outputTokens, place.isReturn ? 1 : 0, place.tried,
+				place.shared.flatMap(part => [part.id, part.tokens]), place.ownTokens, place.outputTokens, place.engineTokens, place.isReturn ? 1 : 0, place.tried,
 			];
 		}
 
@@ -96,22 +96,32 @@
 }
 
 function parseAsk(items: readonly unknown[]): PlaceAsk {
-	const [service, priority, targetMs, deadlineMs, serviceMs, sharedKey, sharedTokens, ownTokens, outputTokens, isReturn, tried] = items;
+	const [service, priority, targetMs, deadlineMs, serviceMs, shared, ownTokens, outputTokens, engineTokens, isReturn, tried] = items;
 	return {
 		service: parseText(service),
 		priority: parseNumber(priority),
 		targetMs: parseNumber(targetMs),
 		deadlineMs: parseNumber(deadlineMs),
 		serviceMs: parseNumber(serviceMs),
-		sharedKey: parseText(sharedKey) || undefined,
-		sharedTokens: parseNumber(sharedTokens),
+		shared: parseShared(shared),
 		ownTokens: parseNumber(ownTokens),
 		outputTokens: parseNumber(outputTokens),
+		engineTokens: parseNumber(engineTokens),
 		isReturn: isReturn === 1,
 		tried: Array.isArray(tried) ? tried.map(id => parseText(id)) : [],
 	};
 }
 
+function parseShared(value: unknown): SharedPart[] {
+	const items = Array.isArray(value) ? value : [];
+	const parts: SharedPart[] = [];
+	for (let index = 0; index + 1 < items.length; index += 2) {
+		parts.push({id: parseText(items[index]), tokens: parseNumber(items[index + 1])});
+	}
+
+	return parts;
+}
+
 function parseNumber(value: unknown): number {
 	if (typeof value !== 'number' || !Number.isFinite(value)) {
 		throw new BadFrameError('a field that is no number');
--- a/src/places/remote.ts
+++ b/src/places/remote.ts
@@ -169,17 +169,16 @@
 export class RemotePlace extends HeldPlace {
 	readonly engines: GrantedEngines;
 	readonly #tell: (message: Told) => void;
-	#isReading: boolean;
+	#isReading = true;
 	#isHeld = true;
 
 	constructor(engines: GrantedEngines, tell: (message: Told) => void) {
 		super();
 		this.engines = engines;
 		this.#tell = tell;
-		this.#isReading = engines.reader !== undefined;
 	}
 
-	releaseReader(sign: EngineSign | undefined): void {
+	onRead(sign: EngineSign | undefined): void {
 		if (this.#isReading) {
 			this.#isReading = false;
 			this.#tell({kind: placeMessageKind.read, sign: selectShared(sign)});
--- a/src/places/serve.ts
+++ b/src/places/serve.ts
@@ -44,7 +44,7 @@
 			}
 
 			case placeMessageKind.read: {
-				held.get(message.ask)?.place?.releaseReader(message.sign);
+				held.get(message.ask)?.place?.onRead(message.sign);
 				break;
 			}
 
--- a/src/places/types.ts
+++ b/src/places/types.ts
@@ -10,6 +10,8 @@
 	readonly deadlineMs: number;
 	/** Time from a place to the first byte of an answer. */
 	readonly serviceMs: number;
+	/** Memory of an engine of the service, in tokens. */
+	readonly engineTokens: number;
 	/** The caller was refused before. */
 	readonly isReturn: boolean;
 	/** Ids of engines that failed this request. */
@@ -21,7 +23,7 @@
 	/** Reads the prompt; `undefined` when the writer does. */
 	readonly reader: string | undefined;
 	readonly writer: string;
-	/** Has the shared parts of the prompt, if it is another engine than the one that reads. */
+	/** Has shared parts of the prompt that the engine that reads lacks. */
 	readonly keeper: string | undefined;
 };
 
@@ -29,8 +31,8 @@
 export abstract class HeldPlace {
 	abstract readonly engines: GrantedEngines;
 
-	/** Tells that the reader has done its part, and how. */
-	abstract releaseReader(sign: EngineSign | undefined): void;
+	/** Tells that the prompt was read, or will not be, and how that ended. */
+	abstract onRead(sign: EngineSign | undefined): void;
 
 	/** Gives the place up; tells how the writer's part ended. */
 	abstract release(sign: EngineSign | undefined): void;
