Bring the new code to the linter and the list of verbs

The check of verbs covers platform/ and passes over overrides: their base is checked itself or is a library's. Behaviour as before; the whole build is clean.

--- a/src/dispatch/engine.ts
+++ b/src/dispatch/engine.ts
@@ -36,7 +36,6 @@
 
 /** What this process believes of one engine: its registration, its load and its health. */
 export class EngineView {
-	record: EngineRecord;
 	readonly health = new EngineHealth();
 	/** Requests of this process that the engine has now. */
 	own = 0;
@@ -45,9 +44,7 @@
 	#othersAtReport = 0;
 	#reportedAt = Number.NEGATIVE_INFINITY;
 
-	constructor(record: EngineRecord) {
-		this.record = record;
-	}
+	constructor(public record: EngineRecord) {}
 
 	/** Takes in the load that an answer carried. */
 	onLoad(load: EngineLoad, now: number): void {
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -6,7 +6,9 @@
 export {Fleet} from './fleet.js';
 export {EngineHealth, engineSign} from './health.js';
 export type {EngineSign} from './health.js';
-export {canBeOnTime, compareTurns, isOverdue, WaitingLine} from './line.js';
+export {
+	isOnTimeAt, compareTurns, isOverdue, WaitingLine,
+} from './line.js';
 export type {Waiting} from './line.js';
 export {chooseGenerationPlace, choosePlainPlace} from './placement.js';
 export type {GenerationNeeds, GenerationPlace, PlacementPicture} from './placement.js';
--- a/src/dispatch/line.ts
+++ b/src/dispatch/line.ts
@@ -83,12 +83,14 @@
 		}
 
 		const expectedMs = (ahead + 1) * this.#paceMs;
-		if (!canBeOnTime(waiting, now + expectedMs) && isOverdue(waiting, now + expectedMs)) {
+		if (!isOnTimeAt(waiting, now + expectedMs) && isOverdue(waiting, now + expectedMs)) {
 			throw this.#createRefusal(waiting, now, refusalReason.deadline);
 		}
 
 		return new Promise<Place>((resolve, reject) => {
-			const entry: Entry<Place> = {waiting, tryPlace, resolve, reject};
+			const entry: Entry<Place> = {
+				waiting, tryPlace, resolve, reject,
+			};
 			signal.addEventListener('abort', () => {
 				this.#entries.delete(entry);
 				reject(new NotRunError('Given up while waiting for a place.', {props: {reason: refusalReason.deadline}}));
@@ -156,7 +158,7 @@
 
 	/** Refuses a late request that has waited for its part of the time, or would by the time of its turn. */
 	#refuseOverdue(entry: Entry<Place>, ahead: number, now: number): void {
-		if (!canBeOnTime(entry.waiting, now) && isOverdue(entry.waiting, now + (ahead * this.#paceMs))) {
+		if (!isOnTimeAt(entry.waiting, now) && isOverdue(entry.waiting, now + (ahead * this.#paceMs))) {
 			this.#entries.delete(entry);
 			entry.reject(this.#createRefusal(entry.waiting, now, refusalReason.deadline));
 		}
@@ -172,8 +174,8 @@
 
 /** Compares whose turn comes first: requests that can be on time by their target, then late ones by their deadline. */
 export function compareTurns(left: Waiting, right: Waiting, now: number): number {
-	const isLeftOnTime = canBeOnTime(left, now);
-	if (isLeftOnTime !== canBeOnTime(right, now)) {
+	const isLeftOnTime = isOnTimeAt(left, now);
+	if (isLeftOnTime !== isOnTimeAt(right, now)) {
 		return isLeftOnTime ? -1 : 1;
 	}
 
@@ -181,7 +183,7 @@
 }
 
 /** Tells whether a request that gets its place at `at` is answered on time. */
-export function canBeOnTime(waiting: Waiting, at: number): boolean {
+export function isOnTimeAt(waiting: Waiting, at: number): boolean {
 	return at + waiting.serviceMs <= waiting.targetAt;
 }
 
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {engineSign} from '../dispatch/index.js';
 import type {EngineSign, EngineView} from '../dispatch/index.js';
 import {ForeignAnswerError, NotSentError} from '../errors/index.js';
@@ -25,21 +26,22 @@
 	readonly #timers: TimerService;
 	readonly #served: ServedRequest;
 	readonly #silenceMs: number | undefined;
-	readonly #onEnd = () => {
-		this.controller.abort();
-	};
-
+	readonly #onEnd: () => void;
 	#timer: Timer | undefined;
 
 	constructor(timers: TimerService, served: ServedRequest, silenceMs: number | undefined) {
 		this.#timers = timers;
 		this.#served = served;
 		this.#silenceMs = silenceMs;
+		this.#onEnd = () => {
+			this.controller.abort();
+		};
+
 		served.signal.addEventListener('abort', this.#onEnd, {once: true});
-		this.restart();
+		this.reset();
 	}
 
-	restart(): void {
+	reset(): void {
 		this.#timer?.cancel();
 		if (this.#silenceMs !== undefined) {
 			this.#timer = this.#timers.startTimer(this.#silenceMs, () => {
@@ -103,7 +105,7 @@
 		} catch (error) {
 			this.isNotSent = error instanceof NotSentError;
 			this.isNotRun = this.isNotSent;
-			this.#fail(error);
+			this.#onFailure(error);
 		}
 	}
 
@@ -122,7 +124,7 @@
 
 			return pieces.length === 1 ? pieces[0] : Buffer.concat(pieces);
 		} catch (error) {
-			this.#fail(error);
+			this.#onFailure(error);
 			return undefined;
 		}
 	}
@@ -134,7 +136,7 @@
 		}
 
 		for await (const piece of this.reply.generateBody()) {
-			this.#watch.restart();
+			this.#watch.reset();
 			yield piece;
 		}
 	}
@@ -143,18 +145,18 @@
 	finish(): void {
 		const tookMs = this.#parts.timers.getNow() - this.#startedAt;
 		this.view.onDuration(tookMs);
-		this.#end(this.isSuccess ? engineSign.answered : engineSign.failed, undefined);
+		this.#settle(this.isSuccess ? engineSign.answered : engineSign.failed, undefined);
 	}
 
 	/** Notes that the answer broke off, and closes its connection. */
-	fail(error: unknown): void {
+	abort(error: unknown): void {
 		this.reply?.abort();
-		this.#fail(error);
+		this.#onFailure(error);
 	}
 
 	#onReply(reply: EngineReply): void {
 		this.reply = reply;
-		this.#watch.restart();
+		this.#watch.reset();
 		if (reply.load) {
 			this.view.onLoad(reply.load, this.#parts.timers.getNow());
 		}
@@ -162,26 +164,26 @@
 		if (reply.isOtherEngine || reply.isNotRun) {
 			this.isNotRun = true;
 			reply.abort();
-			this.#end(reply.isOtherEngine ? engineSign.otherEngine : engineSign.refused, `status ${reply.status}`);
+			this.#settle(reply.isOtherEngine ? engineSign.otherEngine : engineSign.refused, `status ${reply.status}`);
 		}
 	}
 
-	#fail(error: unknown): void {
+	#onFailure(error: unknown): void {
 		this.error = error;
 		const detail = error instanceof Error ? `${error.name}: ${error.message}` : String(error);
 		if (this.#watch.isSilent) {
-			this.#end(engineSign.silent, 'no byte in time');
+			this.#settle(engineSign.silent, 'no byte in time');
 		} else if (this.#watch.controller.signal.aborted) {
 			// The caller has gone or its time is over: that tells nothing of the engine.
-			this.#end(undefined, 'given up');
+			this.#settle(undefined, 'given up');
 		} else if (error instanceof NotSentError) {
-			this.#end(engineSign.unreachable, detail);
+			this.#settle(engineSign.unreachable, detail);
 		} else {
-			this.#end(engineSign.broken, error instanceof ForeignAnswerError ? 'answer of another request' : detail);
+			this.#settle(engineSign.broken, error instanceof ForeignAnswerError ? 'answer of another request' : detail);
 		}
 	}
 
-	#end(sign: EngineSign | undefined, detail: string | undefined): void {
+	#settle(sign: EngineSign | undefined, detail: string | undefined): void {
 		if (this.trace.tookMs !== undefined) {
 			return;
 		}
--- a/src/gateway/ending.ts
+++ b/src/gateway/ending.ts
@@ -9,38 +9,45 @@
 /** Part of the time left after which a caller comes back: callers honour up to a third. */
 const returnShare = 1 / 3;
 
+/** How a request looks for a place. */
+export type PlaceSearch<Place> = {
+	/** Time from a place to the first byte of an answer, in milliseconds. */
+	readonly serviceMs: number;
+	/** An earlier engine may have run it. */
+	readonly mayHaveRun: boolean;
+	readonly tryPlace: (now: number) => Place | undefined;
+};
+
 /** Waits for a place; answers the caller and returns nothing when it is refused instead. */
 export async function waitForPlace<Place>(
 	parts: GatewayParts,
 	served: ServedRequest,
 	line: WaitingLine<Place>,
-	serviceMs: number,
-	mayHaveRun: boolean,
-	tryPlace: (now: number) => Place | undefined,
+	search: PlaceSearch<Place>,
 ): Promise<Place | undefined> {
 	const {targetAt, deadlineAt, route, isReturn} = served;
 	try {
 		const place = await line.wait({
-			targetAt, deadlineAt, since: parts.timers.getNow(), priority: route.priority, serviceMs, isReturn, group: route.kind,
-		}, tryPlace, served.signal);
+			targetAt, deadlineAt, since: parts.timers.getNow(), priority: route.priority, serviceMs: search.serviceMs, isReturn, group: route.kind,
+		}, search.tryPlace, served.signal);
 		served.trace.onPlace();
 		return place;
 	} catch (error) {
-		endWithoutPlace(served, error, mayHaveRun);
+		refuseWithoutPlace(served, error, search.mayHaveRun);
 		return undefined;
 	}
 }
 
 /** Answers a request that got no place; throws an error that says something else. */
-export function endWithoutPlace(served: ServedRequest, error: unknown, mayHaveRun: boolean): void {
+export function refuseWithoutPlace(served: ServedRequest, error: unknown, mayHaveRun: boolean): void {
 	if (!(error instanceof NotRunError)) {
 		throw error;
 	}
 
 	if (served.answer.signal.aborted) {
-		served.trace.end('caller_gone', undefined);
+		served.trace.finish('caller_gone', undefined);
 	} else if (served.answer.isStarted) {
-		served.trace.end('broken', error.reason);
+		served.trace.finish('broken', error.reason);
 		served.answer.abort();
 	} else if (mayHaveRun) {
 		// It may have run at an earlier engine: only an answer that promises nothing is true.
@@ -57,14 +64,14 @@
 }
 
 /** Ends a request that may have run and has no answer to pass on. */
-export function endUnanswered(served: ServedRequest, attempt: Attempt): void {
+export function finishUnanswered(served: ServedRequest, attempt: Attempt): void {
 	if (served.answer.signal.aborted) {
-		served.trace.end('caller_gone', attempt.trace.sign);
+		served.trace.finish('caller_gone', attempt.trace.sign);
 		return;
 	}
 
 	if (served.answer.isStarted) {
-		served.trace.end('broken', attempt.trace.detail);
+		served.trace.finish('broken', attempt.trace.detail);
 		served.answer.abort();
 		return;
 	}
@@ -77,6 +84,6 @@
 }
 
 function refuse(served: ServedRequest, status: number, reason: RefusalReason, retryAfterMs: number | undefined): void {
-	served.trace.end(status === 503 ? 'refused' : 'failed', reason, status);
+	served.trace.finish(status === 503 ? 'refused' : 'failed', reason, status);
 	served.answer.refuse(status, reason, retryAfterMs);
 }
--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -1,3 +1,5 @@
+import {Buffer} from 'node:buffer';
+
 const lineFeed = 10;
 const idField = 'id:';
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,15 +29,13 @@
 ```
 */
 export class Gateway {
-	readonly fleet: Fleet;
 	readonly #parts: GatewayParts;
 	readonly #plainLines = new Map<string, WaitingLine<EngineView>>();
 	#configuration: GatewayConfiguration | undefined;
 	#routes: RouteTable | undefined;
 	#inProgress = 0;
 
-	constructor(fleet: Fleet, parts: GatewayParts) {
-		this.fleet = fleet;
+	constructor(readonly fleet: Fleet, parts: GatewayParts) {
 		this.#parts = parts;
 	}
 
@@ -100,7 +98,7 @@
 
 	async #serveRouted(request: GatewayRequest, answer: CallerAnswer, trace: RequestTrace): Promise<void> {
 		if (!this.#configuration || !this.#routes) {
-			trace.end('refused', refusalReason.noConfiguration);
+			trace.finish('refused', refusalReason.noConfiguration);
 			answer.refuse(503, refusalReason.noConfiguration, startingReturnMs);
 			return;
 		}
@@ -109,7 +107,7 @@
 		const service = route && chooseService(route, this.#parts.pickUnit());
 		trace.onRoute(this.#configuration.version, route, service);
 		if (!route || service === undefined) {
-			trace.end('refused', refusalReason.noRoute);
+			trace.finish('refused', refusalReason.noRoute);
 			answer.refuse(404, refusalReason.noRoute, undefined);
 			return;
 		}
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -5,7 +5,7 @@
 import type {Procedure} from '../procedures/index.js';
 import {callEngine} from './attempt.js';
 import type {Attempt} from './attempt.js';
-import {endUnanswered, endWithoutPlace, refuseNotRun} from './ending.js';
+import {finishUnanswered, refuseWithoutPlace, refuseNotRun} from './ending.js';
 import {EventCutter} from './events.js';
 import type {PromptHandle} from './ports.js';
 import type {GatewayParts, ServedRequest} from './served.js';
@@ -56,8 +56,8 @@
 			continue;
 		}
 
-		const attempt = yield * runAtPlace(parts, served, generation, place, writer);
-		if (!attempt || !mayGoOn(parts, served, generation, attempt)) {
+		const attempt = yield * runAtPlace(parts, served, generation, {place, writer});
+		if (!attempt || !decideNext(parts, served, generation, attempt)) {
 			return;
 		}
 	}
@@ -68,8 +68,7 @@
 	parts: GatewayParts,
 	served: ServedRequest,
 	generation: Generation,
-	place: HeldPlace,
-	writer: EngineView,
+	{place, writer}: {readonly place: HeldPlace; readonly writer: EngineView},
 ): Procedure<Attempt | undefined> {
 	let sign: EngineSign | undefined;
 	try {
@@ -89,7 +88,9 @@
 			silenceMs: mayResume ? Math.max(leastSilenceMs, served.route.targetMs * silentWriterTargets) : undefined,
 			mayReuseIdle: served.route.resumable,
 		}));
-		const isDone = yield * callStep('pass the stream on', async () => passStream(parts, served, {generation, attempt, place, mayResume}));
+		const isDone = yield * callStep('pass the stream on', async () => sendStream(parts, served, {
+			generation, attempt, place, mayResume,
+		}));
 		sign = attempt.trace.sign;
 		if (attempt.isNotRun && kept && place.engines.reader !== undefined) {
 			parts.link.release(kept, place.engines.reader);
@@ -102,7 +103,7 @@
 }
 
 /** Decides whether a generation that has not ended goes on at another engine; ends it where it doesn't. */
-function mayGoOn(parts: GatewayParts, served: ServedRequest, generation: Generation, attempt: Attempt): boolean {
+function decideNext(parts: GatewayParts, served: ServedRequest, generation: Generation, attempt: Attempt): boolean {
 	generation.tried.add(attempt.view.record.id);
 	generation.runs += attempt.isNotRun ? 0 : 1;
 	generation.unreached += attempt.isNotSent ? 1 : 0;
@@ -117,7 +118,7 @@
 	if (attempt.isNotRun && generation.runs === 0 && !served.signal.aborted) {
 		refuseNotRun(parts, served, refusalReason.retryBudget);
 	} else {
-		endUnanswered(served, attempt);
+		finishUnanswered(served, attempt);
 	}
 
 	return false;
@@ -141,7 +142,7 @@
 		served.trace.onPlace();
 		return place;
 	} catch (error) {
-		endWithoutPlace(served, error, generation.runs > 0);
+		refuseWithoutPlace(served, error, generation.runs > 0);
 		return undefined;
 	}
 }
@@ -190,7 +191,7 @@
 		attempt.finish();
 		return handle;
 	} catch (error) {
-		attempt.fail(error);
+		attempt.abort(error);
 		return undefined;
 	}
 }
@@ -204,7 +205,7 @@
 };
 
 /** Passes on whole events; returns whether the caller's answer has ended. */
-async function passStream(parts: GatewayParts, served: ServedRequest, passage: Passage): Promise<boolean> {
+async function sendStream(parts: GatewayParts, served: ServedRequest, passage: Passage): Promise<boolean> {
 	const {generation, attempt, mayResume} = passage;
 	const {reply} = attempt;
 	if (!reply || attempt.isNotRun) {
@@ -212,11 +213,11 @@
 	}
 
 	if (!attempt.isSuccess) {
-		return passFailure(served, attempt, mayResume);
+		return sendFailure(served, attempt, mayResume);
 	}
 
 	if (!reply.hasReceipt) {
-		attempt.fail(new TypeError('The success has no receipt.'));
+		attempt.abort(new TypeError('The success has no receipt.'));
 		return false;
 	}
 
@@ -232,13 +233,13 @@
 
 		await writeEvents(parts, served, passage, cutter.takeRest());
 	} catch (error) {
-		attempt.fail(error);
+		attempt.abort(error);
 		return false;
 	}
 
 	attempt.finish();
 	served.answer.finish();
-	served.trace.end('answered', undefined, reply.status);
+	served.trace.finish('answered', undefined, reply.status);
 	return true;
 }
 
@@ -257,7 +258,7 @@
 }
 
 /** Passes an engine's failure on, unless the request may go on elsewhere. */
-async function passFailure(served: ServedRequest, attempt: Attempt, mayResume: boolean): Promise<boolean> {
+async function sendFailure(served: ServedRequest, attempt: Attempt, mayResume: boolean): Promise<boolean> {
 	const body = await attempt.readBody();
 	attempt.finish();
 	if (!body || !attempt.reply || mayResume || served.answer.isStarted) {
@@ -267,7 +268,7 @@
 	served.answer.start(attempt.reply.status, attempt.reply.headers, body.length);
 	void served.answer.write(body);
 	served.answer.finish();
-	served.trace.end('answered', refusalReason.upstreamFailed, attempt.reply.status);
+	served.trace.finish('answered', refusalReason.upstreamFailed, attempt.reply.status);
 	return true;
 }
 
--- a/src/gateway/plain.ts
+++ b/src/gateway/plain.ts
@@ -1,13 +1,14 @@
 import {choosePlainPlace} from '../dispatch/index.js';
 import type {EngineView, WaitingLine} from '../dispatch/index.js';
 import {refusalReason, retryReason} from '../errors/index.js';
+import type {RetryReason} from '../errors/index.js';
 import {callStep} from '../procedures/index.js';
 import type {Procedure} from '../procedures/index.js';
 import {callEngine} from './attempt.js';
 import type {Attempt} from './attempt.js';
-import {endUnanswered, refuseNotRun, waitForPlace} from './ending.js';
-import {requestKind} from './types.js';
+import {finishUnanswered, refuseNotRun, waitForPlace} from './ending.js';
 import type {GatewayParts, ServedRequest} from './served.js';
+import {requestKind} from './types.js';
 
 /** Part of the target after which a silent engine loses a request that may be sent again: another can still be on time. */
 const silentShare = 0.6;
@@ -16,66 +17,93 @@
 /** Time that the shortest request needs at an engine, in milliseconds: less left is not worth a send. */
 const leastServiceMs = 5;
 
+/** How far one request of an application service has come. */
+class PlainRun {
+	readonly tried = new Set<EngineView>();
+	/** Engines that may have run it. */
+	runs = 0;
+	/** Engines that could not be reached. */
+	unreached = 0;
+
+	/** Whether it may run at one more engine after the next. */
+	isRepeatable({route}: ServedRequest): boolean {
+		return route.kind === requestKind.idempotent && this.runs + 1 < route.attempts;
+	}
+
+	/** Chooses an engine that was not tried, or any if all were. */
+	chooseEngine({fleet, service}: ServedRequest, now: number): EngineView | undefined {
+		const views = fleet.listServing(service);
+		return choosePlainPlace(views, this.tried, now) ?? choosePlainPlace(views, new Set(), now);
+	}
+}
+
 /** Answers a request of an application service: sent again only where it may run again or has not run. */
 export function * servePlain(parts: GatewayParts, served: ServedRequest, line: WaitingLine<EngineView>): Procedure<void> {
-	const tried = new Set<EngineView>();
-	const isRepeatable = served.route.kind === requestKind.idempotent;
-	let runs = 0;
-	for (let unreached = 0; ;) {
-		const view = yield * callStep('wait for a place', async () => waitForPlace(parts, served, line, leastServiceMs, runs > 0, now =>
-			choosePlainPlace(served.fleet.listServing(served.service), tried, now)
-				?? choosePlainPlace(served.fleet.listServing(served.service), new Set(), now)));
+	const run = new PlainRun();
+	for (;;) {
+		const view = yield * callStep('wait for a place', async () => waitForPlace(parts, served, line, {
+			serviceMs: leastServiceMs, mayHaveRun: run.runs > 0, tryPlace: now => run.chooseEngine(served, now),
+		}));
 		if (!view) {
 			return;
 		}
 
-		const mayRepeat = isRepeatable && runs + 1 < served.route.attempts;
+		const mayRepeat = run.isRepeatable(served);
 		const attempt = yield * callStep('send to an engine', async () => callEngine(parts, served, view, {
 			purpose: 'run',
-			silenceMs: mayRepeat ? (served.route.targetMs * silentShare) : undefined,
-			mayReuseIdle: isRepeatable,
+			silenceMs: mayRepeat ? served.route.targetMs * silentShare : undefined,
+			mayReuseIdle: served.route.kind === requestKind.idempotent,
 		}));
 		const body = attempt.isNotRun ? undefined : yield * callStep('read the answer', async () => attempt.readBody());
-		line.serve();
-		if (body && (attempt.isSuccess || !mayRepeat)) {
-			attempt.finish();
-			sendWhole(served, attempt, body);
-			return;
-		}
-
 		if (body) {
 			attempt.finish();
 		}
 
-		tried.add(view);
-		runs += attempt.isNotRun ? 0 : 1;
-		unreached += attempt.isNotSent ? 1 : 0;
-		if (served.signal.aborted) {
-			endUnanswered(served, attempt);
+		line.serve();
+		if (body && (attempt.isSuccess || !mayRepeat)) {
+			sendWhole(served, attempt, body);
 			return;
 		}
 
-		const isFree = attempt.isNotSent && unreached < mostUnreached;
-		const mayTryAgain = attempt.isNotRun || mayRepeat;
-		if (mayTryAgain && (isFree || (!attempt.isNotSent && parts.budget.tryTake(served.service)))) {
-			parts.report.onRetry(selectReason(attempt, body));
-		} else if (body) {
-			sendWhole(served, attempt, body);
-			return;
-		} else if (attempt.isNotRun && runs === 0) {
-			refuseNotRun(parts, served, refusalReason.retryBudget);
-			return;
-		} else {
-			endUnanswered(served, attempt);
+		if (!decideNext(parts, served, run, attempt)) {
+			finishAfter(parts, served, run, {attempt, body});
 			return;
 		}
+
+		parts.report.onRetry(selectReason(attempt, body));
+	}
+}
+
+/** Decides whether a request without a success goes on at another engine. */
+function decideNext(parts: GatewayParts, served: ServedRequest, run: PlainRun, attempt: Attempt): boolean {
+	const mayRepeat = run.isRepeatable(served);
+	run.tried.add(attempt.view);
+	run.runs += attempt.isNotRun ? 0 : 1;
+	run.unreached += attempt.isNotSent ? 1 : 0;
+	if (served.signal.aborted || !(attempt.isNotRun || mayRepeat)) {
+		return false;
+	}
+
+	return attempt.isNotSent ? run.unreached < mostUnreached : parts.budget.tryTake(served.service);
+}
+
+type LastAttempt = {readonly attempt: Attempt; readonly body: Uint8Array | undefined};
+
+/** Ends a request after its last attempt. */
+function finishAfter(parts: GatewayParts, served: ServedRequest, run: PlainRun, {attempt, body}: LastAttempt): void {
+	if (body && !served.signal.aborted) {
+		sendWhole(served, attempt, body);
+	} else if (run.runs === 0 && !served.signal.aborted) {
+		refuseNotRun(parts, served, refusalReason.retryBudget);
+	} else {
+		finishUnanswered(served, attempt);
 	}
 }
 
 function sendWhole(served: ServedRequest, attempt: Attempt, body: Uint8Array): void {
 	const {reply} = attempt;
 	if (!reply || (attempt.isSuccess && !reply.hasReceipt)) {
-		endUnanswered(served, attempt);
+		finishUnanswered(served, attempt);
 		return;
 	}
 
@@ -83,10 +111,10 @@
 	served.trace.onFirstByte();
 	void served.answer.write(body);
 	served.answer.finish();
-	served.trace.end('answered', undefined, reply.status);
+	served.trace.finish('answered', undefined, reply.status);
 }
 
-function selectReason(attempt: Attempt, body: Uint8Array | undefined): string {
+function selectReason(attempt: Attempt, body: Uint8Array | undefined): RetryReason {
 	if (attempt.isNotSent) {
 		return retryReason.connectFailed;
 	}
--- a/src/gateway/report.ts
+++ b/src/gateway/report.ts
@@ -51,27 +51,28 @@
 function createLine(trace: RequestTrace): Record<string, unknown> {
 	return {
 		id: trace.request.id,
-		version: trace.version ?? null,
-		route: trace.route?.name ?? null,
-		service: trace.service ?? null,
+		version: trace.version,
+		route: trace.route?.name,
+		service: trace.service,
 		outcome: trace.outcome ?? 'failed',
 		...(trace.reason === undefined ? {} : {reason: trace.reason}),
-		status: trace.status ?? null,
-		deadlineMs: trace.request.callerDeadlineMs ?? null,
+		status: trace.status,
+		deadlineMs: trace.request.callerDeadlineMs,
 		...(trace.request.prompt ? {promptTokens: trace.request.prompt.promptTokens, outputTokens: trace.request.prompt.outputTokens} : {}),
-		waitedMs: round(trace.waitedMs),
-		firstByteMs: round(trace.firstByteMs),
-		totalMs: round(trace.totalMs),
+		waitedMs: formatTime(trace.waitedMs),
+		firstByteMs: formatTime(trace.firstByteMs),
+		totalMs: formatTime(trace.totalMs),
 		attempts: trace.attempts.map(attempt => ({
 			...attempt,
-			atMs: round(attempt.atMs),
-			load: round(attempt.load),
-			loadAgeMs: round(attempt.loadAgeMs),
-			tookMs: round(attempt.tookMs),
+			atMs: formatTime(attempt.atMs),
+			load: formatTime(attempt.load),
+			loadAgeMs: formatTime(attempt.loadAgeMs),
+			tookMs: formatTime(attempt.tookMs),
 		})),
 	};
 }
 
-function round(value: number | undefined): number | null {
-	return value === undefined || !Number.isFinite(value) ? null : Math.round(value * 10) / 10;
+/** Rounds to a tenth; a time that was not measured is left out of the line. */
+function formatTime(value: number | undefined): number | undefined {
+	return value === undefined || !Number.isFinite(value) ? undefined : Math.round(value * 10) / 10;
 }
--- a/src/gateway/trace.ts
+++ b/src/gateway/trace.ts
@@ -37,7 +37,6 @@
 
 /** What happened to one request, with what each decision was made by. */
 export class RequestTrace {
-	readonly request: GatewayRequest;
 	version: number | undefined;
 	route: Route | undefined;
 	service: string | undefined;
@@ -50,8 +49,7 @@
 	readonly attempts: AttemptTrace[] = [];
 	readonly #timers: TimerService;
 
-	constructor(request: GatewayRequest, timers: TimerService) {
-		this.request = request;
+	constructor(readonly request: GatewayRequest, timers: TimerService) {
 		this.#timers = timers;
 	}
 
@@ -83,7 +81,7 @@
 	}
 
 	/** Notes how the request ended. */
-	end(outcome: RequestOutcome, reason: string | undefined, status?: number): void {
+	finish(outcome: RequestOutcome, reason: string | undefined, status?: number): void {
 		this.outcome = outcome;
 		this.reason = reason;
 		this.status = status;
@@ -92,7 +90,7 @@
 
 	/** Notes an error that nothing handled. */
 	onError(error: unknown): void {
-		this.end('failed', error instanceof Error ? `${error.name}: ${error.message}` : String(error));
+		this.finish('failed', error instanceof Error ? `${error.name}: ${error.message}` : String(error));
 	}
 
 	#measure(): number {
--- a/src/logs/output.ts
+++ b/src/logs/output.ts
@@ -1,5 +1,6 @@
 import {fstatSync} from 'node:fs';
 import {Socket} from 'node:net';
+import process from 'node:process';
 import {ROARR, Roarr} from 'roarr';
 import type {TimerService} from '../timers/index.js';
 
--- a/src/places/messages.ts
+++ b/src/places/messages.ts
@@ -30,8 +30,19 @@
 		case placeMessageKind.ask: {
 			const {place} = message;
 			return [
-				message.kind, message.ask, place.service, place.priority, Math.round(place.targetMs), Math.round(place.deadlineMs), Math.round(place.serviceMs),
-				place.shared.flatMap(part => [part.id, part.tokens]), place.ownTokens, place.outputTokens, place.engineTokens, place.isReturn ? 1 : 0, place.tried,
+				message.kind,
+				message.ask,
+				place.service,
+				place.priority,
+				Math.round(place.targetMs),
+				Math.round(place.deadlineMs),
+				Math.round(place.serviceMs),
+				place.shared.flatMap(part => [part.id, part.tokens]),
+				place.ownTokens,
+				place.outputTokens,
+				place.engineTokens,
+				place.isReturn ? 1 : 0,
+				place.tried,
 			];
 		}
 
@@ -75,7 +86,9 @@
 
 		case placeMessageKind.refuse: {
 			const reason = reasons.find(known => known === rest[0]) ?? refusalReason.unavailable;
-			return {kind, ask: number, reason, retryAfterMs: parseNumber(rest[1])};
+			return {
+				kind, ask: number, reason, retryAfterMs: parseNumber(rest[1]),
+			};
 		}
 
 		case placeMessageKind.read:
--- a/src/places/remote.ts
+++ b/src/places/remote.ts
@@ -35,7 +35,7 @@
 	readonly #asked = new Map<number, Asked>();
 	readonly #pinger: Timer;
 	#number = 0;
-	#pings = new Map<number, number>();
+	readonly #pings = new Map<number, number>();
 	#slowInRow = 0;
 	#isLost = false;
 
@@ -47,12 +47,12 @@
 				this.#onMessage(parseItems(items));
 			},
 			onClose: () => {
-				this.#lose('connection closed');
+				this.#markLost('connection closed');
 			},
 		});
-		this.#ping();
+		this.#sendPing();
 		this.#pinger = timers.startInterval(pingMs, () => {
-			this.#ping();
+			this.#sendPing();
 		});
 	}
 
@@ -81,18 +81,18 @@
 
 	/** Closes the connection. */
 	close(): void {
-		this.#lose('closed');
+		this.#markLost('closed');
 	}
 
 	#send(message: PlaceMessage): void {
 		this.#link.send(toItems(message));
 	}
 
-	#ping(): void {
+	#sendPing(): void {
 		const now = this.#timers.getNow();
 		const [oldest] = this.#pings.values();
 		if (oldest !== undefined && now - oldest > silentMs) {
-			this.#lose('silent');
+			this.#markLost('silent');
 			return;
 		}
 
@@ -101,30 +101,20 @@
 		this.#send({kind: placeMessageKind.ping, ask: number});
 	}
 
+	/** Takes in an answer; messages of the other direction say nothing here. */
 	#onMessage(message: PlaceMessage): void {
-		switch (message.kind) {
-			case placeMessageKind.grant: {
-				const asked = this.#asked.get(message.ask);
-				this.#asked.delete(message.ask);
-				asked?.resolve(message.engines);
-				break;
-			}
-
-			case placeMessageKind.refuse: {
-				const asked = this.#asked.get(message.ask);
-				this.#asked.delete(message.ask);
-				asked?.reject(createRefusal(message.reason, message.retryAfterMs));
-				break;
-			}
-
-			case placeMessageKind.pong: {
-				this.#onPong(message.ask);
-				break;
-			}
+		if (message.kind === placeMessageKind.pong) {
+			this.#onPong(message.ask);
+			return;
+		}
 
-			default: {
-				break;
-			}
+		const asked = this.#asked.get(message.ask);
+		if (message.kind === placeMessageKind.grant) {
+			this.#asked.delete(message.ask);
+			asked?.resolve(message.engines);
+		} else if (message.kind === placeMessageKind.refuse) {
+			this.#asked.delete(message.ask);
+			asked?.reject(createRefusal(message.reason, message.retryAfterMs));
 		}
 	}
 
@@ -137,11 +127,11 @@
 
 		this.#slowInRow = this.#timers.getNow() - sentAt > slowMs ? this.#slowInRow + 1 : 0;
 		if (this.#slowInRow >= toleratedSlow) {
-			this.#lose('slow');
+			this.#markLost('slow');
 		}
 	}
 
-	#lose(reason: string): void {
+	#markLost(reason: string): void {
 		if (this.#isLost) {
 			return;
 		}
--- a/src/places/serve.ts
+++ b/src/places/serve.ts
@@ -1,3 +1,4 @@
+import type {EngineSign} from '../dispatch/index.js';
 import {NotRunError, refusalReason} from '../errors/index.js';
 import type {RefusalReason} from '../errors/index.js';
 import type {MessageHandlers, MessageLink} from '../peers/index.js';
@@ -36,39 +37,31 @@
 		}
 	};
 
-	const onMessage = (message: PlaceMessage) => {
-		switch (message.kind) {
-			case placeMessageKind.ask: {
-				void onAsk(message.ask, message.place);
-				break;
-			}
-
-			case placeMessageKind.read: {
-				held.get(message.ask)?.place?.onRead(message.sign);
-				break;
-			}
+	const release = (ask: number, sign: EngineSign | undefined) => {
+		held.get(ask)?.controller.abort();
+		held.get(ask)?.place?.release(sign);
+		held.delete(ask);
+	};
 
-			case placeMessageKind.release: {
-				held.get(message.ask)?.place?.release(message.sign);
-				held.delete(message.ask);
-				break;
-			}
+	/** Takes in what the other entry asks and tells; messages of the other direction say nothing here. */
+	const onMessage = (message: PlaceMessage) => {
+		if (message.kind === placeMessageKind.ask) {
+			void onAsk(message.ask, message.place);
+			return;
+		}
 
-			case placeMessageKind.cancel: {
-				held.get(message.ask)?.controller.abort();
-				held.get(message.ask)?.place?.release(undefined);
-				held.delete(message.ask);
-				break;
-			}
+		if (message.kind === placeMessageKind.ping) {
+			send({kind: placeMessageKind.pong, ask: message.ask});
+			return;
+		}
 
-			case placeMessageKind.ping: {
-				send({kind: placeMessageKind.pong, ask: message.ask});
-				break;
-			}
+		if (message.kind === placeMessageKind.read) {
+			held.get(message.ask)?.place?.onRead(message.sign);
+			return;
+		}
 
-			default: {
-				break;
-			}
+		if (message.kind === placeMessageKind.release || message.kind === placeMessageKind.cancel) {
+			release(message.ask, message.kind === placeMessageKind.release ? message.sign : undefined);
 		}
 	};
 
--- a/src/places/shared.ts
+++ b/src/places/shared.ts
@@ -53,7 +53,7 @@
 		for (const address of selectOwners(ask.service, listAddresses(), mostOwners)) {
 			if (address === ownAddress) {
 				this.#isAlone = false;
-				return keeper.acquire(this.#shorten(ask, askedAt), signal);
+				return keeper.acquire(this.#computeLeft(ask, askedAt), signal);
 			}
 
 			if ((this.#lostUntil.get(address) ?? 0) > timers.getNow()) {
@@ -61,7 +61,7 @@
 			}
 
 			try {
-				return await this.#getRemote(address).acquire(this.#shorten(ask, askedAt), signal);
+				return await this.#getRemote(address).acquire(this.#computeLeft(ask, askedAt), signal);
 			} catch (error) {
 				if (!(error instanceof KeeperLostError)) {
 					throw error;
@@ -70,7 +70,7 @@
 		}
 
 		this.#isAlone = true;
-		return keeper.acquire(this.#shorten(ask, askedAt), signal);
+		return keeper.acquire(this.#computeLeft(ask, askedAt), signal);
 	}
 
 	/** Closes the connections to other keepers. */
@@ -81,7 +81,7 @@
 	}
 
 	/** Counts the time that was lost with an earlier keeper. */
-	#shorten(ask: PlaceAsk, askedAt: number): PlaceAsk {
+	#computeLeft(ask: PlaceAsk, askedAt: number): PlaceAsk {
 		const lostMs = this.#parts.timers.getNow() - askedAt;
 		return lostMs === 0 ? ask : {...ask, targetMs: ask.targetMs - lostMs, deadlineMs: ask.deadlineMs - lostMs};
 	}
--- a/tools/verbs.ts
+++ b/tools/verbs.ts
@@ -5,7 +5,7 @@
 import {listFiles} from './files.js';
 
 /** Checks that every function and method in the source begins with a verb of docs/VERBS.md. */
-const folders = ['src', 'standins', 'bench', 'rigs', 'faults', 'tools'];
+const folders = ['src', 'standins', 'bench', 'rigs', 'faults', 'tools', 'platform'];
 const verbs = readVerbs('docs/VERBS.md');
 const faults = folders.flatMap(folder => listFiles(folder, '.ts').flatMap(file => checkFile(file)));
 for (const fault of faults) {
@@ -37,6 +37,11 @@
 }
 
 function getFunctionName(node: ts.Node): string | undefined {
+	// An override has the name of its base, which is checked itself or is a library's.
+	if (ts.isMethodDeclaration(node) && node.modifiers?.some(({kind}) => kind === ts.SyntaxKind.OverrideKeyword)) {
+		return undefined;
+	}
+
 	if (ts.isFunctionDeclaration(node) || ts.isMethodDeclaration(node)) {
 		return node.name?.getText();
 	}
