--- a/src/dispatch/cache.ts
+++ b/src/dispatch/cache.ts
@@ -54,8 +54,13 @@
 	/** Counts the tokens that an engine lacks: a part helps only with all parts before it. */
 	countMissing(view: EngineView, parts: readonly SharedPart[]): number {
 		const cache = this.#caches.get(view);
-		const found = cache ? parts.findIndex(part => !cache.has(part.id)) : 0;
-		const missing = found === -1 ? [] : parts.slice(found);
-		return missing.reduce((sum, part) => sum + part.tokens, 0);
+		let missing = 0;
+		for (const part of parts) {
+			if (missing > 0 || !cache?.has(part.id)) {
+				missing += part.tokens;
+			}
+		}
+
+		return missing;
 	}
 }
--- a/src/dispatch/line.ts
+++ b/src/dispatch/line.ts
@@ -27,7 +27,7 @@
 	readonly reject: (error: Error) => void;
 };
 
-/** Requests of one service that may wait in one line, whatever they expect. */
+/** Requests of one group that may wait, whatever they expect. */
 const longestLine = 256;
 /** Part of the time left that a late request may wait; the rest is for its engine and for coming back. */
 const lateShare = 0.3;
@@ -39,6 +39,75 @@
 const assumedPaceMs = 5;
 /** Weight of the newest pause between two places. */
 const paceWeight = 0.05;
+/** How much longer than the pace tells a wait is taken to be: a turn that comes too late is worth less than a refusal in time. */
+const paceMargin = 1.25;
+
+/** Requests of one group: those that can be on time by their target, late ones by their deadline. */
+class Group<Place> {
+	readonly onTime: Array<Entry<Place>> = [];
+	readonly late: Array<Entry<Place>> = [];
+	paceMs = assumedPaceMs;
+	#lastPlaceAt: number | undefined;
+
+	get size(): number {
+		return this.onTime.length + this.late.length;
+	}
+
+	add(entry: Entry<Place>, now: number): void {
+		const list = isOnTimeAt(entry.waiting, now) ? this.onTime : this.late;
+		let index = list.length;
+		while (index > 0 && compareTurns(list[index - 1]!.waiting, entry.waiting, now) > 0) {
+			index--;
+		}
+
+		list.splice(index, 0, entry);
+		this.#lastPlaceAt ??= now;
+	}
+
+	remove(entry: Entry<Place>): boolean {
+		for (const list of [this.onTime, this.late]) {
+			const index = list.indexOf(entry);
+			if (index !== -1) {
+				list.splice(index, 1);
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	/** Finds whose turn it is; requests that can no longer be on time go to the late ones first. */
+	findNext(now: number): Entry<Place> | undefined {
+		while (this.onTime.length > 0 && !isOnTimeAt(this.onTime[0]!.waiting, now)) {
+			this.add(this.onTime.shift()!, now);
+		}
+
+		return this.onTime[0] ?? this.late[0];
+	}
+
+	/** Counts the requests whose turn comes before another one's. */
+	countAhead(waiting: Waiting, now: number): number {
+		return isOnTimeAt(waiting, now) ? this.onTime.length : this.size;
+	}
+
+	onPlace(now: number): void {
+		if (this.#lastPlaceAt !== undefined) {
+			this.paceMs += (now - this.#lastPlaceAt - this.paceMs) * paceWeight;
+		}
+
+		this.#lastPlaceAt = this.size === 0 ? undefined : now;
+	}
+
+	/** Removes and returns late requests that have waited for their part of the time, or would by their turn. */
+	takeOverdue(now: number): Array<Entry<Place>> {
+		const overdue = this.late.filter(({waiting}, index) => isOverdue(waiting, now + ((this.onTime.length + index) * this.paceMs)));
+		for (const entry of overdue) {
+			this.remove(entry);
+		}
+
+		return overdue;
+	}
+}
 
 /**
 Requests of one service that wait for a place at an engine. Those that can still be on time go first, the earliest
@@ -48,10 +117,8 @@
 export class WaitingLine<Place> {
 	readonly #timers: TimerService;
 	readonly #pickUnit: () => number;
-	readonly #entries = new Set<Entry<Place>>();
+	readonly #groups = new Map<string, Group<Place>>();
 	#timer: Timer | undefined;
-	#paceMs = assumedPaceMs;
-	#lastPlaceAt: number | undefined;
 
 	constructor(timers: TimerService, pickUnit: () => number) {
 		this.#timers = timers;
@@ -60,7 +127,12 @@
 
 	/** Number of requests that wait. */
 	get size(): number {
-		return this.#entries.size;
+		let size = 0;
+		for (const group of this.#groups.values()) {
+			size += group.size;
+		}
+
+		return size;
 	}
 
 	/** Waits for a place; throws `NotRunError` when the request is refused instead, or `signal` is aborted. */
@@ -70,7 +142,8 @@
 			throw this.#createRefusal(waiting, now, refusalReason.deadline);
 		}
 
-		const ahead = this.#countAhead(waiting, now);
+		const group = this.#getGroup(waiting.group);
+		const ahead = group.countAhead(waiting, now);
 		if (ahead === 0) {
 			const place = tryPlace(now);
 			if (place !== undefined) {
@@ -78,89 +151,76 @@
 			}
 		}
 
-		if (this.#entries.size >= longestLine) {
+		if (group.size >= longestLine) {
 			throw this.#createRefusal(waiting, now, refusalReason.queueFull);
 		}
 
-		const expectedMs = (ahead + 1) * this.#paceMs;
-		if (!isOnTimeAt(waiting, now + expectedMs) && isOverdue(waiting, now + expectedMs)) {
+		const turnAt = now + ((ahead + 1) * group.paceMs * paceMargin);
+		if (!isOnTimeAt(waiting, turnAt) && isOverdue(waiting, turnAt)) {
 			throw this.#createRefusal(waiting, now, refusalReason.deadline);
 		}
 
 		return new Promise<Place>((resolve, reject) => {
-			const entry: Entry<Place> = {
-				waiting, tryPlace, resolve, reject,
-			};
+			const entry: Entry<Place> = {waiting, tryPlace, resolve, reject};
 			signal.addEventListener('abort', () => {
-				this.#entries.delete(entry);
-				reject(new NotRunError('Given up while waiting for a place.', {props: {reason: refusalReason.deadline}}));
+				if (group.remove(entry)) {
+					reject(new NotRunError('Given up while waiting for a place.', {props: {reason: refusalReason.deadline}}));
+				}
 			}, {once: true});
-			this.#entries.add(entry);
-			this.#lastPlaceAt ??= now;
+			group.add(entry, now);
 			this.#startTimer();
 		});
 	}
 
 	/** Gives places to those whose turn it is; called when a place may have become free. */
 	serve(): void {
-		if (this.#entries.size === 0) {
-			return;
+		const now = this.#timers.getNow();
+		for (const group of this.#groups.values()) {
+			this.#serveGroup(group, now);
 		}
+	}
 
-		const now = this.#timers.getNow();
-		const sorted = [...this.#entries].sort((left, right) => compareTurns(left.waiting, right.waiting, now));
-		const withoutPlace = new Set<string>();
-		for (const [index, entry] of sorted.entries()) {
-			const {group} = entry.waiting;
-			const place = withoutPlace.has(group) ? undefined : entry.tryPlace(now);
+	#serveGroup(group: Group<Place>, now: number): void {
+		for (let entry = group.findNext(now); entry; entry = group.findNext(now)) {
+			const place = entry.tryPlace(now);
 			if (place === undefined) {
-				withoutPlace.add(group);
-				this.#refuseOverdue(entry, index, now);
-			} else {
-				this.#entries.delete(entry);
-				this.#onPlace(now);
-				entry.resolve(place);
+				return;
 			}
+
+			group.remove(entry);
+			group.onPlace(now);
+			entry.resolve(place);
 		}
+	}
 
-		if (this.#entries.size > 0) {
-			this.#startTimer();
-		} else {
-			this.#lastPlaceAt = undefined;
+	#getGroup(name: string): Group<Place> {
+		let group = this.#groups.get(name);
+		if (!group) {
+			group = new Group<Place>();
+			this.#groups.set(name, group);
 		}
+
+		return group;
 	}
 
 	#startTimer(): void {
 		this.#timer ??= this.#timers.startTimer(lookMs, () => {
 			this.#timer = undefined;
-			this.serve();
+			this.#look();
 		});
 	}
 
-	#countAhead(waiting: Waiting, now: number): number {
-		let ahead = 0;
-		for (const entry of this.#entries) {
-			if (compareTurns(entry.waiting, waiting, now) <= 0) {
-				ahead++;
+	#look(): void {
+		this.serve();
+		const now = this.#timers.getNow();
+		for (const group of this.#groups.values()) {
+			for (const entry of group.takeOverdue(now)) {
+				entry.reject(this.#createRefusal(entry.waiting, now, refusalReason.deadline));
 			}
 		}
 
-		return ahead;
-	}
-
-	#onPlace(now: number): void {
-		if (this.#lastPlaceAt !== undefined) {
-			this.#paceMs += (now - this.#lastPlaceAt - this.#paceMs) * paceWeight;
-		}
-
-		this.#lastPlaceAt = now;
-	}
-
-	/** Refuses a late request that has waited for its part of the time, or would by the time of its turn. */
-	#refuseOverdue(entry: Entry<Place>, ahead: number, now: number): void {
-		if (!isOnTimeAt(entry.waiting, now) && isOverdue(entry.waiting, now + (ahead * this.#paceMs))) {
-			this.#entries.delete(entry);
-			entry.reject(this.#createRefusal(entry.waiting, now, refusalReason.deadline));
+		if (this.size > 0) {
+			this.#startTimer();
 		}
 	}
 
--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -35,10 +35,13 @@
 	readonly caches: CachePicture;
 };
 
-/** Prompts at an engine that only reads: it reads one after another, further ones keep it busy between messages. */
-const mostReading = 3;
-/** Prompts that an engine reads beside writing: each slows the streams that it writes. */
-const mostDirectReading = 2;
+/**
+Time of the prompts that an engine has to read beyond which it gets no more, in milliseconds: enough to keep it busy
+between messages; what waits in the line can still be put in another order, or refused.
+*/
+const longestBacklogMs = 40;
+/** The same for an engine that also writes: reading slows the streams that it writes. */
+const longestDirectBacklogMs = 40;
 /** Places of an engine that generations may hold for long, as a part: the others are for short ones. */
 const longShare = 0.84;
 /** Time for a prompt that was read elsewhere to reach its writer, in milliseconds: a message each way and the transfer. */
@@ -89,44 +92,47 @@
 		return undefined;
 	}
 
-	const key = needs.shared.at(-1)?.id;
-	const home = key === undefined ? undefined : findLeast(free, view => -computeScore(key, view.record.id));
-	const writer = home ?? findLeast(free, view => computeWriting(picture.getUse(view)))!;
-	const direct = isLong(needs)
-		? findLeast(free, view => computeWriting(picture.getUse(view)))
-		: findLeast(
-			free.filter(view => picture.getUse(view).reading < Math.max(1, mostDirectReading * picture.share)),
-			view => computeReadMs(view, open, needs, picture),
-		);
+	const {getUse} = picture;
+	const findFreest = () => findLeast(free, view => computeWriting(getUse(view)))!;
+	if (isLong(needs)) {
+		return {reader: undefined, writer: findFreest(), ...findKept(free[0]!, new Map(), needs)};
+	}
+
+	const missing = new Map(open.map(view => [view, picture.caches.countMissing(view, needs.shared)]));
+	const fewest = Math.min(...missing.values());
+	const measure = (view: EngineView) => getUse(view).computeReadMs(needs.ownTokens + fewest);
+	const direct = findLeast(free.filter(view => hasTimeToRead(view, longestDirectBacklogMs, picture)), measure);
 	const reader = findLeast(
-		open.filter(view => view.record.stage === engineStage.prefill && picture.getUse(view).reading < Math.max(1, mostReading * picture.share)),
-		view => computeReadMs(view, open, needs, picture),
+		open.filter(view => view.record.stage === engineStage.prefill && hasTimeToRead(view, longestBacklogMs, picture)),
+		measure,
 	);
-	const isReadApart = reader && !isLong(needs)
-		&& (!direct || computeReadMs(reader, open, needs, picture) + handOverMs < computeReadMs(direct, open, needs, picture));
-	if (isReadApart) {
-		return {reader, writer, ...findKept(reader, open, needs, picture)};
+	if (reader && (!direct || measure(reader) + handOverMs < measure(direct))) {
+		const key = needs.shared.at(-1)?.id;
+		const writer = key === undefined ? findFreest() : findLeast(free, view => -computeScore(key, view.record.id))!;
+		return {reader, writer, ...findKept(reader, missing, needs)};
 	}
 
-	return direct && {reader: undefined, writer: direct, ...findKept(direct, open, needs, picture)};
-}
-
-function computeReadMs(view: EngineView, open: readonly EngineView[], needs: GenerationNeeds, picture: PlacementPicture): number {
-	return picture.getUse(view).computeReadMs(findKept(view, open, needs, picture).readTokens);
+	return direct && {reader: undefined, writer: direct, ...findKept(direct, missing, needs)};
 }
 
 /** Finds an engine that has more of the shared parts than `view`, and what is left to be read with its help. */
-function findKept(view: EngineView, open: readonly EngineView[], needs: GenerationNeeds, {caches}: PlacementPicture) {
-	const lacking = caches.countMissing(view, needs.shared);
-	if (lacking === 0) {
-		return {keeper: undefined, readTokens: needs.ownTokens};
+function findKept(view: EngineView, missing: ReadonlyMap<EngineView, number>, needs: GenerationNeeds) {
+	const lacking = missing.get(view) ?? needs.shared.reduce((sum, part) => sum + part.tokens, 0);
+	let keeper: EngineView | undefined;
+	let fewest = lacking;
+	for (const [other, tokens] of missing) {
+		if (tokens < fewest) {
+			keeper = other;
+			fewest = tokens;
+		}
 	}
 
-	const keeper = findLeast(open, other => caches.countMissing(other, needs.shared))!;
-	const missing = caches.countMissing(keeper, needs.shared);
-	return missing < lacking
-		? {keeper, readTokens: needs.ownTokens + missing}
-		: {keeper: undefined, readTokens: needs.ownTokens + lacking};
+	return {keeper, readTokens: needs.ownTokens + fewest};
+}
+
+function hasTimeToRead(view: EngineView, longestMs: number, {share, getUse}: PlacementPicture): boolean {
+	const use = getUse(view);
+	return use.reading === 0 || use.computeBacklogMs() <= longestMs * share;
 }
 
 function hasRoom(view: EngineView, needs: GenerationNeeds, {share, getUse}: PlacementPicture): boolean {
--- a/src/dispatch/use.ts
+++ b/src/dispatch/use.ts
@@ -1,3 +1,5 @@
+import {LineFit} from '../rates/index.js';
+import type {Line} from '../rates/index.js';
 import type {GenerationNeeds} from './placement.js';
 
 /** Output tokens from which a generation holds its place for long: about half a second at somewhat under a ms a token. */
@@ -5,9 +7,13 @@
 /** Time to read one token before it was measured, in milliseconds: an engine that only reads, and one that also writes. */
 const assumedReaderMs = 0.002;
 const assumedWriterMs = 0.005;
-/** Weight of the newest measurement. */
-const rateWeight = 0.05;
-/** A measurement counts at most as this multiple of the average: a longer one tells of a lost message, not of the engine. */
+/** Time of a read beyond its tokens before it was measured, in milliseconds: messages and the first token. */
+const assumedBaseMs = 8;
+/** Part of their weight that earlier reads keep with each new one: some fifty reads count. */
+const keptWeight = 0.98;
+/** Reads before the measured line is taken. */
+const leastReads = 20;
+/** A read counts at most as this multiple of what was expected: a longer one tells of a lost message, not of the engine. */
 const mostMultiple = 4;
 
 /** Tells whether a generation holds its place for long. */
@@ -35,15 +41,21 @@
 	expected = 0;
 	/** Those of them that hold their place for long. */
 	long = 0;
-	#readMsPerToken: number;
+	readonly #fit = new LineFit(keptWeight);
+	#line: Line;
 
 	constructor(isReader: boolean) {
-		this.#readMsPerToken = isReader ? assumedReaderMs : assumedWriterMs;
+		this.#line = {base: assumedBaseMs, slope: isReader ? assumedReaderMs : assumedWriterMs};
 	}
 
-	/** Computes when a prompt of so many tokens would be read, in milliseconds from now. */
+	/** Computes how long a prompt of so many tokens takes to be read from now, in milliseconds. */
 	computeReadMs(tokens: number): number {
-		return (this.readingTokens + tokens) * this.#readMsPerToken;
+		return this.#line.base + ((this.readingTokens + tokens) * this.#line.slope);
+	}
+
+	/** Computes how long the prompts take that it has to read, in milliseconds. */
+	computeBacklogMs(): number {
+		return this.readingTokens * this.#line.slope;
 	}
 
 	/** Counts a prompt that it begins to read. */
@@ -57,10 +69,14 @@
 	finishReading(reading: Reading, now: number, isMeasured: boolean): void {
 		this.reading--;
 		this.readingTokens -= reading.tokens;
-		if (isMeasured && reading.tokensToRead > 0) {
-			const msPerToken = Math.min((now - reading.startedAt) / reading.tokensToRead, this.#readMsPerToken * mostMultiple);
-			this.#readMsPerToken += (msPerToken - this.#readMsPerToken) * rateWeight;
+		if (!isMeasured) {
+			return;
 		}
+
+		const expectedMs = this.#line.base + (reading.tokensToRead * this.#line.slope);
+		this.#fit.add(reading.tokensToRead, Math.min(now - reading.startedAt, expectedMs * mostMultiple));
+		const line = this.#fit.count < leastReads ? undefined : this.#fit.computeLine();
+		this.#line = line && line.slope > 0 ? line : this.#line;
 	}
 
 	/** Counts a request that it will write. */
--- a/src/places/index.ts
+++ b/src/places/index.ts
@@ -1,6 +1,8 @@
 /** Places of generation services, shared by all entries: who may send to which engine, and who waits. */
 export {KeptPlace, PlaceKeeper} from './keeper.js';
 export type {KeeperParts} from './keeper.js';
+export {listKeepers} from './members.js';
+export type {PlaceMember} from './members.js';
 export {parseItems, placeMessageKind, toItems} from './messages.js';
 export type {PlaceMessage} from './messages.js';
 export {KeeperLostError, RemoteKeeper, RemotePlace} from './remote.js';
--- a/src/places/remote.ts
+++ b/src/places/remote.ts
@@ -12,10 +12,12 @@
 const pingMs = 75;
 /** Time without an answer to a ping after which the keeper is given up, in milliseconds. */
 const silentMs = 150;
-/** Time of a ping's way there and back from which a keeper is too slow to ask, in milliseconds: a good part of a short target. */
-const slowMs = 25;
+/** Time of a ping's way there and back from which a keeper is too slow to ask, in milliseconds: half of a short target. */
+const slowMs = 60;
 /** Slow pings in a row after which it is given up. */
-const toleratedSlow = 3;
+const toleratedSlow = 5;
+/** How late a ping may leave before its time tells of this process rather than of the keeper, in milliseconds. */
+const ownLagMs = 15;
 
 type Asked = {
 	readonly resolve: (engines: GrantedEngines) => void;
@@ -37,11 +39,14 @@
 	#number = 0;
 	readonly #pings = new Map<number, number>();
 	#slowInRow = 0;
+	#pingDueAt: number;
+	#isLagging = false;
 	#isLost = false;
 
 	constructor(timers: TimerService, network: MessageNetwork, address: string, onLost: (reason: string) => void) {
 		this.#timers = timers;
 		this.#onLost = onLost;
+		this.#pingDueAt = timers.getNow();
 		this.#link = network.open(address, {
 			onMessage: items => {
 				this.#onMessage(parseItems(items));
@@ -90,8 +95,10 @@
 
 	#sendPing(): void {
 		const now = this.#timers.getNow();
+		this.#isLagging = now - this.#pingDueAt > ownLagMs;
+		this.#pingDueAt = now + pingMs;
 		const [oldest] = this.#pings.values();
-		if (oldest !== undefined && now - oldest > silentMs) {
+		if (oldest !== undefined && !this.#isLagging && now - oldest > silentMs) {
 			this.#markLost('silent');
 			return;
 		}
@@ -125,7 +132,7 @@
 			return;
 		}
 
-		this.#slowInRow = this.#timers.getNow() - sentAt > slowMs ? this.#slowInRow + 1 : 0;
+		this.#slowInRow = !this.#isLagging && this.#timers.getNow() - sentAt > slowMs ? this.#slowInRow + 1 : 0;
 		if (this.#slowInRow >= toleratedSlow) {
 			this.#markLost('slow');
 		}
--- a/src/places/shared.ts
+++ b/src/places/shared.ts
@@ -1,7 +1,8 @@
-import {selectOwners} from '../rates/index.js';
 import type {MessageNetwork} from '../peers/index.js';
 import type {TimerService} from '../timers/index.js';
 import type {PlaceKeeper} from './keeper.js';
+import {listKeepers} from './members.js';
+import type {PlaceMember} from './members.js';
 import {KeeperLostError, RemoteKeeper} from './remote.js';
 import {PlaceSource} from './types.js';
 import type {HeldPlace, PlaceAsk} from './types.js';
@@ -19,14 +20,14 @@
 	readonly keeper: PlaceKeeper;
 	/** Address that this process serves other entries' asks at. */
 	readonly ownAddress: string;
-	/** Addresses of all entries that are believed to live, this one included. */
-	readonly listAddresses: () => readonly string[];
+	/** All entries that are believed to live. */
+	readonly listMembers: () => readonly PlaceMember[];
 	/** Told of each keeper that is lost or asked for the first time. */
 	readonly onKeeper: (address: string, change: string) => void;
 };
 
 /**
-One entry keeps the places of each service: the one that rendezvous chooses among the living. The others ask it over
+One entry keeps the places of each service: the same one for all. The others ask it over
 their own connection, so that all requests of a service wait in one line and no engine is given more than it can take.
 An entry that reaches no keeper keeps its part of the places by itself. The keeper's word saves work and is no promise:
 an engine that is full still refuses.
@@ -44,13 +45,13 @@
 
 	/** Part of each engine's places that the keeper of this process may give. */
 	computeShare(): number {
-		return this.#isAlone ? 1 / Math.max(1, this.#parts.listAddresses().length) : 1;
+		return this.#isAlone ? 1 / Math.max(1, this.#parts.listMembers().length) : 1;
 	}
 
 	async acquire(ask: PlaceAsk, signal: AbortSignal): Promise<HeldPlace> {
-		const {timers, keeper, ownAddress, listAddresses} = this.#parts;
+		const {timers, keeper, ownAddress, listMembers} = this.#parts;
 		const askedAt = timers.getNow();
-		for (const address of selectOwners(ask.service, listAddresses(), mostOwners)) {
+		for (const address of listKeepers(ask.service, listMembers(), mostOwners)) {
 			if (address === ownAddress) {
 				this.#isAlone = false;
 				return keeper.acquire(this.#computeLeft(ask, askedAt), signal);
