--- /dev/null
+++ b/standins/fleet/engine.ts
@@ -0,0 +1,232 @@
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import {readBody, sendJson} from '../http.js';
+
+/** What an engine does to the next requests, one after another. */
+export const engineFault = {
+	refuse: 'refuse',
+	reset: 'reset',
+	silent: 'silent',
+	foreign: 'foreign',
+	cutBody: 'cutBody',
+	failure: 'failure',
+	noReceipt: 'noReceipt',
+	cutEvent: 'cutEvent',
+	pauseStream: 'pauseStream',
+	answerTwice: 'answerTwice',
+} as const;
+
+/** See {@link engineFault}. */
+export type EngineFault = (typeof engineFault)[keyof typeof engineFault];
+
+/** A request that arrived at an engine. */
+export type Arrival = {
+	readonly id: string;
+	readonly method: string;
+	readonly path: string;
+	readonly headers: IncomingMessage['headers'];
+	readonly body: string;
+	isCut: boolean;
+	hasRun: boolean;
+};
+
+/** How an engine works. */
+export type FleetEngineOptions = {
+	readonly id: string;
+	readonly service: string;
+	readonly stage?: 'prefill' | 'decode';
+	readonly slots?: number;
+	/** Time of one request or of reading one prompt, in milliseconds. */
+	readonly workMs?: number;
+	/** Events of a stream and the pause before each, in milliseconds. */
+	readonly events?: number;
+	readonly eventMs?: number;
+};
+
+/** A small stand-in of the users' engines: application calls, prompts read, streams made, faults on demand. */
+export class FleetEngine {
+	readonly faults: EngineFault[] = [];
+	readonly arrivals: Arrival[] = [];
+	readonly freed: string[] = [];
+	running = 0;
+	mostRunning = 0;
+	readonly #options: FleetEngineOptions;
+	readonly #server: Server;
+	#handleNumber = 0;
+
+	constructor(options: FleetEngineOptions) {
+		this.#options = options;
+		this.#server = createServer({keepAliveTimeout: 5000}, (request, response) => {
+			void this.#serve(request, response);
+		});
+	}
+
+	/** Where it listens, `host:port`. */
+	get address(): string {
+		const {port} = this.#server.address() as AddressInfo;
+		return `127.0.0.1:${port}`;
+	}
+
+	/** What it says of itself in the store. */
+	get registration(): Record<string, unknown> {
+		const {service, stage, slots = 6} = this.#options;
+		return {
+			service, address: this.address, zone: 'z1', version: 'v1', slots, state: 'ready', cold_left_ms: 0, seq: 1,
+			...(stage ? {stage, models: [{name: 'm', version: 1, adapters: []}]} : {}), born: 1_700_000_000_000,
+		};
+	}
+
+	/** Begins to listen; port 0 takes a free one. */
+	async start(port = 0): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(port, '127.0.0.1', resolve);
+		});
+	}
+
+	/** Stops and cuts every connection. */
+	async stop(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+			this.#server.closeAllConnections();
+		});
+	}
+
+	/** Lists the arrivals that ran. */
+	listRuns(): Arrival[] {
+		return this.arrivals.filter(({hasRun}) => hasRun);
+	}
+
+	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const body = new TextDecoder().decode(await readBody(request));
+		if (request.method === 'DELETE') {
+			this.freed.push(request.url ?? '');
+			sendJson(response, 200, {});
+			return;
+		}
+
+		const {headers} = request;
+		const arrival: Arrival = {
+			id: String(headers['crocusworks-request-id']), method: request.method ?? '', path: request.url ?? '', headers, body, isCut: false, hasRun: false,
+		};
+		this.arrivals.push(arrival);
+		const echo = {'Crocusworks-Request-Id': arrival.id, 'Crocusworks-Server-Load': `${this.running},0,${this.#options.slots ?? 6}`};
+		if (headers['crocusworks-expect-instance'] !== this.#options.id) {
+			sendJson(response, 421, {error: 'other instance'}, {...echo, 'Crocusworks-Instance-Id': this.#options.id});
+			return;
+		}
+
+		const fault = this.faults.shift();
+		if (fault === engineFault.refuse) {
+			sendJson(response, 503, {error: 'full'}, {...echo, 'Crocusworks-Not-Run': '1'});
+			return;
+		}
+
+		response.on('close', () => {
+			arrival.isCut = !response.writableFinished;
+		});
+		this.running++;
+		this.mostRunning = Math.max(this.mostRunning, this.running);
+		try {
+			await this.#run(arrival, response, {...echo, 'Crocusworks-Server-Stamp': `stamp.${this.#options.id}`}, fault);
+		} finally {
+			this.running--;
+		}
+	}
+
+	async #run(arrival: Arrival, response: ServerResponse, echo: Record<string, string>, fault: EngineFault | undefined): Promise<void> {
+		if (arrival.headers['crocusworks-stage'] === 'prefill') {
+			await this.#prefill(response, echo, fault);
+			return;
+		}
+
+		arrival.hasRun = true;
+		if (fault === engineFault.reset) {
+			response.socket?.destroy();
+			return;
+		}
+
+		if (fault === engineFault.silent) {
+			return;
+		}
+
+		const {'Crocusworks-Server-Stamp': stamp, ...bare} = echo;
+		const headers = fault === engineFault.noReceipt ? bare : {...bare, 'Crocusworks-Server-Stamp': stamp!};
+		if (fault === engineFault.foreign) {
+			headers['Crocusworks-Request-Id'] = 'another-request';
+		}
+
+		if (this.#options.stage) {
+			await this.#stream(arrival, response, headers, fault);
+			return;
+		}
+
+		await sleep(this.#options.workMs ?? 1);
+		const text = `answer to ${arrival.id}`;
+		response.writeHead(fault === engineFault.failure ? 500 : 200, {...headers, 'Content-Length': text.length});
+		if (fault === engineFault.cutBody) {
+			response.write(text.slice(0, 4));
+			await sleep(1);
+			response.socket?.destroy();
+			return;
+		}
+
+		const {socket} = response;
+		response.end(text, () => {
+			if (fault === engineFault.answerTwice) {
+				sendExtra(socket, text);
+			}
+		});
+	}
+
+	async #prefill(response: ServerResponse, echo: Record<string, string>, fault: EngineFault | undefined): Promise<void> {
+		if (fault === engineFault.silent) {
+			return;
+		}
+
+		if (fault === engineFault.reset) {
+			response.socket?.destroy();
+			return;
+		}
+
+		await sleep(this.#options.workMs ?? 1);
+		sendJson(response, 200, {kv_handle: `h${this.#handleNumber++}`, tokens: 10, version: 1}, echo);
+	}
+
+	async #stream(arrival: Arrival, response: ServerResponse, headers: Record<string, string>, fault: EngineFault | undefined): Promise<void> {
+		const {events = 3, eventMs = 1} = this.#options;
+		const first = Number(arrival.headers['last-event-id'] ?? 0) + 1;
+		response.writeHead(200, {...headers, 'Content-Type': 'text/event-stream'});
+		for (let id = first; id <= events; id++) {
+			await sleep(eventMs);
+			const event = `id: ${id}\ndata: piece ${id} of ${arrival.id}\n\n`;
+			if (fault === engineFault.pauseStream && id === first + 1) {
+				return;
+			}
+
+			if (fault === engineFault.cutEvent && id === first + 1) {
+				response.write(event.slice(0, 9));
+				await sleep(5);
+				response.socket?.destroy();
+				return;
+			}
+
+			response.write(event);
+		}
+
+		response.end();
+	}
+}
+
+/** Sends a second answer that nobody asked for. */
+function sendExtra(socket: Socket | undefined, text: string): void {
+	socket?.write(`HTTP/1.1 200 OK\r\nCrocusworks-Request-Id: late\r\nContent-Length: ${text.length}\r\n\r\n${text}`);
+}
+
+async function sleep(ms: number): Promise<void> {
+	await new Promise<void>(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
--- /dev/null
+++ b/standins/fleet/store.ts
@@ -0,0 +1,263 @@
+import {Buffer} from 'node:buffer';
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {readJson, sendJson} from '../http.js';
+
+type Item = {readonly key: string; readonly value: string; readonly revision: number; readonly created: number; readonly lease: number};
+type Event = {readonly revision: number; readonly key: string; readonly item: Item | undefined};
+type Lease = {readonly ttlMs: number; timer: NodeJS.Timeout};
+
+/** How the stand-in answers. */
+export const storeMode = {
+	up: 'up', refusing: 'refusing', silent: 'silent', resetting: 'resetting',
+} as const;
+
+/** See {@link storeMode}. */
+export type StoreMode = (typeof storeMode)[keyof typeof storeMode];
+
+/** A small stand-in of the users' store: keys, watches, transactions and leases over HTTP. */
+export class FleetStore {
+	mode: StoreMode = storeMode.up;
+	/** Writes that take effect and lose their answer. */
+	lostAnswers = 0;
+	/** Calls by method and path. */
+	readonly calls: string[] = [];
+	#revision = 1;
+	#forgottenBefore = 0;
+	#leaseNumber = 100;
+	readonly #items = new Map<string, Item>();
+	readonly #events: Event[] = [];
+	readonly #leases = new Map<number, Lease>();
+	readonly #watchers = new Set<() => void>();
+	readonly #server: Server;
+
+	constructor() {
+		this.#server = createServer((request, response) => {
+			void this.#serve(request, response);
+		});
+	}
+
+	/** Where it listens, `host:port`. */
+	get address(): string {
+		const {port} = this.#server.address() as AddressInfo;
+		return `127.0.0.1:${port}`;
+	}
+
+	/** Begins to listen. */
+	async start(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+	}
+
+	/** Stops and cuts every connection. */
+	async stop(): Promise<void> {
+		for (const {timer} of this.#leases.values()) {
+			clearTimeout(timer);
+		}
+
+		await new Promise<void>(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+			this.#server.closeAllConnections();
+		});
+	}
+
+	/** Writes a value as the operator or an engine does; an object is written as JSON. */
+	write(key: string, value: unknown, lease = 0): void {
+		const text = typeof value === 'string' ? value : JSON.stringify(value);
+		this.#revision++;
+		const item = {
+			key, value: Buffer.from(text).toString('base64'), revision: this.#revision, created: this.#items.get(key)?.created ?? this.#revision, lease,
+		};
+		this.#items.set(key, item);
+		this.#publish({revision: this.#revision, key, item});
+	}
+
+	/** Removes a key. */
+	remove(key: string): void {
+		if (this.#items.delete(key)) {
+			this.#revision++;
+			this.#publish({revision: this.#revision, key, item: undefined});
+		}
+	}
+
+	/** Lists the keys that begin with `prefix`. */
+	listKeys(prefix: string): string[] {
+		return [...this.#items.keys()].filter(key => key.startsWith(prefix));
+	}
+
+	/** Drops the history: watches from before now are told so. */
+	forget(): void {
+		this.#forgottenBefore = this.#revision + 1;
+		this.#revision++;
+		this.#events.length = 0;
+		this.#callWatchers();
+	}
+
+	#publish(event: Event): void {
+		this.#events.push(event);
+		this.#callWatchers();
+	}
+
+	#callWatchers(): void {
+		for (const onChange of this.#watchers) {
+			onChange();
+		}
+	}
+
+	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const url = new URL(request.url ?? '/', 'http://store');
+		this.calls.push(`${request.method} ${url.pathname}`);
+		if (this.mode === storeMode.silent) {
+			return;
+		}
+
+		if (this.mode === storeMode.resetting) {
+			request.socket.destroy();
+			return;
+		}
+
+		if (this.mode === storeMode.refusing) {
+			sendJson(response, 503, {error: 'down'});
+			return;
+		}
+
+		const body = request.method === 'POST' ? await readJson(request) as Record<string, never> : {};
+		this.#answer(request.method ?? 'GET', url, body, response);
+	}
+
+	#answer(method: string, url: URL, body: Record<string, never>, response: ServerResponse): void {
+		const [, call = '', id = ''] = url.pathname.split('/');
+		if (method === 'GET' && call === 'kv-key') {
+			const item = this.#items.get(url.searchParams.get('key') ?? '');
+			sendJson(response, item ? 200 : 404, item ? {...encodeItem(item), as_of: this.#revision} : {error: 'none'});
+		} else if (method === 'GET' && call === 'kv-range') {
+			this.#sendRange(url, response);
+		} else if (method === 'GET' && call === 'kv-watch') {
+			this.#sendWatch(url, response);
+		} else {
+			switch (call) {
+				case 'kv-lease': {
+					const ttlMs = Number(body.ttl_ms);
+					const lease = this.#leaseNumber++;
+					this.#leases.set(lease, {ttlMs, timer: this.#startExpiry(lease, ttlMs)});
+					this.#sendWritten(response, {lease, ttl_ms: ttlMs});
+
+					break;
+				}
+
+				case 'kv-keep': {
+					this.#renew(Number(id), response);
+
+					break;
+				}
+
+				case 'kv-lease-end': {
+					this.#expire(Number(id));
+					sendJson(response, 200, {});
+
+					break;
+				}
+
+				case 'kv-txn': {
+					for (const {key, value, lease} of body.writes as unknown as Array<{key: string; value: string; lease: number}>) {
+						this.write(key, Buffer.from(value, 'base64').toString(), lease);
+					}
+
+					this.#sendWritten(response, {revision: this.#revision});
+
+					break;
+				}
+
+				default: {
+					sendJson(response, 404, {error: 'no such call'});
+				}
+			}
+		}
+	}
+
+	#sendWritten(response: ServerResponse, body: unknown): void {
+		if (this.lostAnswers > 0) {
+			this.lostAnswers--;
+			response.socket?.destroy();
+		} else {
+			sendJson(response, 200, body);
+		}
+	}
+
+	#renew(id: number, response: ServerResponse): void {
+		const lease = this.#leases.get(id);
+		if (lease) {
+			clearTimeout(lease.timer);
+			lease.timer = this.#startExpiry(id, lease.ttlMs);
+		}
+
+		sendJson(response, lease ? 200 : 404, {ttl_ms: lease?.ttlMs ?? 0});
+	}
+
+	#startExpiry(id: number, ttlMs: number): NodeJS.Timeout {
+		return setTimeout(() => {
+			this.#expire(id);
+		}, ttlMs);
+	}
+
+	#expire(id: number): void {
+		clearTimeout(this.#leases.get(id)?.timer);
+		this.#leases.delete(id);
+		for (const item of this.#items.values()) {
+			if (item.lease === id) {
+				this.remove(item.key);
+			}
+		}
+	}
+
+	#sendRange(url: URL, response: ServerResponse): void {
+		const prefix = url.searchParams.get('path_prefix') ?? '';
+		const after = url.searchParams.get('after') ?? '';
+		const pageSize = 3;
+		const keys = this.listKeys(prefix).filter(key => key > after).sort();
+		sendJson(response, 200, {
+			items: keys.slice(0, pageSize).map(key => encodeItem(this.#items.get(key)!)), has_more: keys.length > pageSize, as_of: this.#revision,
+		});
+	}
+
+	#sendWatch(url: URL, response: ServerResponse): void {
+		const prefix = url.searchParams.get('path_prefix') ?? '';
+		const after = Number(url.searchParams.get('after'));
+		let timer: NodeJS.Timeout | undefined;
+		const send = () => {
+			clearTimeout(timer);
+			this.#watchers.delete(onChange);
+			const events = this.#events.filter(event => event.revision > after && event.key.startsWith(prefix));
+			sendJson(response, after < this.#forgottenBefore - 1 ? 410 : 200, {events: events.map(event => encodeEvent(event)), as_of: this.#revision});
+		};
+
+		const isReady = () => after < this.#forgottenBefore - 1 || this.#events.some(event => event.revision > after && event.key.startsWith(prefix));
+		const onChange = () => {
+			if (isReady()) {
+				send();
+			}
+		};
+
+		if (isReady()) {
+			send();
+			return;
+		}
+
+		this.#watchers.add(onChange);
+		timer = setTimeout(send, Number(url.searchParams.get('wait_ms')));
+	}
+}
+
+function encodeItem(item: Item): Record<string, unknown> {
+	return {
+		key: item.key, value: item.value, revision: item.revision, created_rev: item.created, lease: item.lease,
+	};
+}
+
+function encodeEvent({key, revision, item}: Event): Record<string, unknown> {
+	return item ? encodeItem(item) : {key, revision, deleted: true};
+}
