--- a/src/dispatch/line.ts
+++ b/src/dispatch/line.ts
@@ -161,7 +161,9 @@
 		}
 
 		return new Promise<Place>((resolve, reject) => {
-			const entry: Entry<Place> = {waiting, tryPlace, resolve, reject};
+			const entry: Entry<Place> = {
+				waiting, tryPlace, resolve, reject,
+			};
 			signal.addEventListener('abort', () => {
 				if (group.remove(entry)) {
 					reject(new NotRunError('Given up while waiting for a place.', {props: {reason: refusalReason.deadline}}));
--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -176,7 +176,7 @@
 		const {socket} = response;
 		response.end(text, () => {
 			if (fault === engineFault.answerTwice) {
-				sendExtra(socket, text);
+				sendExtra(socket ?? undefined, text);
 			}
 		});
 	}
--- a/standins/fleet/store.ts
+++ b/standins/fleet/store.ts
@@ -227,9 +227,9 @@
 	#sendWatch(url: URL, response: ServerResponse): void {
 		const prefix = url.searchParams.get('path_prefix') ?? '';
 		const after = Number(url.searchParams.get('after'));
-		let timer: NodeJS.Timeout | undefined;
+		const watch: {timer?: NodeJS.Timeout} = {};
 		const send = () => {
-			clearTimeout(timer);
+			clearTimeout(watch.timer);
 			this.#watchers.delete(onChange);
 			const events = this.#events.filter(event => event.revision > after && event.key.startsWith(prefix));
 			sendJson(response, after < this.#forgottenBefore - 1 ? 410 : 200, {events: events.map(event => encodeEvent(event)), as_of: this.#revision});
@@ -248,7 +248,7 @@
 		}
 
 		this.#watchers.add(onChange);
-		timer = setTimeout(send, Number(url.searchParams.get('wait_ms')));
+		watch.timer = setTimeout(send, Number(url.searchParams.get('wait_ms')));
 	}
 }
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -34,6 +34,13 @@
 			'unicorn/no-null': 'off',
 		},
 	},
+	{
+		files: ['platform/**/*.ts', 'standins/fleet/**/*.ts'],
+		rules: {
+			// Field names are those of the users' platform.
+			'@typescript-eslint/naming-convention': 'off',
+		},
+	},
 	{
 		files: ['**/test/**/*.ts'],
 		rules: {
