--- a/standins/fleet/store.ts
+++ b/standins/fleet/store.ts
@@ -21,6 +21,8 @@
 	mode: StoreMode = storeMode.up;
 	/** Writes that take effect and lose their answer. */
 	lostAnswers = 0;
+	/** Called after each answer, with the call's method and path: for changes that fall between two reads. */
+	onAnswered: ((call: string) => void) | undefined;
 	/** Calls by method and path. */
 	readonly calls: string[] = [];
 	#revision = 1;
@@ -127,6 +129,7 @@
 
 		const body = request.method === 'POST' ? await readJson(request) as Record<string, never> : {};
 		this.#answer(request.method ?? 'GET', url, body, response);
+		this.onAnswered?.(`${request.method} ${url.pathname}`);
 	}
 
 	#answer(method: string, url: URL, body: Record<string, never>, response: ServerResponse): void {
