--- a/src/retries/arrivals.ts
+++ b/src/retries/arrivals.ts
@@ -22,7 +22,7 @@
 */
 export class ArrivalBudget {
 	readonly #timers: TimerService;
-	readonly #bound: ArrivalBound;
+	#bound: ArrivalBound;
 	readonly #accounts = new Map<string, Account>();
 
 	constructor(timers: TimerService, bound: ArrivalBound) {
@@ -30,6 +30,15 @@
 		this.#bound = bound;
 	}
 
+	/** Puts another bound into force. */
+	setBound(bound: ArrivalBound): void {
+		if (bound.windowMs !== this.#bound.windowMs) {
+			this.#accounts.clear();
+		}
+
+		this.#bound = bound;
+	}
+
 	/** Counts a request that a caller sent. */
 	countRequest(service: string): void {
 		const account = this.#getAccount(service);
