--- a/src/dispatch/line.ts
+++ b/src/dispatch/line.ts
@@ -135,6 +135,11 @@
 		return size;
 	}
 
+	/** Counts the requests of one group that wait. */
+	countWaiting(group: string): number {
+		return this.#groups.get(group)?.size ?? 0;
+	}
+
 	/** Waits for a place; throws `NotRunError` when the request is refused instead, or `signal` is aborted. */
 	async wait(waiting: Waiting, tryPlace: (now: number) => Place | undefined, signal: AbortSignal): Promise<Place> {
 		const now = this.#timers.getNow();
--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -33,6 +33,8 @@
 	readonly share: number;
 	readonly getUse: (view: EngineView) => EngineUse;
 	readonly caches: CachePicture;
+	/** Whether generations that hold their place shortly wait for one. */
+	readonly isCrowded: boolean;
 };
 
 /**
@@ -44,10 +46,12 @@
 const longestDirectBacklogMs = 40;
 /** Places of an engine that generations may hold for long, as a part: the others are for short ones. */
 const longShare = 0.84;
+/** The same while short ones wait: each of them needs a place for some hundredths of the time of a long one. */
+const crowdedLongShare = 0.67;
 /** Time for a prompt that was read elsewhere to reach its writer, in milliseconds: a message each way and the transfer. */
 const handOverMs = 6;
 /** Weight of a request whose prompt is still being read elsewhere: its place is needed only when that is done. */
-const expectedWeight = 0.6;
+const expectedWeight = 0.25;
 /** Requests at an engine of an application service, as a multiple of its slots. */
 const plainFill = 1;
 /** Duration assumed of an engine without a measured one, in milliseconds. */
@@ -135,10 +139,10 @@
 	return use.reading === 0 || use.computeBacklogMs() <= longestMs * share;
 }
 
-function hasRoom(view: EngineView, needs: GenerationNeeds, {share, getUse}: PlacementPicture): boolean {
+function hasRoom(view: EngineView, needs: GenerationNeeds, {share, getUse, isCrowded}: PlacementPicture): boolean {
 	const use = getUse(view);
 	const places = Math.max(1, view.record.slots * share);
-	const isOverLong = isLong(needs) && use.long + 1 > Math.max(1, places * longShare);
+	const isOverLong = isLong(needs) && use.long + 1 > Math.max(1, places * (isCrowded ? crowdedLongShare : longShare));
 	return !isOverLong && computeWriting(use) + 1 <= places;
 }
 
--- a/src/places/keeper.ts
+++ b/src/places/keeper.ts
@@ -81,7 +81,7 @@
 
 	#tryPlace(ask: PlaceAsk, views: readonly EngineView[], now: number): GivenPlace | undefined {
 		const place = chooseGenerationPlace(views, ask, {
-			now, share: this.#parts.getShare(), getUse: view => this.getUse(view), caches: this.#caches,
+			now, share: this.#parts.getShare(), getUse: view => this.getUse(view), caches: this.#caches, isCrowded: this.#getLine(ask.service).countWaiting('short') > 0,
 		});
 		if (!place) {
 			return undefined;
