Leave a tenth of the target for the way from and to the caller

Cause: answers of Lima were just late: its callers are 3 ms away and count from before they connect.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,6 +15,11 @@
 to 100 in 100 of it, and a refusal sends its caller away for a sixth of its time left or more.
 */
 const returnShare = 0.84;
+/**
+Part of a route's target that is left when a request was read here: the caller counts from before it opened its
+connection to when the answer's first bytes have come back to it.
+*/
+const targetShare = 0.9;
 /** Time to come back to a process that has no configuration yet, in milliseconds: a start takes about as long. */
 const startingReturnMs = 500;
 
@@ -148,7 +153,7 @@
 	const isReturn = callerMs < route.timeoutMs * returnShare;
 	return {
 		// A target counts from the caller's first attempt: for one that comes back after a refusal it has passed.
-		targetAt: isReturn ? request.arrivedAt - 1 : request.arrivedAt + route.targetMs,
+		targetAt: isReturn ? request.arrivedAt - 1 : request.arrivedAt + (route.targetMs * targetShare),
 		deadlineAt: request.arrivedAt + Math.min(callerMs, route.timeoutMs),
 		isReturn,
 	};
