--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -50,6 +50,8 @@
 const crowdedLongShare = 0.67;
 /** Time for a prompt that was read elsewhere to reach its writer, in milliseconds: a message each way and the transfer. */
 const handOverMs = 6;
+/** What fetching shared parts from another engine counts, in milliseconds: it takes less, but leaves them in two memories. */
+const fetchMs = 5;
 /** Weight of a request whose prompt is still being read elsewhere: its place is needed only when that is done. */
 const expectedWeight = 0.25;
 /** Requests at an engine of an application service, as a multiple of its slots. */
@@ -104,7 +106,7 @@
 
 	const missing = new Map(open.map(view => [view, picture.caches.countMissing(view, needs.shared)]));
 	const fewest = Math.min(...missing.values());
-	const measure = (view: EngineView) => getUse(view).computeReadMs(needs.ownTokens + fewest);
+	const measure = (view: EngineView) => getUse(view).computeReadMs(needs.ownTokens + fewest) + (missing.get(view)! > fewest ? fetchMs : 0);
 	const direct = findLeast(free.filter(view => hasTimeToRead(view, longestDirectBacklogMs, picture)), measure);
 	const reader = findLeast(
 		open.filter(view => view.record.stage === engineStage.prefill && hasTimeToRead(view, longestBacklogMs, picture)),
@@ -112,7 +114,9 @@
 	);
 	if (reader && (!direct || measure(reader) + handOverMs < measure(direct))) {
 		const key = needs.shared.at(-1)?.id;
-		const writer = key === undefined ? findFreest() : findLeast(free, view => -computeScore(key, view.record.id))!;
+		const holders = free.filter(view => missing.get(view) === 0);
+		const homes = holders.length > 0 ? holders : free;
+		const writer = key === undefined ? findFreest() : findLeast(homes, view => -computeScore(key, view.record.id))!;
 		return {reader, writer, ...findKept(reader, missing, needs)};
 	}
 
