--- a/src/dispatch/line.ts
+++ b/src/dispatch/line.ts
@@ -8,6 +8,8 @@
 	readonly targetAt: number;
 	/** Until then its answer is of use. */
 	readonly deadlineAt: number;
+	/** Until then its caller waits for the first byte; others leave before their deadline. */
+	readonly patientUntil: number;
 	/** When it began to wait. */
 	readonly since: number;
 	/** Rank of its kind; 0 is the most urgent. */
@@ -31,6 +33,8 @@
 const longestLine = 256;
 /** Part of the time left that a late request may wait; the rest is for its engine and for coming back. */
 const lateShare = 0.3;
+/** Part of its caller's patience that a late request may wait. */
+const patienceShare = 0.5;
 /** Pause between two looks at the line when no place becomes free, in milliseconds. */
 const lookMs = 5;
 /** Least time to come back, in milliseconds: a place is not free sooner after a refusal. */
@@ -256,5 +260,6 @@
 
 /** Tells whether a request at `at` has waited for its part of the time that its caller gives it. */
 export function isOverdue(waiting: Waiting, at: number): boolean {
-	return at > waiting.since + ((waiting.deadlineAt - waiting.since) * lateShare);
+	const {since, deadlineAt, patientUntil} = waiting;
+	return at > since + Math.min((deadlineAt - since) * lateShare, (patientUntil - since) * patienceShare);
 }
--- a/src/dispatch/test/line.test.ts
+++ b/src/dispatch/test/line.test.ts
@@ -22,7 +22,7 @@
 	ask(name: string, changes: Partial<Waiting> = {}, signal = new AbortController().signal): void {
 		const now = this.#timers.getNow();
 		const waiting: Waiting = {
-			targetAt: now + 120, deadlineAt: now + 2000, since: now, priority: 0, serviceMs: 20, isReturn: false, group: 'one', ...changes,
+			targetAt: now + 120, deadlineAt: now + 2000, patientUntil: now + 2000, since: now, priority: 0, serviceMs: 20, isReturn: false, group: 'one', ...changes,
 		};
 		void this.#wait(name, waiting, signal);
 	}
@@ -86,6 +86,16 @@
 		expect(place.refused.get('b')).to.be.within(50, 1400 / 3);
 	});
 
+	it('refuses before its caller\'s patience ends, though its deadline is far', async () => {
+		const timers = new ManualTimers();
+		const place = new OnePlace(timers, 20_000);
+		place.ask('a');
+		await timers.advance(0);
+		place.ask('draft', {targetAt: 200, deadlineAt: 15_000, patientUntil: 2000});
+		await timers.advance(1200);
+		expect(place.refused.get('draft')).to.be.within(2000, 14_000 / 3);
+	});
+
 	it('gives no place to a request that was given up', async () => {
 		const timers = new ManualTimers();
 		const place = new OnePlace(timers, 10);
--- a/src/gateway/ending.ts
+++ b/src/gateway/ending.ts
@@ -28,7 +28,7 @@
 	const {targetAt, deadlineAt, route, isReturn} = served;
 	try {
 		const place = await line.wait({
-			targetAt, deadlineAt, since: parts.timers.getNow(), priority: route.priority, serviceMs: search.serviceMs, isReturn, group: route.kind,
+			targetAt, deadlineAt, patientUntil: deadlineAt, since: parts.timers.getNow(), priority: route.priority, serviceMs: search.serviceMs, isReturn, group: route.kind,
 		}, search.tryPlace, served.signal);
 		served.trace.onPlace();
 		return place;
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -134,6 +134,7 @@
 			priority: served.route.priority,
 			targetMs: served.targetAt - now,
 			deadlineMs: served.deadlineAt - now,
+			patienceMs: served.request.arrivedAt + served.route.patienceMs - now,
 			serviceMs: parts.serviceTimes.get(served.route.name),
 			engineTokens: served.engineTokens,
 			isReturn: served.isReturn,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -23,6 +23,8 @@
 	readonly timeoutMs: number;
 	/** Time within which an answer, or the first event of a stream, is on time, in milliseconds. */
 	readonly targetMs: number;
+	/** Time without an event after which callers of a stream leave, in milliseconds; for other requests as long as they wait. */
+	readonly patienceMs: number;
 	/** Number of engines that one request may run on. */
 	readonly attempts: number;
 	/** Rank; 0 is the most urgent. */
--- a/src/places/keeper.ts
+++ b/src/places/keeper.ts
@@ -50,7 +50,7 @@
 		const now = timers.getNow();
 		const tried = new Set(ask.tried);
 		const given = await this.#getLine(ask.service).wait({
-			targetAt: now + ask.targetMs, deadlineAt: now + ask.deadlineMs, since: now, priority: ask.priority, serviceMs: ask.serviceMs, isReturn: ask.isReturn,
+			targetAt: now + ask.targetMs, deadlineAt: now + ask.deadlineMs, patientUntil: now + ask.patienceMs, since: now, priority: ask.priority, serviceMs: ask.serviceMs, isReturn: ask.isReturn,
 			group: isLong(ask) ? 'long' : 'short',
 		}, at => this.#tryPlace(ask, fleet.listServing(ask.service).filter(view => !tried.has(view.record.id)), at), signal);
 		return new KeptPlace(this, given, ask, this.#parts.timers);
--- a/src/places/messages.ts
+++ b/src/places/messages.ts
@@ -36,6 +36,7 @@
 				place.priority,
 				Math.round(place.targetMs),
 				Math.round(place.deadlineMs),
+				Math.round(place.patienceMs),
 				Math.round(place.serviceMs),
 				place.shared.flatMap(part => [part.id, part.tokens]),
 				place.ownTokens,
@@ -109,12 +110,13 @@
 }
 
 function parseAsk(items: readonly unknown[]): PlaceAsk {
-	const [service, priority, targetMs, deadlineMs, serviceMs, shared, ownTokens, outputTokens, engineTokens, isReturn, tried] = items;
+	const [service, priority, targetMs, deadlineMs, patienceMs, serviceMs, shared, ownTokens, outputTokens, engineTokens, isReturn, tried] = items;
 	return {
 		service: parseText(service),
 		priority: parseNumber(priority),
 		targetMs: parseNumber(targetMs),
 		deadlineMs: parseNumber(deadlineMs),
+		patienceMs: parseNumber(patienceMs),
 		serviceMs: parseNumber(serviceMs),
 		shared: parseShared(shared),
 		ownTokens: parseNumber(ownTokens),
--- a/src/places/shared.ts
+++ b/src/places/shared.ts
@@ -84,7 +84,7 @@
 	/** Counts the time that was lost with an earlier keeper. */
 	#computeLeft(ask: PlaceAsk, askedAt: number): PlaceAsk {
 		const lostMs = this.#parts.timers.getNow() - askedAt;
-		return lostMs === 0 ? ask : {...ask, targetMs: ask.targetMs - lostMs, deadlineMs: ask.deadlineMs - lostMs};
+		return lostMs === 0 ? ask : {...ask, targetMs: ask.targetMs - lostMs, deadlineMs: ask.deadlineMs - lostMs, patienceMs: ask.patienceMs - lostMs};
 	}
 
 	#getRemote(address: string): RemoteKeeper {
--- a/src/places/types.ts
+++ b/src/places/types.ts
@@ -8,6 +8,8 @@
 	readonly targetMs: number;
 	/** Time left until its answer is of no use. */
 	readonly deadlineMs: number;
+	/** Time left until its caller leaves without a first byte. */
+	readonly patienceMs: number;
 	/** Time from a place to the first byte of an answer. */
 	readonly serviceMs: number;
 	/** Memory of an engine of the service, in tokens. */
