--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -7,7 +7,7 @@
 export {EngineHealth, engineSign} from './health.js';
 export type {EngineSign} from './health.js';
 export {
-	isOnTimeAt, compareTurns, isOverdue, WaitingLine,
+	isOnTimeAt, compareTurns, computeReturnAfterMs, isOverdue, WaitingLine,
 } from './line.js';
 export type {Waiting} from './line.js';
 export {chooseGenerationPlace, choosePlainPlace} from './placement.js';
--- a/src/dispatch/line.ts
+++ b/src/dispatch/line.ts
@@ -57,8 +57,9 @@
 		return this.onTime.length + this.late.length;
 	}
 
-	add(entry: Entry<Place>, now: number): void {
-		const list = isOnTimeAt(entry.waiting, now) ? this.onTime : this.late;
+	/** Adds a request that will be on time by its turn, or a late one. */
+	add(entry: Entry<Place>, isOnTime: boolean, now: number): void {
+		const list = isOnTime ? this.onTime : this.late;
 		let index = list.length;
 		while (index > 0 && compareTurns(list[index - 1]!.waiting, entry.waiting, now) > 0) {
 			index--;
@@ -83,7 +84,7 @@
 	/** Finds whose turn it is; requests that can no longer be on time go to the late ones first. */
 	findNext(now: number): Entry<Place> | undefined {
 		while (this.onTime.length > 0 && !isOnTimeAt(this.onTime[0]!.waiting, now)) {
-			this.add(this.onTime.shift()!, now);
+			this.add(this.onTime.shift()!, false, now);
 		}
 
 		return this.onTime[0] ?? this.late[0];
@@ -164,8 +165,9 @@
 			throw this.#createRefusal(waiting, now, refusalReason.queueFull);
 		}
 
-		const turnAt = now + ((ahead + 1) * group.paceMs * paceMargin);
-		if (!isOnTimeAt(waiting, turnAt) && isOverdue(waiting, turnAt)) {
+		// One that would not be on time by its turn must not hold up those that would: it waits with the late ones.
+		const isOnTime = isOnTimeAt(waiting, now + ((ahead + 1) * group.paceMs * paceMargin));
+		if (!isOnTime && isOverdue(waiting, now + ((group.size + 1) * group.paceMs))) {
 			throw this.#createRefusal(waiting, now, refusalReason.deadline);
 		}
 
@@ -178,7 +180,7 @@
 					reject(new NotRunError('Given up while waiting for a place.', {props: {reason: refusalReason.deadline}}));
 				}
 			}, {once: true});
-			group.add(entry, now);
+			group.add(entry, isOnTime, now);
 			this.#startTimer();
 		});
 	}
@@ -236,13 +238,19 @@
 	}
 
 	#createRefusal(waiting: Waiting, now: number, reason: RefusalReason): Error {
-		const left = Math.max(0, waiting.deadlineAt - now);
-		// Spread over the third of the time left that callers honour, so that those refused together come back apart.
-		const retryAfterMs = Math.max(leastReturnMs, Math.round(left / 3 * (0.5 + (0.5 * this.#pickUnit()))));
+		const retryAfterMs = computeReturnAfterMs(waiting.deadlineAt - now, this.#pickUnit());
 		return new NotRunError('No engine has a place in time.', {props: {reason, retryAfterMs}});
 	}
 }
 
+/**
+Computes when a refused caller should come back, in milliseconds: spread over the third of its time left that callers
+honour, so that those refused together come back apart, and late enough that its time left tells that it was here before.
+*/
+export function computeReturnAfterMs(leftMs: number, unit: number): number {
+	return Math.max(leastReturnMs, Math.round(Math.max(0, leftMs) / 3 * (0.5 + (0.5 * unit))));
+}
+
 /** Compares whose turn comes first: requests that can be on time by their target, then late ones by their deadline. */
 export function compareTurns(left: Waiting, right: Waiting, now: number): number {
 	const isLeftOnTime = isOnTimeAt(left, now);
--- a/src/dispatch/test/line.test.ts
+++ b/src/dispatch/test/line.test.ts
@@ -109,6 +109,27 @@
 		expect(place.given).to.deep.equal(['a', 'b']);
 	});
 
+	it('under four times the load that it can take, serves new requests on time rather than old ones late', async () => {
+		const timers = new ManualTimers();
+		const place = new OnePlace(timers, 10);
+		const askedAt = new Map<string, number>();
+		const waits = new Map<string, number>();
+		for (let index = 0; index < 1200; index++) {
+			const name = `r${index}`;
+			askedAt.set(name, timers.getNow());
+			place.ask(name);
+			// It begins with sixty at once.
+			await timers.advance(index < 60 ? 0 : 2.5);
+			for (const given of place.given) {
+				waits.set(given, waits.get(given) ?? timers.getNow() - askedAt.get(given)!);
+			}
+		}
+
+		const onTime = [...waits.values()].filter(wait => wait <= 103);
+		expect(waits.size).to.be.greaterThan(270);
+		expect(onTime.length / waits.size).to.be.greaterThan(0.9);
+	});
+
 	it('under twice the load that it can take, answers nearly all that it accepts on time and refuses the rest quickly', async () => {
 		const timers = new ManualTimers();
 		const place = new OnePlace(timers, 10);
--- a/src/errors/reasons.ts
+++ b/src/errors/reasons.ts
@@ -5,6 +5,7 @@
 	callerLimit: 'caller_limit',
 	fairShare: 'fair_share',
 	queueFull: 'queue_full',
+	overload: 'overload',
 	draining: 'draining',
 	storeDown: 'store_down',
 	noUpstream: 'no_upstream',
--- a/src/gateway/ending.ts
+++ b/src/gateway/ending.ts
@@ -1,14 +1,10 @@
+import {computeReturnAfterMs} from '../dispatch/index.js';
 import type {WaitingLine} from '../dispatch/index.js';
 import {NotRunError, refusalReason} from '../errors/index.js';
 import type {RefusalReason} from '../errors/index.js';
 import type {Attempt} from './attempt.js';
 import type {GatewayParts, ServedRequest} from './served.js';
 
-/** Least time to come back after a refusal, in milliseconds. */
-const leastReturnMs = 50;
-/** Part of the time left after which a caller comes back: callers honour up to a third. */
-const returnShare = 1 / 3;
-
 /** How a request looks for a place. */
 export type PlaceSearch<Place> = {
 	/** Time from a place to the first byte of an answer, in milliseconds. */
@@ -60,7 +56,7 @@
 /** Refuses a request that has not run and never will, with a time to come back. */
 export function refuseNotRun(parts: GatewayParts, served: ServedRequest, reason: RefusalReason): void {
 	const left = served.deadlineAt - parts.timers.getNow();
-	refuse(served, 503, reason, Math.max(leastReturnMs, Math.round(left * returnShare * (0.5 + (0.5 * parts.pickUnit())))));
+	refuse(served, 503, reason, computeReturnAfterMs(left, parts.pickUnit()));
 }
 
 /** Ends a request that may have run and has no answer to pass on. */
--- a/src/places/index.ts
+++ b/src/places/index.ts
@@ -5,6 +5,7 @@
 export type {PlaceMember} from './members.js';
 export {parseItems, placeMessageKind, toItems} from './messages.js';
 export type {PlaceMessage} from './messages.js';
+export {RecentRefusals} from './refusals.js';
 export {KeeperLostError, RemoteKeeper, RemotePlace} from './remote.js';
 export {servePlaces} from './serve.js';
 export {SharedPlaces} from './shared.js';
--- a/src/places/remote.ts
+++ b/src/places/remote.ts
@@ -11,9 +11,9 @@
 /** Pause between two pings, in milliseconds. */
 const pingMs = 75;
 /** Time without an answer to a ping after which the keeper is given up, in milliseconds. */
-const silentMs = 150;
-/** Time of a ping's way there and back from which a keeper is too slow to ask, in milliseconds: half of a short target. */
-const slowMs = 60;
+const silentMs = 300;
+/** Time of a ping's way there and back from which a keeper is too slow to ask, in milliseconds: more than a short target. */
+const slowMs = 150;
 /** Slow pings in a row after which it is given up. */
 const toleratedSlow = 5;
 /** How late a ping may leave before its time tells of this process rather than of the keeper, in milliseconds. */
--- a/src/places/shared.ts
+++ b/src/places/shared.ts
@@ -1,8 +1,10 @@
+import {NotRunError} from '../errors/index.js';
 import type {MessageNetwork} from '../peers/index.js';
 import type {TimerService} from '../timers/index.js';
 import type {PlaceKeeper} from './keeper.js';
 import {listKeepers} from './members.js';
 import type {PlaceMember} from './members.js';
+import {RecentRefusals} from './refusals.js';
 import {KeeperLostError, RemoteKeeper} from './remote.js';
 import {PlaceSource} from './types.js';
 import type {HeldPlace, PlaceAsk} from './types.js';
@@ -15,6 +17,7 @@
 /** What sharing places needs. */
 export type SharedPlacesParts = {
 	readonly timers: TimerService;
+	readonly pickUnit: () => number;
 	readonly network: MessageNetwork;
 	/** The keeper of this process. */
 	readonly keeper: PlaceKeeper;
@@ -36,11 +39,13 @@
 	readonly #parts: SharedPlacesParts;
 	readonly #remotes = new Map<string, RemoteKeeper>();
 	readonly #lostUntil = new Map<string, number>();
+	readonly #refusals: RecentRefusals;
 	#isAlone = false;
 
 	constructor(parts: SharedPlacesParts) {
 		super();
 		this.#parts = parts;
+		this.#refusals = new RecentRefusals(parts.timers, parts.pickUnit);
 	}
 
 	/** Part of each engine's places that the keeper of this process may give. */
@@ -62,7 +67,7 @@
 			}
 
 			try {
-				return await this.#getRemote(address).acquire(this.#computeLeft(ask, askedAt), signal);
+				return await this.#askRemote(address, this.#computeLeft(ask, askedAt), signal);
 			} catch (error) {
 				if (!(error instanceof KeeperLostError)) {
 					throw error;
@@ -81,10 +86,31 @@
 		}
 	}
 
+	/** Asks another entry's keeper, unless it refused requests of this kind just now. */
+	async #askRemote(address: string, ask: PlaceAsk, signal: AbortSignal): Promise<HeldPlace> {
+		const remote = this.#getRemote(address);
+		this.#refusals.check(ask);
+		try {
+			const place = await remote.acquire(ask, signal);
+			this.#refusals.onPlace(ask);
+			return place;
+		} catch (error) {
+			if (error instanceof NotRunError && !signal.aborted) {
+				this.#refusals.onRefusal(ask);
+			}
+
+			throw error;
+		}
+	}
+
 	/** Counts the time that was lost with an earlier keeper. */
 	#computeLeft(ask: PlaceAsk, askedAt: number): PlaceAsk {
 		const lostMs = this.#parts.timers.getNow() - askedAt;
-		return lostMs === 0 ? ask : {...ask, targetMs: ask.targetMs - lostMs, deadlineMs: ask.deadlineMs - lostMs, patienceMs: ask.patienceMs - lostMs};
+		return lostMs === 0
+			? ask
+			: {
+				...ask, targetMs: ask.targetMs - lostMs, deadlineMs: ask.deadlineMs - lostMs, patienceMs: ask.patienceMs - lostMs,
+			};
 	}
 
 	#getRemote(address: string): RemoteKeeper {
--- a/src/places/test/messages.test.ts
+++ b/src/places/test/messages.test.ts
@@ -31,7 +31,9 @@
 		}), {seed});
 		const others: PlaceMessage[] = [
 			{kind: placeMessageKind.grant, ask: 1, engines: {reader: undefined, writer: 'w', keeper: 'k'}},
-			{kind: placeMessageKind.refuse, ask: 2, reason: 'deadline', retryAfterMs: 250},
+			{
+				kind: placeMessageKind.refuse, ask: 2, reason: 'deadline', retryAfterMs: 250,
+			},
 			{kind: placeMessageKind.read, ask: 3, sign: 'answered'},
 			{kind: placeMessageKind.release, ask: 4, sign: undefined},
 			{kind: placeMessageKind.cancel, ask: 5},
--- /dev/null
+++ b/src/places/test/refusals.test.ts
@@ -0,0 +1,35 @@
+import {expect} from 'chai';
+import {NotRunError} from '../../errors/index.js';
+import {ManualTimers} from '../../timers/index.js';
+import {RecentRefusals} from '../index.js';
+import type {PlaceAsk} from '../index.js';
+
+const ask: PlaceAsk = {
+	service: 'llm', priority: 0, targetMs: 120, deadlineMs: 1800, patienceMs: 2000, serviceMs: 40, shared: [], ownTokens: 10, outputTokens: 10, engineTokens: 1000, isReturn: false, tried: [],
+};
+
+describe('RecentRefusals', () => {
+	it('refuses requests of a refused kind for a moment, with a time to come back', async () => {
+		const timers = new ManualTimers();
+		const refusals = new RecentRefusals(timers, () => 0.5);
+		refusals.check(ask);
+		refusals.onRefusal(ask);
+		expect(() => {
+			refusals.check(ask);
+		}).to.throw(NotRunError).with.property('retryAfterMs').within(300, 600);
+		await timers.advance(20);
+		refusals.check(ask);
+	});
+
+	it('tells late requests, long ones and services apart, and forgets a refusal when a place is given', () => {
+		const timers = new ManualTimers();
+		const refusals = new RecentRefusals(timers, () => 0.5);
+		const late = {...ask, targetMs: -1};
+		refusals.onRefusal(late);
+		refusals.check(ask);
+		refusals.check({...late, outputTokens: 5000});
+		refusals.check({...late, service: 'other'});
+		refusals.onPlace(late);
+		refusals.check(late);
+	});
+});
