--- a/src/dispatch/line.ts
+++ b/src/dispatch/line.ts
@@ -32,7 +32,7 @@
 /** Requests of one group that may wait, whatever they expect. */
 const longestLine = 256;
 /** Part of the time left that a late request may wait; the rest is for its engine and for coming back. */
-const lateShare = 0.3;
+const lateShare = 0.12;
 /** Part of its caller's patience that a late request may wait. */
 const patienceShare = 0.5;
 /** Pause between two looks at the line when no place becomes free, in milliseconds. */
