Let one short generation queue at an engine that writes

Cause: between two short ones an engine's place was empty for a message's way to the keeper and back; readers were at 40 in 100 of what they can read while requests waited for places of writers.

--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -48,6 +48,8 @@
 const longShare = 0.84;
 /** The same while short ones wait: each of them needs a place for some hundredths of the time of a long one. */
 const crowdedLongShare = 0.67;
+/** Short requests that may wait at an engine that writes: the next begins without a message's way after one ends. */
+const shortQueue = 1;
 /** Time for a prompt that was read elsewhere to reach its writer, in milliseconds: a message each way and the transfer. */
 const handOverMs = 6;
 /** What fetching shared parts from another engine counts, in milliseconds: it takes less, but leaves them in two memories. */
@@ -147,7 +149,7 @@
 	const use = getUse(view);
 	const places = Math.max(1, view.record.slots * share);
 	const isOverLong = isLong(needs) && use.long + 1 > Math.max(1, places * (isCrowded ? crowdedLongShare : longShare));
-	return !isOverLong && computeWriting(use) + 1 <= places;
+	return !isOverLong && computeWriting(use) + 1 <= places + (isLong(needs) ? 0 : shortQueue * share);
 }
 
 function computeWriting(use: EngineUse): number {
