Let the test of a broken stream accept the 502 that a busy machine brings

A trace shows status 502 with ran unknown: the engine's connection broke before its first event was read, so no stream began and nothing looked whole. The test asked for a cut stream alone, and lost the 502's error when it parsed the stream. It now takes a cut 200 or a 502, in both no end mark, not whole, and ran unknown.

--- a/src/entry/test/chat.test.ts
+++ b/src/entry/test/chat.test.ts
@@ -34,7 +34,8 @@
 
 	async function readStream(entry: RigEntry, headers: Record<string, string> = {}) {
 		const posted = await sendChat(entry.address, stream, headers);
-		return {...posted, ...parseStream(posted.text)};
+		const parsed = parseStream(posted.text);
+		return {...posted, ...parsed, error: parsed.error ?? posted.error};
 	}
 
 	beforeEach(async () => {
@@ -162,7 +163,9 @@
 		const breaks = Array.from({length: 20}, () => ({breakAfter: 0}));
 		rig.engines.get('e1')?.applyControl({streams: [{breakAfter: 5}, ...breaks]});
 		const answer = await readStream(first);
-		expect(answer.isCut).to.equal(true);
+		// On a busy machine the connection breaks before the first event was read: then the caller has no stream at all.
+		expect([[200, true], [502, false]]).to.deep.include([answer.status, answer.isCut]);
+		expect(answer.isWhole).to.equal(false);
 		expect(answer.text).not.to.contain('[DONE]');
 		expect(answer.error?.ran).to.equal('unknown');
 	});
