--- a/src/dispatch/line.ts
+++ b/src/dispatch/line.ts
@@ -219,11 +219,11 @@
 	#startTimer(): void {
 		this.#timer ??= this.#timers.startTimer(lookMs, () => {
 			this.#timer = undefined;
-			this.#look();
+			this.#serveAndRefuse();
 		});
 	}
 
-	#look(): void {
+	#serveAndRefuse(): void {
 		this.serve();
 		const now = this.#timers.getNow();
 		for (const group of this.#groups.values()) {
--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -138,7 +138,7 @@
 
 	async #run(arrival: Arrival, response: ServerResponse, echo: Record<string, string>, fault: EngineFault | undefined): Promise<void> {
 		if (arrival.headers['crocusworks-stage'] === 'prefill') {
-			await this.#prefill(response, echo, fault);
+			await this.#runPrefill(response, echo, fault);
 			return;
 		}
 
@@ -159,7 +159,7 @@
 		}
 
 		if (this.#options.stage) {
-			await this.#stream(arrival, response, headers, fault);
+			await this.#runStream(arrival, response, headers, fault);
 			return;
 		}
 
@@ -181,7 +181,7 @@
 		});
 	}
 
-	async #prefill(response: ServerResponse, echo: Record<string, string>, fault: EngineFault | undefined): Promise<void> {
+	async #runPrefill(response: ServerResponse, echo: Record<string, string>, fault: EngineFault | undefined): Promise<void> {
 		if (fault === engineFault.silent) {
 			return;
 		}
@@ -195,7 +195,7 @@
 		sendJson(response, 200, {kv_handle: `h${this.#handleNumber++}`, tokens: 10, version: 1}, echo);
 	}
 
-	async #stream(arrival: Arrival, response: ServerResponse, headers: Record<string, string>, fault: EngineFault | undefined): Promise<void> {
+	async #runStream(arrival: Arrival, response: ServerResponse, headers: Record<string, string>, fault: EngineFault | undefined): Promise<void> {
 		const {events = 3, eventMs = 1} = this.#options;
 		const first = Number(arrival.headers['last-event-id'] ?? 0) + 1;
 		response.writeHead(200, {...headers, 'Content-Type': 'text/event-stream'});
--- a/standins/fleet/store.ts
+++ b/standins/fleet/store.ts
@@ -128,11 +128,11 @@
 		}
 
 		const body = request.method === 'POST' ? await readJson(request) as Record<string, never> : {};
-		this.#answer(request.method ?? 'GET', url, body, response);
+		this.#sendAnswer(request.method ?? 'GET', url, body, response);
 		this.onAnswered?.(`${request.method} ${url.pathname}`);
 	}
 
-	#answer(method: string, url: URL, body: Record<string, never>, response: ServerResponse): void {
+	#sendAnswer(method: string, url: URL, body: Record<string, never>, response: ServerResponse): void {
 		const [, call = '', id = ''] = url.pathname.split('/');
 		if (method === 'GET' && call === 'kv-key') {
 			const item = this.#items.get(url.searchParams.get('key') ?? '');
@@ -159,7 +159,7 @@
 				}
 
 				case 'kv-lease-end': {
-					this.#expire(Number(id));
+					this.#removeLease(Number(id));
 					sendJson(response, 200, {});
 
 					break;
@@ -203,11 +203,11 @@
 
 	#startExpiry(id: number, ttlMs: number): NodeJS.Timeout {
 		return setTimeout(() => {
-			this.#expire(id);
+			this.#removeLease(id);
 		}, ttlMs);
 	}
 
-	#expire(id: number): void {
+	#removeLease(id: number): void {
 		clearTimeout(this.#leases.get(id)?.timer);
 		this.#leases.delete(id);
 		for (const item of this.#items.values()) {
--- a/tools/runtests.ts
+++ b/tools/runtests.ts
@@ -6,6 +6,8 @@
 
 /** Runs every compiled test file and closes with one line of counts; known reds are printed and passed over. */
 const testTimeoutMs = 60_000;
+// The logging library writes nothing without it, as in the deploy file.
+process.env.ROARR_LOG = 'true';
 const knownRed = readKnownRed('KNOWN-RED.txt');
 const mocha = new Mocha({reporter: 'dot', timeout: testTimeoutMs});
 for (const file of listFiles('dist', '.test.js')) {
