--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -15,6 +15,8 @@
 	cutEvent: 'cutEvent',
 	pauseStream: 'pauseStream',
 	answerTwice: 'answerTwice',
+	unframed: 'unframed',
+	resetUnframed: 'resetUnframed',
 } as const;
 
 /** See {@link engineFault}. */
@@ -165,6 +167,11 @@
 
 		await sleep(this.#options.workMs ?? 1);
 		const text = `answer to ${arrival.id}`;
+		if (fault === engineFault.unframed || fault === engineFault.resetUnframed) {
+			await sendUnframed(response.socket ?? undefined, headers, fault === engineFault.unframed ? text : text.slice(0, 4), fault === engineFault.unframed);
+			return;
+		}
+
 		response.writeHead(fault === engineFault.failure ? 500 : 200, {...headers, 'Content-Length': text.length});
 		if (fault === engineFault.cutBody) {
 			response.write(text.slice(0, 4));
@@ -220,6 +227,18 @@
 	}
 }
 
+/** Sends an answer without a length, which ends with its connection: well, or by a reset. */
+async function sendUnframed(socket: Socket | undefined, headers: Record<string, string>, text: string, isWhole: boolean): Promise<void> {
+	const fields = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('');
+	socket?.write(`HTTP/1.1 200 OK\r\n${fields}Connection: close\r\n\r\n${text}`);
+	await sleep(20);
+	if (isWhole) {
+		socket?.end();
+	} else {
+		socket?.resetAndDestroy();
+	}
+}
+
 /** Sends a second answer that nobody asked for. */
 function sendExtra(socket: Socket | undefined, text: string): void {
 	socket?.write(`HTTP/1.1 200 OK\r\nCrocusworks-Request-Id: late\r\nContent-Length: ${text.length}\r\n\r\n${text}`);
