--- /dev/null
+++ b/src/peers/framed.ts
@@ -0,0 +1,85 @@
+import type {Socket} from 'node:net';
+import {BadFrameError} from '../errors/index.js';
+import type {Metrics} from '../metrics/index.js';
+import {encodeFrame, FrameSplitter} from './frames.js';
+
+/** Bounds of one connection, in bytes. */
+export type FrameBounds = {
+	readonly longestFrame: number;
+	/** Most that may wait to be sent; a slower reader is cut off. */
+	readonly mostQueued: number;
+};
+
+/** What a connection calls; `onFrame` may throw `BadFrameError`, which closes the connection. */
+export type FrameHandlers = {
+	readonly onFrame: (frame: Uint8Array) => void;
+	/** Called once, also when the connection could not be opened. */
+	readonly onClose: () => void;
+};
+
+/** A connection that carries frames, bounded and counted. */
+export class FramedSocket {
+	readonly #socket: Socket;
+	readonly #metrics: Metrics;
+	readonly #bounds: FrameBounds;
+	readonly #splitter: FrameSplitter;
+
+	constructor(socket: Socket, metrics: Metrics, bounds: FrameBounds) {
+		this.#socket = socket;
+		this.#metrics = metrics;
+		this.#bounds = bounds;
+		this.#splitter = new FrameSplitter(bounds.longestFrame);
+	}
+
+	/** Begins to take frames. */
+	start(handlers: FrameHandlers): void {
+		this.#socket.on('data', (chunk: Uint8Array) => {
+			this.#metrics.count('peerBytes', 'received', chunk.length);
+			this.#onData(chunk, handlers);
+		});
+		this.#socket.on('error', () => {
+			this.#socket.destroy();
+		});
+		this.#socket.once('close', () => {
+			handlers.onClose();
+		});
+	}
+
+	/** Queues a frame, unless the connection is closed or its reader is too slow, which closes it. */
+	send(encode: () => Uint8Array): void {
+		if (this.#socket.destroyed) {
+			return;
+		}
+
+		if (this.#socket.writableLength > this.#bounds.mostQueued) {
+			this.#refuse('slow_link');
+			return;
+		}
+
+		const frame = encodeFrame(encode());
+		this.#metrics.count('peerBytes', 'sent', frame.length);
+		this.#socket.write(frame);
+	}
+
+	#onData(chunk: Uint8Array, {onFrame}: FrameHandlers): void {
+		try {
+			for (const frame of this.#splitter.generateFrames(chunk)) {
+				onFrame(frame);
+				if (this.#socket.destroyed) {
+					return;
+				}
+			}
+		} catch (error) {
+			if (!(error instanceof BadFrameError)) {
+				throw error;
+			}
+
+			this.#refuse(this.#splitter.hasLongFrame ? 'long_frame' : 'bad_frame');
+		}
+	}
+
+	#refuse(kind: string): void {
+		this.#metrics.count('dropped', kind);
+		this.#socket.destroy();
+	}
+}
--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -12,6 +12,8 @@
 
 /** Cuts a connection's bytes into the frames that were sent. */
 export class FrameSplitter {
+	/** Whether a frame came that is too long; nothing after it can be read. */
+	hasLongFrame = false;
 	readonly #longestBytes: number;
 	#waiting: Uint8Array = Buffer.alloc(0);
 
@@ -26,6 +28,7 @@
 			const view = new DataView(this.#waiting.buffer, this.#waiting.byteOffset, lengthBytes);
 			const size = view.getUint32(0);
 			if (size > this.#longestBytes) {
+				this.hasLongFrame = true;
 				throw new BadFrameError(`a frame of ${size} bytes`);
 			}
 
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -3,7 +3,7 @@
 import {Decoder, Encoder} from 'cbor-x';
 import {BadFrameError} from '../errors/index.js';
 import type {Metrics} from '../metrics/index.js';
-import {encodeFrame, FrameSplitter} from './frames.js';
+import {FramedSocket} from './framed.js';
 
 /** Longest message, in bytes. */
 const longestBytes = 65_536;
@@ -94,41 +94,26 @@
 
 class TcpMessageLink extends MessageLink {
 	readonly #socket: Socket;
-	readonly #metrics: Metrics;
-	readonly #splitter = new FrameSplitter(longestBytes);
+	readonly #framed: FramedSocket;
 	#isCorked = false;
 
 	constructor(socket: Socket, metrics: Metrics) {
 		super();
 		this.#socket = socket;
-		this.#metrics = metrics;
+		this.#framed = new FramedSocket(socket, metrics, {longestFrame: longestBytes, mostQueued: mostQueuedBytes});
 	}
 
 	start(handlers: MessageHandlers): void {
-		this.#socket.on('data', (chunk: Uint8Array) => {
-			this.#metrics.count('peerBytes', 'received', chunk.length);
-			this.#onData(chunk, handlers);
-		});
-		this.#socket.on('error', () => {
-			this.#socket.destroy();
-		});
-		this.#socket.once('close', () => {
-			handlers.onClose();
+		this.#framed.start({
+			onFrame(frame) {
+				handlers.onMessage(decodeItems(frame));
+			},
+			onClose: handlers.onClose,
 		});
 	}
 
 	send(items: readonly unknown[]): void {
-		if (this.#socket.destroyed) {
-			return;
-		}
-
-		if (this.#socket.writableLength > mostQueuedBytes) {
-			this.#metrics.count('dropped', 'slow_link');
-			this.#socket.destroy();
-			return;
-		}
-
-		if (!this.#isCorked) {
+		if (!this.#isCorked && !this.#socket.destroyed) {
 			this.#isCorked = true;
 			this.#socket.cork();
 			setImmediate(() => {
@@ -137,32 +122,12 @@
 			});
 		}
 
-		const frame = encodeFrame(encoder.encode(items));
-		this.#metrics.count('peerBytes', 'sent', frame.length);
-		this.#socket.write(frame);
+		this.#framed.send(() => encoder.encode(items));
 	}
 
 	close(): void {
 		this.#socket.destroy();
 	}
-
-	#onData(chunk: Uint8Array, handlers: MessageHandlers): void {
-		try {
-			for (const frame of this.#splitter.generateFrames(chunk)) {
-				handlers.onMessage(decodeItems(frame));
-				if (this.#socket.destroyed) {
-					return;
-				}
-			}
-		} catch (error) {
-			if (!(error instanceof BadFrameError)) {
-				throw error;
-			}
-
-			this.#metrics.count('dropped', 'bad_frame');
-			this.#socket.destroy();
-		}
-	}
 }
 
 function decodeItems(frame: Uint8Array): unknown {
--- a/src/peers/tcp.ts
+++ b/src/peers/tcp.ts
@@ -3,9 +3,8 @@
 import {PeerLink, PeerNetwork} from '../feed/index.js';
 import type {LinkHandlers, PeerMessage} from '../feed/index.js';
 import type {Metrics} from '../metrics/index.js';
-import {BadFrameError} from '../errors/index.js';
 import {FrameCodec, maxFrameBytes} from './codec.js';
-import {encodeFrame, FrameSplitter} from './frames.js';
+import {FramedSocket} from './framed.js';
 
 /** Most bytes that may wait for one connection; a slower reader is cut off and repaired by anti-entropy. */
 const maxQueuedBytes = 4_000_000;
@@ -63,44 +62,27 @@
 
 class TcpLink extends PeerLink {
 	readonly #socket: Socket;
-	readonly #metrics: Metrics;
+	readonly #framed: FramedSocket;
 	readonly #sent = new FrameCodec();
 	readonly #received = new FrameCodec();
-	readonly #splitter = new FrameSplitter(maxFrameBytes);
 
 	constructor(socket: Socket, metrics: Metrics) {
 		super();
 		this.#socket = socket;
-		this.#metrics = metrics;
+		this.#framed = new FramedSocket(socket, metrics, {longestFrame: maxFrameBytes, mostQueued: maxQueuedBytes});
 	}
 
 	start(handlers: LinkHandlers): void {
-		this.#socket.on('data', (chunk: Uint8Array) => {
-			this.#metrics.count('peerBytes', 'received', chunk.length);
-			this.#onData(chunk, handlers);
-		});
-		this.#socket.on('error', () => {
-			this.#socket.destroy();
-		});
-		this.#socket.once('close', () => {
-			handlers.onClose();
+		this.#framed.start({
+			onFrame: frame => {
+				handlers.onMessage(this.#received.decode(frame));
+			},
+			onClose: handlers.onClose,
 		});
 	}
 
 	send(message: PeerMessage): void {
-		if (this.#socket.destroyed) {
-			return;
-		}
-
-		if (this.#socket.writableLength > maxQueuedBytes) {
-			this.#metrics.count('dropped', 'slow_link');
-			this.#socket.destroy();
-			return;
-		}
-
-		const frame = encodeFrame(this.#sent.encode(message));
-		this.#metrics.count('peerBytes', 'sent', frame.length);
-		this.#socket.write(frame);
+		this.#framed.send(() => this.#sent.encode(message));
 	}
 
 	close(): void {
@@ -111,38 +93,4 @@
 	finish(): void {
 		this.#socket.destroySoon();
 	}
-
-	#onData(chunk: Uint8Array, handlers: LinkHandlers): void {
-		try {
-			for (const frame of this.#splitter.generateFrames(chunk)) {
-				this.#onFrame(frame, handlers);
-				if (this.#socket.destroyed) {
-					return;
-				}
-			}
-		} catch (error) {
-			if (!(error instanceof BadFrameError)) {
-				throw error;
-			}
-
-			this.#refuseFrame('long_frame');
-		}
-	}
-
-	#onFrame(frame: Uint8Array, handlers: LinkHandlers): void {
-		let message: PeerMessage;
-		try {
-			message = this.#received.decode(frame);
-		} catch {
-			this.#refuseFrame('bad_frame');
-			return;
-		}
-
-		handlers.onMessage(message);
-	}
-
-	#refuseFrame(kind: string): void {
-		this.#metrics.count('dropped', kind);
-		this.#socket.destroy();
-	}
 }
--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -17,6 +17,7 @@
 	answerTwice: 'answerTwice',
 	unframed: 'unframed',
 	resetUnframed: 'resetUnframed',
+	noContent: 'noContent',
 } as const;
 
 /** See {@link engineFault}. */
@@ -167,6 +168,12 @@
 
 		await sleep(this.#options.workMs ?? 1);
 		const text = `answer to ${arrival.id}`;
+		if (fault === engineFault.noContent) {
+			response.writeHead(204, headers);
+			response.end();
+			return;
+		}
+
 		if (fault === engineFault.unframed || fault === engineFault.resetUnframed) {
 			await sendUnframed(response.socket ?? undefined, headers, fault === engineFault.unframed ? text : text.slice(0, 4), fault === engineFault.unframed);
 			return;
