--- a/src/dispatch/fleet.ts
+++ b/src/dispatch/fleet.ts
@@ -55,11 +55,6 @@
 		const view = this.#engines.get(id);
 		return view && !view.record.isLeaving ? view : undefined;
 	}
-
-	/** Tells whether an engine may still be sent work: known under this lifetime and not leaving. */
-	isServing(view: EngineView): boolean {
-		return this.#engines.get(view.record.id) === view && !view.record.isLeaving;
-	}
 }
 
 function isSameLifetime(known: EngineRecord, record: EngineRecord): boolean {
--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -16,11 +16,6 @@
 export class EventCutter {
 	#rest: Uint8Array = new Uint8Array(0);
 
-	/** Bytes of an event that is not whole yet. */
-	get restBytes(): number {
-		return this.#rest.length;
-	}
-
 	/** Takes in a piece of the stream and returns the events that are whole now, if any. */
 	add(piece: Uint8Array): WholeEvents | undefined {
 		const bytes = this.#rest.length === 0 ? piece : Buffer.concat([this.#rest, piece]);
--- a/src/logs/output.ts
+++ b/src/logs/output.ts
@@ -64,7 +64,7 @@
 	readonly #timers: TimerService;
 	readonly #output: LogOutput;
 	readonly #log: typeof Roarr;
-	#allowance = mostLinesPerSecond;
+	#credit = mostLinesPerSecond;
 	#allowedAt: number;
 	#untold = 0;
 
@@ -83,15 +83,15 @@
 	write(kind: string, fields: LogFields, message: string): void {
 		const now = this.#timers.getNow();
 		const earned = (now - this.#allowedAt) * mostLinesPerSecond / millisecondsPerSecond;
-		this.#allowance = Math.min(mostLinesPerSecond, this.#allowance + earned);
+		this.#credit = Math.min(mostLinesPerSecond, this.#credit + earned);
 		this.#allowedAt = now;
-		if (this.#allowance < 1 || this.#output.backlogBytes > longestBacklogBytes) {
+		if (this.#credit < 1 || this.#output.backlogBytes > longestBacklogBytes) {
 			this.dropped++;
 			this.#untold++;
 			return;
 		}
 
-		this.#allowance--;
+		this.#credit--;
 		const untold = this.#untold;
 		this.#untold = 0;
 		this.#log.info({kind, ...(untold > 0 ? {linesLeftOut: untold} : {}), ...fields} as never, message);
