Ask no engine to write for a caller that left while its prompt was read

Cause: seen when reading the diff: each send listened to the request's signal, which may have been aborted before. Test that failed first: generation, asks no engine to write (23 sends instead of 22); the send now ends before it leaves.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -37,6 +37,11 @@
 			this.controller.abort();
 		};
 
+		// A signal that was aborted before tells nobody.
+		if (served.signal.aborted) {
+			this.controller.abort();
+		}
+
 		served.signal.addEventListener('abort', this.#onEnd, {once: true});
 		this.reset();
 	}
