Count an engine's silent answer once; drop what decided nothing

Cause: where the keeper is in the process that sends, Attempt and KeptPlace both signed the same EngineView.health, so one silent or broken answer counted as two and closed the engine. Ruled out: signing only for remote holders; a place that was granted and never used must still end the keeper's trial request.

The keeper now has its own health of each engine (EngineUse.health), told by all holders of its places; what the process's own sends showed stays in EngineView and reaches the keeper as the engines already tried, as from other entries.

--- a/src/dispatch/engine.ts
+++ b/src/dispatch/engine.ts
@@ -11,7 +11,6 @@
 	readonly id: string;
 	/** `host:port`. */
 	readonly address: string;
-	readonly domain: string;
 	readonly service: string;
 	readonly stage: EngineStage;
 	/** Requests that it processes at once. */
--- a/src/dispatch/line.ts
+++ b/src/dispatch/line.ts
@@ -12,12 +12,8 @@
 	readonly patientUntil: number;
 	/** When it began to wait. */
 	readonly since: number;
-	/** Rank of its kind; 0 is the most urgent. */
-	readonly priority: number;
 	/** Time from a place to the first byte of an answer. */
 	readonly serviceMs: number;
-	/** The caller was refused before. */
-	readonly isReturn: boolean;
 	/** Requests of one group find a place or none alike. */
 	readonly group: string;
 };
--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -94,7 +94,7 @@
 	needs: GenerationNeeds,
 	picture: PlacementPicture,
 ): GenerationPlace | undefined {
-	const open = views.filter(view => view.health.isOpen(picture.now));
+	const open = views.filter(view => picture.getUse(view).health.isOpen(picture.now));
 	const free = open.filter(view => view.record.stage !== engineStage.prefill && hasRoom(view, needs, picture));
 	if (free.length === 0) {
 		return undefined;
--- a/src/dispatch/test/line.test.ts
+++ b/src/dispatch/test/line.test.ts
@@ -22,7 +22,7 @@
 	ask(name: string, changes: Partial<Waiting> = {}, signal = new AbortController().signal): void {
 		const now = this.#timers.getNow();
 		const waiting: Waiting = {
-			targetAt: now + 120, deadlineAt: now + 2000, patientUntil: now + 2000, since: now, priority: 0, serviceMs: 20, isReturn: false, group: 'one', ...changes,
+			targetAt: now + 120, deadlineAt: now + 2000, patientUntil: now + 2000, since: now, serviceMs: 20, group: 'one', ...changes,
 		};
 		void this.#wait(name, waiting, signal);
 	}
--- a/src/dispatch/use.ts
+++ b/src/dispatch/use.ts
@@ -1,5 +1,6 @@
 import {LineFit} from '../rates/index.js';
 import type {Line} from '../rates/index.js';
+import {EngineHealth} from './health.js';
 import type {GenerationNeeds} from './placement.js';
 
 /** Output tokens from which a generation holds its place for long: about half a second at somewhat under a ms a token. */
@@ -29,8 +30,10 @@
 	readonly startedAt: number;
 };
 
-/** What was given of one engine. */
+/** What was given of one engine, and how that ended. */
 export class EngineUse {
+	/** Told by all holders of its places; what this process's own sends showed is the view's, so that none counts twice. */
+	readonly health = new EngineHealth();
 	/** Prompts that it reads, for itself or others. */
 	reading = 0;
 	/** Their tokens. */
--- a/src/gateway/ending.ts
+++ b/src/gateway/ending.ts
@@ -21,10 +21,10 @@
 	line: WaitingLine<Place>,
 	search: PlaceSearch<Place>,
 ): Promise<Place | undefined> {
-	const {targetAt, deadlineAt, route, isReturn} = served;
+	const {targetAt, deadlineAt, route} = served;
 	try {
 		const place = await line.wait({
-			targetAt, deadlineAt, patientUntil: deadlineAt, since: parts.timers.getNow(), priority: route.priority, serviceMs: search.serviceMs, isReturn, group: route.kind,
+			targetAt, deadlineAt, patientUntil: deadlineAt, since: parts.timers.getNow(), serviceMs: search.serviceMs, group: route.kind,
 		}, search.tryPlace, served.signal);
 		served.trace.onPlace();
 		return place;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,19 +7,10 @@
 import type {CallerAnswer} from './ports.js';
 import {chooseService, RouteTable} from './routes.js';
 import type {GatewayParts, ServedRequest} from './served.js';
+import {createTimes} from './times.js';
 import {RequestTrace} from './trace.js';
-import type {GatewayConfiguration, GatewayRequest, Route} from './types.js';
+import type {GatewayConfiguration, GatewayRequest} from './types.js';
 
-/**
-Part of a route's timeout below which a caller's time left tells that it was here before: first attempts give from 85
-to 100 in 100 of it, and a refusal sends its caller away for a sixth of its time left or more.
-*/
-const returnShare = 0.84;
-/**
-Part of a route's target that is left when a request was read here: the caller counts from before it opened its
-connection to when the answer's first bytes have come back to it.
-*/
-const targetShare = 0.9;
 /** Time to come back to a process that has no configuration yet, in milliseconds: a start takes about as long. */
 const startingReturnMs = 500;
 
@@ -146,15 +137,3 @@
 		return line;
 	}
 }
-
-/** Works out until when an answer is on time and of use. */
-function createTimes(request: GatewayRequest, route: Route) {
-	const callerMs = request.callerDeadlineMs ?? route.timeoutMs;
-	const isReturn = callerMs < route.timeoutMs * returnShare;
-	return {
-		// A target counts from the caller's first attempt: for one that comes back after a refusal it has passed.
-		targetAt: isReturn ? request.arrivedAt - 1 : request.arrivedAt + (route.targetMs * targetShare),
-		deadlineAt: request.arrivedAt + Math.min(callerMs, route.timeoutMs),
-		isReturn,
-	};
-}
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -131,13 +131,11 @@
 		const place = await parts.places.acquire({
 			...generation.needs,
 			service: served.service,
-			priority: served.route.priority,
 			targetMs: served.targetAt - now,
 			deadlineMs: served.deadlineAt - now,
 			patienceMs: served.request.arrivedAt + served.route.patienceMs - now,
 			serviceMs: parts.serviceTimes.get(served.route.name),
 			engineTokens: served.engineTokens,
-			isReturn: served.isReturn,
 			tried: [...generation.tried, ...closed],
 		}, served.signal);
 		served.trace.onPlace();
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -34,8 +34,6 @@
 	readonly engineTokens: number;
 	readonly targetAt: number;
 	readonly deadlineAt: number;
-	/** The caller comes back after a refusal or a failure. */
-	readonly isReturn: boolean;
 };
 
 /** Marks an engine as having one more request, until the returned function is called. */
--- a/src/places/keeper.ts
+++ b/src/places/keeper.ts
@@ -50,7 +50,7 @@
 		const now = timers.getNow();
 		const tried = new Set(ask.tried);
 		const given = await this.#getLine(ask.service).wait({
-			targetAt: now + ask.targetMs, deadlineAt: now + ask.deadlineMs, patientUntil: now + ask.patienceMs, since: now, priority: ask.priority, serviceMs: ask.serviceMs, isReturn: ask.isReturn,
+			targetAt: now + ask.targetMs, deadlineAt: now + ask.deadlineMs, patientUntil: now + ask.patienceMs, since: now, serviceMs: ask.serviceMs,
 			group: isLong(ask) ? 'long' : 'short',
 		}, at => this.#tryPlace(ask, fleet.listServing(ask.service).filter(view => !tried.has(view.record.id)), at), signal);
 		return new KeptPlace(this, given, ask, this.#parts.timers);
@@ -88,8 +88,10 @@
 		}
 
 		const {reader, writer} = place;
-		reader?.health.onSend();
-		writer.health.onSend();
+		for (const view of reader ? [reader, writer] : [writer]) {
+			this.getUse(view).health.onSend();
+		}
+
 		const reading = this.getUse(reader ?? writer).startReading(place.readTokens, now);
 		this.getUse(writer).startWriting(ask, reader !== undefined);
 		// Both have the shared parts when the prompt was read: one read or fetched them, the other was handed them.
@@ -168,10 +170,11 @@
 	}
 
 	#onSign(view: EngineView, sign: EngineSign | undefined): void {
+		const {health} = this.#keeper.getUse(view);
 		if (sign) {
-			view.health.onSign(sign, this.#timers.getNow());
+			health.onSign(sign, this.#timers.getNow());
 		} else {
-			view.health.onGivenUp();
+			health.onGivenUp();
 		}
 	}
 }
--- a/src/places/messages.ts
+++ b/src/places/messages.ts
@@ -33,7 +33,6 @@
 				message.kind,
 				message.ask,
 				place.service,
-				place.priority,
 				Math.round(place.targetMs),
 				Math.round(place.deadlineMs),
 				Math.round(place.patienceMs),
@@ -42,7 +41,6 @@
 				place.ownTokens,
 				place.outputTokens,
 				place.engineTokens,
-				place.isReturn ? 1 : 0,
 				place.tried,
 			];
 		}
@@ -110,10 +108,9 @@
 }
 
 function parseAsk(items: readonly unknown[]): PlaceAsk {
-	const [service, priority, targetMs, deadlineMs, patienceMs, serviceMs, shared, ownTokens, outputTokens, engineTokens, isReturn, tried] = items;
+	const [service, targetMs, deadlineMs, patienceMs, serviceMs, shared, ownTokens, outputTokens, engineTokens, tried] = items;
 	return {
 		service: parseText(service),
-		priority: parseNumber(priority),
 		targetMs: parseNumber(targetMs),
 		deadlineMs: parseNumber(deadlineMs),
 		patienceMs: parseNumber(patienceMs),
@@ -122,7 +119,6 @@
 		ownTokens: parseNumber(ownTokens),
 		outputTokens: parseNumber(outputTokens),
 		engineTokens: parseNumber(engineTokens),
-		isReturn: isReturn === 1,
 		tried: Array.isArray(tried) ? tried.map(id => parseText(id)) : [],
 	};
 }
--- a/src/places/test/messages.test.ts
+++ b/src/places/test/messages.test.ts
@@ -10,7 +10,6 @@
 
 const ask = fc.record({
 	service: text,
-	priority: whole,
 	targetMs: whole,
 	deadlineMs: whole,
 	patienceMs: whole,
@@ -19,7 +18,6 @@
 	ownTokens: whole,
 	outputTokens: whole,
 	engineTokens: whole,
-	isReturn: fc.boolean(),
 	tried: fc.array(text, {maxLength: 3}),
 });
 
--- a/src/places/types.ts
+++ b/src/places/types.ts
@@ -3,7 +3,6 @@
 /** A request for a place where a generation may run. Times are spans from now, in milliseconds, since clocks differ. */
 export type PlaceAsk = GenerationNeeds & {
 	readonly service: string;
-	readonly priority: number;
 	/** Time left until its answer is late; negative when it is. */
 	readonly targetMs: number;
 	/** Time left until its answer is of no use. */
@@ -14,8 +13,6 @@
 	readonly serviceMs: number;
 	/** Memory of an engine of the service, in tokens. */
 	readonly engineTokens: number;
-	/** The caller was refused before. */
-	readonly isReturn: boolean;
 	/** Ids of engines that failed this request. */
 	readonly tried: readonly string[];
 };
