--- a/rigs/link.ts
+++ b/rigs/link.ts
@@ -1,4 +1,5 @@
 import {createServer, connect} from 'node:net';
+import {performance} from 'node:perf_hooks';
 import type {AddressInfo, Socket} from 'node:net';
 
 /** What a link does to the connections through it. */
@@ -32,17 +33,21 @@
 export class Link {
 	/** Where it listens, `host:port`. */
 	address = '';
+	/** Delay of what is sent from now on, each way, in milliseconds; bytes keep their order. */
+	delayMs = 0;
 	readonly #pairs = new Set<Pair>();
 	readonly #target: string;
+	readonly #localAddress: string | undefined;
 	readonly #server = createServer(near => {
 		this.#onConnection(near);
 	});
 
 	#state: LinkState = linkState.open;
 
-	/** Takes the target's address, `host:port`. */
-	constructor(target: string) {
+	/** Takes the target's address, `host:port`, and the address that the target shall see as its caller's. */
+	constructor(target: string, localAddress?: string) {
 		this.#target = target;
+		this.#localAddress = localAddress;
 	}
 
 	get state(): LinkState {
@@ -56,6 +61,14 @@
 		}
 	}
 
+	/** Resets every connection that is open now; new ones work. */
+	reset(): void {
+		for (const {near, far} of this.#pairs) {
+			near.resetAndDestroy();
+			far.destroy();
+		}
+	}
+
 	/** Listens on a free port of loopback. */
 	async start(): Promise<void> {
 		await new Promise<void>(resolve => {
@@ -99,7 +112,7 @@
 		}
 
 		const [host, port] = this.#target.split(':');
-		const far = connect({host, port: Number(port)});
+		const far = connect({host, port: Number(port), localAddress: this.#localAddress});
 		const pair: Pair = {near, far, isLost: false};
 		this.#pairs.add(pair);
 		const {silent, silentOut, silentBack} = linkState;
@@ -112,21 +125,41 @@
 
 	#connectWay(from: Socket, to: Socket, isLost: () => boolean): void {
 		from.setNoDelay(true);
-		from.on('data', data => {
-			if (!isLost() && !to.write(data)) {
+		let lastDueAt = 0;
+		const writeOn = (data: Uint8Array) => {
+			if (!isLost() && !to.destroyed && !to.write(data)) {
 				from.pause();
 				to.once('drain', () => {
 					from.resume();
 				});
 			}
+		};
+
+		from.on('data', data => {
+			const now = performance.now();
+			lastDueAt = Math.max(lastDueAt, now + this.delayMs);
+			if (lastDueAt > now) {
+				setTimeout(writeOn, lastDueAt - now, data);
+			} else {
+				writeOn(data);
+			}
 		});
+		// A reset arrives as one: without a length, an answer's clean end would make it look whole.
+		let isReset = false;
 		// An end that is lost on the way leaves the other side waiting, as bytes do.
 		from.on('close', () => {
 			if (!isLost()) {
-				to.destroy();
+				setTimeout(() => {
+					if (isReset) {
+						to.resetAndDestroy();
+					} else {
+						to.destroy();
+					}
+				}, Math.max(0, lastDueAt - performance.now()));
 			}
 		});
-		from.on('error', () => {
+		from.on('error', error => {
+			isReset = (error as NodeJS.ErrnoException).code === 'ECONNRESET';
 			from.destroy();
 		});
 	}
--- /dev/null
+++ b/soak/callers.ts
@@ -0,0 +1,119 @@
+import {randomUUID} from 'node:crypto';
+import http from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {callersHost} from '../standins/fleet/index.js';
+import type {RandomSource} from '../src/rates/index.js';
+import {ports} from './vm.js';
+import type {Life, SoakVm} from './vm.js';
+import {sleep} from './world.js';
+import type {SoakWorld} from './world.js';
+
+/** How long callers wait, as they say, in milliseconds. */
+export const callerMs = 1500;
+
+/** What callers ask; `mostRuns` is how many engines may run one. */
+export const callKinds = [
+	{path: '/lookup/', mostRuns: 2, isStream: false},
+	{path: '/refund/', mostRuns: 1, isStream: false},
+	{path: '/check/', mostRuns: 2, isStream: true},
+	{path: '/draft/', mostRuns: 1, isStream: true},
+] as const;
+
+/** One request and what its caller saw; times are monotonic, in milliseconds. */
+export type SeenCall = {
+	readonly id: string;
+	readonly path: string;
+	readonly isStream: boolean;
+	readonly vm: SoakVm;
+	readonly life: Life;
+	readonly sentAt: number;
+	endedAt: number;
+	/** 0: no answer began. */
+	status: number;
+	hasReceipt: boolean;
+	body: string;
+	/** The answer ended as a whole one. */
+	isWhole: boolean;
+	error: string;
+};
+
+/** Sends one request over the connections that are kept to a VM. */
+export async function sendCall(vm: SoakVm, path: string, isStream: boolean): Promise<SeenCall> {
+	const call: SeenCall = {
+		id: randomUUID(), path, isStream, vm, life: vm.life!, sentAt: performance.now(), endedAt: 0, status: 0, hasReceipt: false, body: '', isWhole: false, error: '',
+	};
+	return new Promise(resolve => {
+		const finish = (error: string) => {
+			if (call.endedAt === 0) {
+				call.endedAt = performance.now();
+				call.error = error;
+				resolve(call);
+			}
+		};
+
+		const request = http.request({
+			host: vm.ip,
+			port: ports.callers,
+			path: `${path}${call.id}`,
+			method: 'POST',
+			agent: vm.agent,
+			timeout: callerMs * 4,
+			headers: {
+				Host: callersHost,
+				'Crocusworks-Request-Id': call.id,
+				'Crocusworks-Deadline-Ms': String(callerMs),
+				...isStream && {'Crocusworks-Model': 'm', 'Crocusworks-Token-Count': '2500,69', 'Crocusworks-Prompt-Prefix': 'aa:2000,bb:500'},
+			},
+		}, response => {
+			call.status = response.statusCode ?? 0;
+			call.hasReceipt = response.headers['crocusworks-server-stamp'] !== undefined;
+			response.setEncoding('utf8');
+			response.on('data', (piece: string) => {
+				call.body += piece;
+			});
+			response.on('close', () => {
+				call.isWhole = response.complete;
+				finish('');
+			});
+			response.on('error', () => {
+				// A close follows, which ends the call.
+			});
+		});
+		request.on('error', error => {
+			finish(String((error as NodeJS.ErrnoException).code ?? error.message));
+		});
+		request.on('timeout', () => {
+			finish('no answer');
+			request.destroy();
+		});
+		request.end('body');
+	});
+}
+
+/** Sends one request after another to whichever entry runs, until `isOver`. */
+export async function runCaller(world: SoakWorld, random: RandomSource, onCall: (call: SeenCall) => void, isOver: () => boolean): Promise<void> {
+	while (!isOver()) {
+		const vm = world.vms[random.pickIndex(world.vms.length)]!;
+		const kind = callKinds[random.pickIndex(callKinds.length)]!;
+		if (vm.isRunning && vm.life) {
+			onCall(await sendCall(vm, kind.path, kind.isStream));
+		}
+
+		await sleep(random.pickBetween(5, 60));
+	}
+}
+
+/** Asks each entry for routes that are new and routes that are gone, until `isOver`. */
+export async function runProbes(world: SoakWorld, onProbe: (version: number, call: SeenCall) => void, isOver: () => boolean): Promise<void> {
+	while (!isOver()) {
+		for (const vm of world.vms) {
+			for (const {version} of world.versions.slice(-2)) {
+				if (vm.isRunning && vm.life) {
+					onProbe(version, await sendCall(vm, `/probe-${version}/`, false));
+				}
+			}
+		}
+
+		await sleep(150);
+	}
+}
--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -1,6 +1,7 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {readBody, sendJson} from '../http.js';
 
 /** What an engine does to the next requests, one after another. */
@@ -30,6 +31,8 @@
 	readonly path: string;
 	readonly headers: IncomingMessage['headers'];
 	readonly body: string;
+	/** When its body was read, monotonic, in milliseconds. */
+	readonly at: number;
 	isCut: boolean;
 	hasRun: boolean;
 };
@@ -82,7 +85,8 @@
 
 	/** Begins to listen; port 0 takes a free one. */
 	async start(port = 0): Promise<void> {
-		await new Promise<void>(resolve => {
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
 			this.#server.listen(port, '127.0.0.1', resolve);
 		});
 	}
@@ -112,7 +116,7 @@
 
 		const {headers} = request;
 		const arrival: Arrival = {
-			id: String(headers['crocusworks-request-id']), method: request.method ?? '', path: request.url ?? '', headers, body, isCut: false, hasRun: false,
+			id: String(headers['crocusworks-request-id']), method: request.method ?? '', path: request.url ?? '', headers, body, at: performance.now(), isCut: false, hasRun: false,
 		};
 		this.arrivals.push(arrival);
 		const echo = {'Crocusworks-Request-Id': arrival.id, 'Crocusworks-Server-Load': `${this.running},0,${this.#options.slots ?? 6}`};
--- a/standins/fleet/store.ts
+++ b/standins/fleet/store.ts
@@ -5,6 +5,7 @@
 import {readJson, sendJson} from '../http.js';
 
 type Item = {readonly key: string; readonly value: string; readonly revision: number; readonly created: number; readonly lease: number};
+type ChangeText = (item: Item) => string;
 type Event = {readonly revision: number; readonly key: string; readonly item: Item | undefined};
 type Lease = {readonly ttlMs: number; timer: NodeJS.Timeout};
 
@@ -23,6 +24,8 @@
 	lostAnswers = 0;
 	/** Called after each answer, with the call's method and path: for changes that fall between two reads. */
 	onAnswered: ((call: string) => void) | undefined;
+	/** Changes what a caller, known by its address, reads of a key: so that it finds another address there. */
+	changeRead: ((key: string, text: string, caller: string) => string) | undefined;
 	/** Calls by method and path. */
 	readonly calls: string[] = [];
 	#revision = 1;
@@ -136,7 +139,7 @@
 		const [, call = '', id = ''] = url.pathname.split('/');
 		if (method === 'GET' && call === 'kv-key') {
 			const item = this.#items.get(url.searchParams.get('key') ?? '');
-			sendJson(response, item ? 200 : 404, item ? {...encodeItem(item), as_of: this.#revision} : {error: 'none'});
+			sendJson(response, item ? 200 : 404, item ? {...encodeItem(item, this.#createChange(response)), as_of: this.#revision} : {error: 'none'});
 		} else if (method === 'GET' && call === 'kv-range') {
 			this.#sendRange(url, response);
 		} else if (method === 'GET' && call === 'kv-watch') {
@@ -217,13 +220,21 @@
 		}
 	}
 
+	#createChange(response: ServerResponse): ChangeText {
+		const caller = response.socket?.remoteAddress ?? '';
+		return ({key, value}) => this.changeRead
+			? Buffer.from(this.changeRead(key, Buffer.from(value, 'base64').toString(), caller)).toString('base64')
+			: value;
+	}
+
 	#sendRange(url: URL, response: ServerResponse): void {
 		const prefix = url.searchParams.get('path_prefix') ?? '';
 		const after = url.searchParams.get('after') ?? '';
 		const pageSize = 3;
+		const changeText = this.#createChange(response);
 		const keys = this.listKeys(prefix).filter(key => key > after).sort();
 		sendJson(response, 200, {
-			items: keys.slice(0, pageSize).map(key => encodeItem(this.#items.get(key)!)), has_more: keys.length > pageSize, as_of: this.#revision,
+			items: keys.slice(0, pageSize).map(key => encodeItem(this.#items.get(key)!, changeText)), has_more: keys.length > pageSize, as_of: this.#revision,
 		});
 	}
 
@@ -231,11 +242,12 @@
 		const prefix = url.searchParams.get('path_prefix') ?? '';
 		const after = Number(url.searchParams.get('after'));
 		const watch: {timer?: NodeJS.Timeout} = {};
+		const changeText = this.#createChange(response);
 		const send = () => {
 			clearTimeout(watch.timer);
 			this.#watchers.delete(onChange);
 			const events = this.#events.filter(event => event.revision > after && event.key.startsWith(prefix));
-			sendJson(response, after < this.#forgottenBefore - 1 ? 410 : 200, {events: events.map(event => encodeEvent(event)), as_of: this.#revision});
+			sendJson(response, after < this.#forgottenBefore - 1 ? 410 : 200, {events: events.map(event => encodeEvent(event, changeText)), as_of: this.#revision});
 		};
 
 		const isReady = () => after < this.#forgottenBefore - 1 || this.#events.some(event => event.revision > after && event.key.startsWith(prefix));
@@ -255,12 +267,12 @@
 	}
 }
 
-function encodeItem(item: Item): Record<string, unknown> {
+function encodeItem(item: Item, changeText: ChangeText): Record<string, unknown> {
 	return {
-		key: item.key, value: item.value, revision: item.revision, created_rev: item.created, lease: item.lease,
+		key: item.key, value: changeText(item), revision: item.revision, created_rev: item.created, lease: item.lease,
 	};
 }
 
-function encodeEvent({key, revision, item}: Event): Record<string, unknown> {
-	return item ? encodeItem(item) : {key, revision, deleted: true};
+function encodeEvent({key, revision, item}: Event, changeText: ChangeText): Record<string, unknown> {
+	return item ? encodeItem(item, changeText) : {key, revision, deleted: true};
 }
--- a/xo.config.js
+++ b/xo.config.js
@@ -35,7 +35,7 @@
 		},
 	},
 	{
-		files: ['platform/**/*.ts', 'standins/fleet/**/*.ts'],
+		files: ['platform/**/*.ts', 'standins/fleet/**/*.ts', 'soak/**/*.ts'],
 		rules: {
 			// Field names are those of the users' platform.
 			'@typescript-eslint/naming-convention': 'off',
