Let as much be on the way to an engine as it delivers, so that slow senders leave it no pause

On the grown sites most of a read's time is on the ways and at VMs of a third of a core: 71 reads a second and engine at 65 ms each is all that 40 ms and one prompt allow.

Change: Delivery measures an engine's rate and the shortest read of the last half minute; what they give together, and 40 ms, may be on the way.

--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -140,9 +140,8 @@
 	return {keeper, readTokens: needs.ownTokens + fewest};
 }
 
-function hasTimeToRead(view: EngineView, longestMs: number, {share, getUse}: PlacementPicture): boolean {
-	const use = getUse(view);
-	return use.reading === 0 || use.computeBacklogMs() <= longestMs * share;
+function hasTimeToRead(view: EngineView, longestMs: number, {share, getUse, now}: PlacementPicture): boolean {
+	return getUse(view).hasTimeToRead(longestMs * share, now);
 }
 
 function hasRoom(view: EngineView, needs: GenerationNeeds, {share, getUse, isCrowded}: PlacementPicture): boolean {
--- a/src/dispatch/use.ts
+++ b/src/dispatch/use.ts
@@ -1,5 +1,6 @@
 import {LineFit} from '../rates/index.js';
 import type {Line} from '../rates/index.js';
+import {Delivery} from './delivery.js';
 import {EngineHealth} from './health.js';
 import type {GenerationNeeds} from './placement.js';
 
@@ -45,6 +46,7 @@
 	/** Those of them that hold their place for long. */
 	long = 0;
 	readonly #fit = new LineFit(keptWeight);
+	readonly #delivery = new Delivery();
 	#line: Line;
 
 	constructor(isReader: boolean) {
@@ -61,6 +63,16 @@
 		return this.readingTokens * this.#line.slope;
 	}
 
+	/**
+	Tells whether one more prompt may be sent to be read, so that none waits much longer than `longestMs` at the engine: by
+	the time that its tokens take, or by what it has delivered, which also keeps it busy when senders are slow.
+	*/
+	hasTimeToRead(longestMs: number, now: number): boolean {
+		return this.reading === 0
+			|| this.computeBacklogMs() <= longestMs
+			|| this.readingTokens < this.#delivery.computeRoom(longestMs, now);
+	}
+
 	/** Counts a prompt that it begins to read. */
 	startReading(tokens: number, now: number): Reading {
 		this.reading++;
@@ -76,6 +88,7 @@
 			return;
 		}
 
+		this.#delivery.onRead(reading.tokens, now - reading.startedAt, now);
 		const expectedMs = this.#line.base + (reading.tokensToRead * this.#line.slope);
 		this.#fit.add(reading.tokensToRead, Math.min(now - reading.startedAt, expectedMs * mostMultiple));
 		const line = this.#fit.count < leastReads ? undefined : this.#fit.computeLine();
