Undo the import circles: types of serving, the entry and routing go to files of their own

Cause: types lived beside the code that uses what uses them: CallerParts in src/entry/callers.ts (six users), StreamJob and StreamParts in src/serving/stream.ts, DemandMeter of src/loads in src/routing, GenerationNeeds in src/dispatch/placement.ts. They are now in callerparts.ts, job.ts, a port of src/routing (DemandCounter) and needs.ts. A script over all imports, types included, found four circles before and finds none.

--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -12,7 +12,8 @@
 } from './line.js';
 export type {Waiting} from './line.js';
 export {chooseGenerationPlace, choosePlainPlace} from './placement.js';
-export type {GenerationNeeds, GenerationPlace, PlacementPicture} from './placement.js';
+export type {GenerationNeeds} from './needs.js';
+export type {GenerationPlace, PlacementPicture} from './placement.js';
 export {Thinning} from './thinning.js';
 export {EngineUse, isLong} from './use.js';
 export type {Reading} from './use.js';
--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -1,20 +1,11 @@
 import {computeScore} from '../rates/index.js';
-import type {CachePicture, SharedPart} from './cache.js';
+import type {CachePicture} from './cache.js';
 import {engineStage} from './engine.js';
 import type {EngineView} from './engine.js';
+import type {GenerationNeeds} from './needs.js';
 import {isLong} from './use.js';
 import type {EngineUse} from './use.js';
 
-/** What a generation asks of its place. */
-export type GenerationNeeds = {
-	/** Parts of the prompt that other requests share, in order. */
-	readonly shared: readonly SharedPart[];
-	/** Tokens that only this request has. */
-	readonly ownTokens: number;
-	/** Most tokens that it generates. */
-	readonly outputTokens: number;
-};
-
 /** Where a generation runs. */
 export type GenerationPlace = {
 	/** Reads the prompt; `undefined` when the writer reads it itself. */
--- a/src/dispatch/use.ts
+++ b/src/dispatch/use.ts
@@ -2,7 +2,7 @@
 import type {Line} from '../rates/index.js';
 import {Delivery} from './delivery.js';
 import {EngineHealth} from './health.js';
-import type {GenerationNeeds} from './placement.js';
+import type {GenerationNeeds} from './needs.js';
 
 /** Output tokens from which a generation holds its place for long: about half a second at somewhat under a ms a token. */
 const longOutputTokens = 700;
--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -11,6 +11,7 @@
 import {serveCall} from './calls.js';
 import {serveChat} from './chat.js';
 import {sendFailure, sendJson} from './http.js';
+import type {CallerParts} from './callerparts.js';
 import type {EntryParts} from './parts.js';
 import {serveRelay, serveRelayCancel} from './relay.js';
 import {serveRelayedCall} from './relaycalls.js';
@@ -24,16 +25,6 @@
 /** At a stop: longest wait for the store to take the ends of claims, in milliseconds. */
 const claimsWaitMs = 10_000;
 
-/** What the callers' side needs beside the entry's parts. */
-export type CallerParts = EntryParts & {
-	readonly ids: RequestIds;
-	readonly stop: GracefulStop;
-	readonly claims: Claims;
-	readonly getService: (upstream: Upstream) => ServiceClient;
-	/** Draws a number from 0 up to 1. */
-	readonly pick: () => number;
-};
-
 type Serve = (parts: CallerParts, request: IncomingMessage, response: ServerResponse) => Promise<void>;
 
 /** Puts together the callers' side. */
--- a/src/entry/calls.ts
+++ b/src/entry/calls.ts
@@ -12,7 +12,7 @@
 	CallHeaders, CallJob, CallOutcome, CallParts, WholeAnswer,
 } from '../serving/index.js';
 import {upstreamHeader} from '../upstreams/index.js';
-import type {CallerParts} from './callers.js';
+import type {CallerParts} from './callerparts.js';
 import {readBody, sendFailure} from './http.js';
 
 const keyHeader = 'idempotency-key';
--- a/src/entry/chat.ts
+++ b/src/entry/chat.ts
@@ -12,7 +12,7 @@
 } from '../serving/index.js';
 import {listPrefixes} from '../upstreams/index.js';
 import type {EndEvent, GenerateEvent} from '../upstreams/index.js';
-import type {CallerParts} from './callers.js';
+import type {CallerParts} from './callerparts.js';
 import {CallerStream} from './callerstream.js';
 import {
 	countFailure, readJson, sendFailure, sendJson,
--- a/src/entry/placements.ts
+++ b/src/entry/placements.ts
@@ -4,7 +4,7 @@
 import type {EngineConnection, ResumePoint, StreamParts} from '../serving/index.js';
 import {vmState} from '../store/index.js';
 import {HttpEngine} from '../upstreams/index.js';
-import type {CallerParts} from './callers.js';
+import type {CallerParts} from './callerparts.js';
 import {RelayEngine} from './relayclient.js';
 
 type StreamContext = Pick<StreamParts, 'signal' | 'onEvents'> & {readonly service: ModelService; readonly work: Work};
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -8,7 +8,7 @@
 	createProof, decideRefusal, isProof, relayHeader, serveRelayed,
 } from '../serving/index.js';
 import type {GenerateRequest} from '../upstreams/index.js';
-import type {CallerParts} from './callers.js';
+import type {CallerParts} from './callerparts.js';
 import {CallerStream} from './callerstream.js';
 import {readJson, sendFailure, sendJson} from './http.js';
 import {createStreamParts} from './placements.js';
--- a/src/entry/relaycalls.ts
+++ b/src/entry/relaycalls.ts
@@ -8,7 +8,7 @@
 import type {CallJob, CallParts, WholeAnswer} from '../serving/index.js';
 import {upstreamHeader} from '../upstreams/index.js';
 import {sendAnswer} from './calls.js';
-import type {CallerParts} from './callers.js';
+import type {CallerParts} from './callerparts.js';
 import {readBody} from './http.js';
 import {findUpstream, sendRelayFailure} from './relay.js';
 
--- a/src/entry/test/rig.ts
+++ b/src/entry/test/rig.ts
@@ -18,7 +18,7 @@
 import type {TimerService} from '../../timers/index.js';
 import {HttpEngine} from '../../upstreams/index.js';
 import {addCallerRoutes, createCallers, setServerTimeouts} from '../callers.js';
-import type {CallerParts} from '../callers.js';
+import type {CallerParts} from '../callerparts.js';
 import {findEntry} from '../placements.js';
 import {createClient} from './wire.js';
 
--- a/src/routing/create.ts
+++ b/src/routing/create.ts
@@ -1,7 +1,6 @@
 import {Admission, OpenAdmission} from '../admission/index.js';
 import type {FactTable} from '../feed/index.js';
 import {CallerGate, CallerLimiter, FairShares} from '../fairness/index.js';
-import type {DemandMeter} from '../loads/index.js';
 import type {RandomSource} from '../rates/index.js';
 import {RetryBudget} from '../retries/index.js';
 import type {TimerService} from '../timers/index.js';
@@ -14,6 +13,7 @@
 import {PolicyRouter} from './policy.js';
 import {SpeedTable} from './speeds.js';
 import type {FleetView} from './views.js';
+import type {DemandCounter} from './types.js';
 
 /** What a policy is made from. */
 export type PolicyOptions = {
@@ -21,7 +21,7 @@
 	readonly random: RandomSource;
 	readonly facts: FactTable;
 	readonly view: FleetView;
-	readonly demand: DemandMeter;
+	readonly demand: DemandCounter;
 	/** Part of the callers' limits that this entry gives out. */
 	readonly getLocalShare: () => number;
 	/** How one of several places is chosen; weighted by default. */
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,6 +1,8 @@
 /** Where requests go: the port that serving calls and the policies behind it. */
 export {Router, placementOutcome} from './types.js';
-export type {Placement, PlacementOutcome, Work} from './types.js';
+export type {
+	DemandCounter, Placement, PlacementOutcome, Work,
+} from './types.js';
 export {LeastInFlightRouter, RoundRobinRouter} from './basic.js';
 export {PrefixTable} from './affinity.js';
 export {
--- a/src/routing/policy.ts
+++ b/src/routing/policy.ts
@@ -4,13 +4,14 @@
 import {NotRunError, refusalReason} from '../errors/index.js';
 import type {RefusalReason} from '../errors/index.js';
 import type {CallerGate} from '../fairness/index.js';
-import type {DemandMeter} from '../loads/index.js';
 import type {RetryBudget} from '../retries/index.js';
 import {Instances} from './instances.js';
 import {Placer} from './placer.js';
 import type {Place, PlacerParts} from './placer.js';
 import {placementOutcome, Router} from './types.js';
-import type {Placement, PlacementOutcome, Work} from './types.js';
+import type {
+	DemandCounter, Placement, PlacementOutcome, Work,
+} from './types.js';
 
 /** Requests in progress that one entry takes on. */
 const mostRunning = 4000;
@@ -20,7 +21,7 @@
 	readonly admission: AdmissionPort;
 	readonly callers: CallerGate;
 	readonly retries: RetryBudget;
-	readonly demand: DemandMeter;
+	readonly demand: DemandCounter;
 };
 
 /**
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -75,3 +75,9 @@
 	/** Counts the entry's own requests in progress at an upstream. */
 	abstract countRunning(upstream: string): number;
 }
+
+/** Where a policy counts the work that it is offered. */
+export type DemandCounter = {
+	/** Counts one request with the tokens of its prompt and those expected of its answer. */
+	readonly count: (service: string, promptTokens: number, outputTokens: number) => void;
+};
--- a/src/serving/attempt.ts
+++ b/src/serving/attempt.ts
@@ -4,18 +4,11 @@
 import type {EngineClient, GenerateEvent, GenerateRequest} from '../upstreams/index.js';
 import {AnswerCheck} from './check.js';
 import {EventReader} from './reader.js';
-import type {StreamJob, StreamParts} from './stream.js';
+import type {EngineConnection, StreamJob, StreamParts} from './job.js';
 
 /** Longest wait for an engine to say its state, in milliseconds. */
 const probeMs = 1000;
 
-/** A client of an engine with the connections that belong to it. */
-export type EngineConnection = {
-	readonly client: EngineClient;
-	/** Closes what was opened for this request alone. */
-	readonly close: () => void;
-};
-
 /** One attempt of a request at one engine: from the send to its end, which is told to the router exactly once. */
 export class Attempt {
 	readonly placement: Placement;
--- a/src/serving/index.ts
+++ b/src/serving/index.ts
@@ -1,7 +1,8 @@
 /** Serving: from a caller's request to the whole answer. */
 export {serveRelayed, serveStream} from './stream.js';
-export type {AnswerSink, StreamJob, StreamParts} from './stream.js';
-export type {EngineConnection} from './attempt.js';
+export type {
+	AnswerSink, EngineConnection, StreamJob, StreamParts,
+} from './job.js';
 export {AnswerCheck} from './check.js';
 export {computeLimits} from './limits.js';
 export type {StreamLimits} from './limits.js';
--- a/src/serving/kv.ts
+++ b/src/serving/kv.ts
@@ -4,7 +4,7 @@
 import {placementOutcome} from '../routing/index.js';
 import type {GenerateRequest} from '../upstreams/index.js';
 import type {Attempt} from './attempt.js';
-import type {StreamJob, StreamParts} from './stream.js';
+import type {StreamJob, StreamParts} from './job.js';
 
 /**
 Has the prompt read by the engine that prefills and its KV cache fetched by the one that decodes. Returns the
--- a/src/serving/stream.ts
+++ b/src/serving/stream.ts
@@ -10,45 +10,16 @@
 import type {TimerService} from '../timers/index.js';
 import type {EndEvent, GenerateEvent} from '../upstreams/index.js';
 import {Attempt} from './attempt.js';
-import type {EngineConnection} from './attempt.js';
 import type {AnswerCheck} from './check.js';
 import {decideFailure} from './failure.js';
 import type {Failure} from './failure.js';
+import type {StreamJob, StreamParts} from './job.js';
 import {importPrefilled} from './kv.js';
-import type {StreamLimits} from './limits.js';
 
 const maxAttempts = 8;
 /** Before engines that have failed a broken answer are asked again, in milliseconds. */
 const secondRoundPauseMs = 200;
 
-/** Takes the checked events of an answer in order, each once, with the place they came from. */
-export type AnswerSink = (events: readonly GenerateEvent[], placement: Placement) => Promise<void> | void;
-
-/** A request to be generated. */
-export type StreamJob = {
-	readonly work: Work;
-	readonly prompt: string;
-	/** Index of the first token that the caller wants; above 0 when it comes back for the rest. */
-	readonly offset: number;
-	/** Engine that may still hold the request of a caller that comes back. */
-	readonly held?: Placement;
-};
-
-/** What serving a stream needs. */
-export type StreamParts = {
-	readonly router: Router;
-	readonly timers: TimerService;
-	readonly metrics: Metrics;
-	/** Gives the engine at a placement; `isFresh` asks for connections opened for this request alone. */
-	readonly getEngine: (placement: Placement, isFresh: boolean) => EngineConnection;
-	/** Gives the limits on silence; `isAgain` when the engine was asked again after silence. */
-	readonly getLimits: (placement: Placement, isAgain: boolean) => StreamLimits;
-	readonly onEvents: AnswerSink;
-	readonly signal: AbortSignal;
-	/** Makes the check of an answer's events, when not the usual one. */
-	readonly createCheck?: (id: string, offset: number) => AnswerCheck;
-};
-
 type Progress = {
 	offset: number;
 	/** Engine to be asked again over a new connection. */
