--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,6 +13,8 @@
 
 /** Time to come back to a process that has no configuration yet, in milliseconds: a start takes about as long. */
 const startingReturnMs = 500;
+/** Time to come back after a process that is ending refused, in milliseconds: a new connection goes to another at once. */
+const endingReturnMs = 50;
 
 /**
 Serves callers' requests by the configuration in force: finds the route, lets the request wait for a place at an engine,
@@ -30,6 +32,7 @@
 	#configuration: GatewayConfiguration | undefined;
 	#routes: RouteTable | undefined;
 	#inProgress = 0;
+	#endsAt = Number.POSITIVE_INFINITY;
 
 	constructor(readonly fleet: Fleet, parts: GatewayParts) {
 		this.#parts = parts;
@@ -56,6 +59,11 @@
 		return true;
 	}
 
+	/** Takes from now on only requests that have ended by then; monotonic, in milliseconds. */
+	setEnd(endsAt: number): void {
+		this.#endsAt = endsAt;
+	}
+
 	/** Lets requests of application services that wait look for places again, as when an engine was added. */
 	serveWaiting(): void {
 		for (const line of this.#plainLines.values()) {
@@ -111,6 +119,12 @@
 		this.#parts.budget.countRequest(service);
 		const model = this.#configuration.services.get(service)?.model;
 		const times = createTimes(request, route);
+		if (times.deadlineAt > this.#endsAt) {
+			trace.finish('refused', refusalReason.draining);
+			answer.refuse(503, refusalReason.draining, endingReturnMs);
+			return;
+		}
+
 		const controller = new AbortController();
 		const onEnd = () => {
 			controller.abort();
