Keep the order of bytes on a slow link of the rig

Ruled out: silence on the link (none there then), a resumed stream (the engine did not break). Each timer now writes the oldest chunk.

--- a/rigs/link.ts
+++ b/rigs/link.ts
@@ -126,6 +126,7 @@
 	#connectWay(from: Socket, to: Socket, isLost: () => boolean): void {
 		from.setNoDelay(true);
 		let lastDueAt = 0;
+		const waiting: Uint8Array[] = [];
 		const writeOn = (data: Uint8Array) => {
 			if (!isLost() && !to.destroyed && !to.write(data)) {
 				from.pause();
@@ -138,8 +139,12 @@
 		from.on('data', data => {
 			const now = performance.now();
 			lastDueAt = Math.max(lastDueAt, now + this.delayMs);
-			if (lastDueAt > now) {
-				setTimeout(writeOn, lastDueAt - now, data);
+			if (lastDueAt > now || waiting.length > 0) {
+				// Timers of different delays may pass one another: each writes the oldest.
+				waiting.push(data);
+				setTimeout(() => {
+					writeOn(waiting.shift()!);
+				}, lastDueAt - now);
 			} else {
 				writeOn(data);
 			}
