Serve plain requests and generations by one count of sends, and say late and refused in one place

Cause, found in reading the whole change: src/gateway/plain.ts and generation.ts each had the bound on engines that can't be reached, the count of runs and the reasons of a retry; RemoteKeeper built the refusal's error that LineRefusal makes; RecentRefusals said 'late' as formatKind does; two bounds of 40 ms in src/dispatch/placement.ts were one.

Change: SendCount and selectRetryReason (src/gateway/run.ts), LineRefusal.toError, isLate of src/places/types.ts, one longestBacklogMs. Behaviour is the same.

--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -33,8 +33,6 @@
 between messages; what waits in the line can still be put in another order, or refused.
 */
 const longestBacklogMs = 40;
-/** The same for an engine that also writes: reading slows the streams that it writes. */
-const longestDirectBacklogMs = 40;
 /** Places of an engine that generations may hold for long, as a part: the others are for short ones. */
 const longShare = 0.84;
 /** The same while short ones wait: each of them needs a place for some hundredths of the time of a long one. */
@@ -100,9 +98,9 @@
 	const missing = new Map(open.map(view => [view, picture.caches.countMissing(view, needs.shared)]));
 	const fewest = Math.min(...missing.values());
 	const measure = (view: EngineView) => getUse(view).computeReadMs(needs.ownTokens + fewest) + (missing.get(view)! > fewest ? fetchMs : 0);
-	const direct = findLeast(free.filter(view => hasTimeToRead(view, longestDirectBacklogMs, picture)), measure);
+	const direct = findLeast(free.filter(view => hasTimeToRead(view, picture)), measure);
 	const reader = findLeast(
-		open.filter(view => view.record.stage === engineStage.prefill && hasTimeToRead(view, longestBacklogMs, picture)),
+		open.filter(view => view.record.stage === engineStage.prefill && hasTimeToRead(view, picture)),
 		measure,
 	);
 	if (reader && (!direct || measure(reader) + handOverMs < measure(direct))) {
@@ -131,8 +129,8 @@
 	return {keeper, readTokens: needs.ownTokens + fewest};
 }
 
-function hasTimeToRead(view: EngineView, longestMs: number, {share, getUse, now}: PlacementPicture): boolean {
-	return getUse(view).hasTimeToRead(longestMs * share, now);
+function hasTimeToRead(view: EngineView, {share, getUse, now}: PlacementPicture): boolean {
+	return getUse(view).hasTimeToRead(longestBacklogMs * share, now);
 }
 
 function hasRoom(view: EngineView, needs: GenerationNeeds, {share, getUse, isCrowded}: PlacementPicture): boolean {
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -8,6 +8,7 @@
 import {finishUnanswered, refuseWithoutPlace, refuseNotRun} from './ending.js';
 import {EventCutter} from './events.js';
 import type {PromptHandle} from './ports.js';
+import {selectRetryReason, SendCount} from './run.js';
 import type {GatewayParts, ServedRequest} from './served.js';
 import type {Prompt} from './types.js';
 
@@ -17,24 +18,19 @@
 const silentWriterTargets = 3.3;
 /** Least silence before a stream goes on elsewhere, in milliseconds: longer than the pauses that callers accept. */
 const leastSilenceMs = 400;
-/** Engines that one request may fail to reach; none of them was sent it. */
-const mostUnreached = 4;
 
 /** How far one generation has come. */
-class Generation {
+class Generation extends SendCount {
 	readonly needs: GenerationNeeds;
 	/** Ids of engines that failed it. */
 	readonly tried = new Set<string>();
-	/** Engines that may have run it. */
-	runs = 0;
-	/** Engines that could not be reached. */
-	unreached = 0;
 	/** Prompts that engines were asked to read. */
 	reads = 0;
 	/** Id of the last event that the caller has. */
 	lastId: string | undefined;
 
 	constructor(prompt: Prompt | undefined) {
+		super();
 		this.needs = createNeeds(prompt);
 	}
 }
@@ -105,13 +101,12 @@
 /** Decides whether a generation that has not ended goes on at another engine; ends it where it doesn't. */
 function decideNext(parts: GatewayParts, served: ServedRequest, generation: Generation, attempt: Attempt): boolean {
 	generation.tried.add(attempt.view.record.id);
-	generation.runs += attempt.isNotRun ? 0 : 1;
-	generation.unreached += attempt.isNotSent ? 1 : 0;
+	generation.add(attempt);
 	const mayResume = served.route.resumable && generation.runs < served.route.attempts;
-	const isFree = attempt.isNotSent && generation.unreached < mostUnreached;
+	const isFree = attempt.isNotSent && generation.hasTriesLeft;
 	const mayTryAgain = !served.signal.aborted && (attempt.isNotRun || mayResume);
 	if (mayTryAgain && (isFree || (!attempt.isNotSent && parts.budget.tryTake(served.service)))) {
-		parts.report.onRetry(selectReason(attempt));
+		parts.report.onRetry(selectRetryReason(attempt, attempt.trace.sign === 'silent' ? retryReason.silentStream : retryReason.brokenStream));
 		return true;
 	}
 
@@ -284,15 +279,3 @@
 		outputTokens: prompt?.outputTokens ?? 0,
 	};
 }
-
-function selectReason(attempt: Attempt): string {
-	if (attempt.isNotSent) {
-		return retryReason.connectFailed;
-	}
-
-	if (attempt.isNotRun) {
-		return retryReason.refusedNotRun;
-	}
-
-	return attempt.trace.sign === 'silent' ? retryReason.silentStream : retryReason.brokenStream;
-}
--- a/src/gateway/plain.ts
+++ b/src/gateway/plain.ts
@@ -1,29 +1,23 @@
 import {choosePlainPlace} from '../dispatch/index.js';
 import type {EngineView, WaitingLine} from '../dispatch/index.js';
 import {refusalReason, retryReason} from '../errors/index.js';
-import type {RetryReason} from '../errors/index.js';
 import {callStep} from '../procedures/index.js';
 import type {Procedure} from '../procedures/index.js';
 import {callEngine} from './attempt.js';
 import type {Attempt} from './attempt.js';
 import {finishUnanswered, refuseNotRun, waitForPlace} from './ending.js';
+import {selectRetryReason, SendCount} from './run.js';
 import type {GatewayParts, ServedRequest} from './served.js';
 import {requestKind} from './types.js';
 
 /** Part of the target after which a silent engine loses a request that may be sent again: another can still be on time. */
 const silentShare = 0.6;
-/** Engines that one request may fail to reach; none of them was sent it. */
-const mostUnreached = 4;
 /** Time that the shortest request needs at an engine, in milliseconds: less left is not worth a send. */
 const leastServiceMs = 5;
 
 /** How far one request of an application service has come. */
-class PlainRun {
+class PlainRun extends SendCount {
 	readonly tried = new Set<EngineView>();
-	/** Engines that may have run it. */
-	runs = 0;
-	/** Engines that could not be reached. */
-	unreached = 0;
 
 	/** Whether it may run at one more engine after the next. */
 	isRepeatable({route}: ServedRequest): boolean {
@@ -70,7 +64,7 @@
 			return;
 		}
 
-		parts.report.onRetry(selectReason(attempt, body));
+		parts.report.onRetry(selectRetryReason(attempt, body ? retryReason.upstreamFailed : retryReason.repeatable));
 	}
 }
 
@@ -78,13 +72,12 @@
 function decideNext(parts: GatewayParts, served: ServedRequest, run: PlainRun, attempt: Attempt): boolean {
 	const mayRepeat = run.isRepeatable(served);
 	run.tried.add(attempt.view);
-	run.runs += attempt.isNotRun ? 0 : 1;
-	run.unreached += attempt.isNotSent ? 1 : 0;
+	run.add(attempt);
 	if (served.signal.aborted || !(attempt.isNotRun || mayRepeat)) {
 		return false;
 	}
 
-	return attempt.isNotSent ? run.unreached < mostUnreached : parts.budget.tryTake(served.service);
+	return attempt.isNotSent ? run.hasTriesLeft : parts.budget.tryTake(served.service);
 }
 
 type LastAttempt = {readonly attempt: Attempt; readonly body: Uint8Array | undefined};
@@ -113,15 +106,3 @@
 	served.answer.finish();
 	served.trace.finish('answered', undefined, reply.status);
 }
-
-function selectReason(attempt: Attempt, body: Uint8Array | undefined): RetryReason {
-	if (attempt.isNotSent) {
-		return retryReason.connectFailed;
-	}
-
-	if (attempt.isNotRun) {
-		return retryReason.refusedNotRun;
-	}
-
-	return body ? retryReason.upstreamFailed : retryReason.repeatable;
-}
--- a/src/places/refusals.ts
+++ b/src/places/refusals.ts
@@ -1,7 +1,7 @@
 import {computeReturnAfterMs, Thinning} from '../dispatch/index.js';
 import {NotRunError, refusalReason} from '../errors/index.js';
 import type {TimerService} from '../timers/index.js';
-import {formatKind} from './types.js';
+import {formatKind, isLate} from './types.js';
 import type {PlaceAsk} from './types.js';
 
 /** Time for which a refusal holds for requests of its kind, in milliseconds: a few places come free in it at the most. */
@@ -49,7 +49,3 @@
 }
 
 type RefusedKind = {refusedAt: number; readonly thinning: Thinning};
-
-function isLate(ask: PlaceAsk): boolean {
-	return ask.targetMs < ask.serviceMs;
-}
--- a/src/places/remote.ts
+++ b/src/places/remote.ts
@@ -1,6 +1,6 @@
+import {LineRefusal} from '../dispatch/index.js';
 import type {EngineSign} from '../dispatch/index.js';
 import {NotRunError, refusalReason} from '../errors/index.js';
-import type {RefusalReason} from '../errors/index.js';
 import type {MessageLink, MessageNetwork} from '../peers/index.js';
 import type {Timer, TimerService} from '../timers/index.js';
 import {parseItems, placeMessageKind, toItems} from './messages.js';
@@ -153,7 +153,7 @@
 			this.#asked.delete(message.ask);
 			if (asked) {
 				this.#onAnswer(asked.place, false, message.givenPart);
-				asked.reject(createRefusal(message.reason, message.retryAfterMs));
+				asked.reject(new LineRefusal(message.reason, message.retryAfterMs).toError());
 			}
 		}
 	}
@@ -189,10 +189,6 @@
 	}
 }
 
-function createRefusal(reason: RefusalReason, retryAfterMs: number): Error {
-	return new NotRunError('No engine has a place in time.', {props: {reason, retryAfterMs}});
-}
-
 type Told = {readonly kind: typeof placeMessageKind.read | typeof placeMessageKind.release; readonly sign: EngineSign | undefined};
 
 /** A place given by another entry's keeper. */
--- a/src/places/types.ts
+++ b/src/places/types.ts
@@ -18,9 +18,14 @@
 	readonly tried: readonly string[];
 };
 
+/** Tells whether an ask that got its place now would be answered after its target. */
+export function isLate(ask: PlaceAsk): boolean {
+	return ask.targetMs < ask.serviceMs;
+}
+
 /** Names the kind of an ask: those of one kind find a place or none alike. */
 export function formatKind(ask: PlaceAsk): string {
-	return `${ask.service} ${isLong(ask) ? 'long' : 'short'} ${ask.targetMs < ask.serviceMs ? 'late' : 'on time'}`;
+	return `${ask.service} ${isLong(ask) ? 'long' : 'short'} ${isLate(ask) ? 'late' : 'on time'}`;
 }
 
 /** The engines of a place, by their ids. */
