Choose a service's keepers when the entries change, not at each request

Cause, found in reading the whole change: SharedPlaces.acquire sorted and hashed all entries for every request, 114 us at 86 entries on this machine, and Entries copied its list each time.

Behaviour is the same.

Measured: an ask through SharedPlaces at 86 entries, 3,000 asks in one process of this machine: 116 us with a fresh list each time, 2 us with the same.

--- a/src/places/shared.ts
+++ b/src/places/shared.ts
@@ -22,7 +22,7 @@
 	readonly keeper: PlaceKeeper;
 	/** Address that this process serves other entries' asks at. */
 	readonly ownAddress: string;
-	/** All entries that are believed to live. */
+	/** All entries that are believed to live; the same list while nothing changes, so that a request costs no choice of keepers. */
 	readonly listMembers: () => readonly PlaceMember[];
 	/** Told of each keeper that is lost or asked for the first time. */
 	readonly onKeeper: (address: string, change: string) => void;
@@ -39,6 +39,9 @@
 	readonly #remotes = new Map<string, RemoteKeeper>();
 	readonly #lostUntil = new Map<string, number>();
 	readonly #refusals: RecentRefusals;
+	/** Keepers of each service among the entries that were listed last. */
+	readonly #keepers = new Map<string, readonly string[]>();
+	#members: readonly PlaceMember[] = [];
 	#isAlone = false;
 
 	constructor(parts: SharedPlacesParts) {
@@ -53,9 +56,9 @@
 	}
 
 	async acquire(ask: PlaceAsk, signal: AbortSignal): Promise<HeldPlace> {
-		const {timers, keeper, ownAddress, listMembers} = this.#parts;
+		const {timers, keeper, ownAddress} = this.#parts;
 		const askedAt = timers.getNow();
-		for (const address of listKeepers(ask.service, listMembers(), mostOwners)) {
+		for (const address of this.#listKeepers(ask.service)) {
 			if (address === ownAddress) {
 				this.#isAlone = false;
 				return keeper.acquire(this.#computeLeft(ask, askedAt), signal);
@@ -85,6 +88,18 @@
 		}
 	}
 
+	#listKeepers(service: string): readonly string[] {
+		const members = this.#parts.listMembers();
+		if (members !== this.#members) {
+			this.#members = members;
+			this.#keepers.clear();
+		}
+
+		const keepers = this.#keepers.get(service) ?? listKeepers(service, members, mostOwners);
+		this.#keepers.set(service, keepers);
+		return keepers;
+	}
+
 	/** Asks another entry's keeper, unless it refused requests of this kind just now. */
 	async #askRemote(address: string, ask: PlaceAsk, signal: AbortSignal): Promise<HeldPlace> {
 		const remote = this.#getRemote(address);
