--- a/bench/slopes/feed.ts
+++ b/bench/slopes/feed.ts
@@ -86,32 +86,31 @@
 	},
 ];
 
-async function measureTraffic(sizes: FeedSizes): Promise<number> {
+async function startFleet(sizes: FeedSizes): Promise<FeedFleet> {
 	const fleet = new FeedFleet(sizes);
 	await fleet.start();
+	return fleet;
+}
+
+async function measureTraffic(sizes: FeedSizes): Promise<number> {
+	const fleet = await startFleet(sizes);
 	const {sent, received} = await fleet.measureTraffic(trafficSeconds);
 	return sent.mean + received.mean;
 }
 
 async function measureProcessor(sizes: FeedSizes): Promise<number> {
-	const fleet = new FeedFleet(sizes);
-	await fleet.start();
+	const fleet = await startFleet(sizes);
 	const {cpuMs} = await fleet.measureTraffic(trafficSeconds);
 	return cpuMs;
 }
 
 async function measureNodeHeap(sizes: FeedSizes): Promise<number> {
-	const heap = await measureStartedHeap(async () => {
-		const fleet = new FeedFleet(sizes);
-		await fleet.start();
-		return fleet;
-	});
+	const heap = await measureStartedHeap(async () => startFleet(sizes));
 	return heap / sizes.entries;
 }
 
 async function measureSpread(sizes: FeedSizes): Promise<number> {
-	const fleet = new FeedFleet(sizes);
-	await fleet.start();
+	const fleet = await startFleet(sizes);
 	return fleet.measureUpstreamSpread();
 }
 
--- a/bench/slopes/usage.ts
+++ b/bench/slopes/usage.ts
@@ -18,27 +18,24 @@
 
 /** Measures the heap that `create` holds on to, in bytes. Needs `--expose-gc`. */
 export function measureHeap(create: () => unknown): number {
-	runCollector();
-	const before = process.memoryUsage().heapUsed;
+	const before = readHeap();
 	const held = create();
-	runCollector();
-	const after = process.memoryUsage().heapUsed;
+	const after = readHeap();
 	// Keeps `held` alive until after the reading.
 	return held === undefined ? 0 : after - before;
 }
 
 /** Measures the heap that is held after `start`, in bytes; `start` returns what holds it. Needs `--expose-gc`. */
 export async function measureStartedHeap(start: () => Promise<unknown>): Promise<number> {
-	runCollector();
-	const before = process.memoryUsage().heapUsed;
+	const before = readHeap();
 	const held = new Set([await start()]);
-	runCollector();
-	const after = process.memoryUsage().heapUsed;
+	const after = readHeap();
 	// Keeps what was started alive until after the reading.
 	return held.size === 0 ? 0 : after - before;
 }
 
-function runCollector(): void {
+/** Reads the heap in use after a collection, in bytes. */
+function readHeap(): number {
 	const {gc} = globalThis as {gc?: () => void};
 	if (!gc) {
 		throw new RangeError('heap is measured with node --expose-gc');
@@ -46,4 +43,5 @@
 
 	gc();
 	gc();
+	return process.memoryUsage().heapUsed;
 }
--- a/rigs/test/link.test.ts
+++ b/rigs/test/link.test.ts
@@ -99,4 +99,22 @@
 		expect(before).to.include({text: '', isClosed: false});
 		expect(after.text).to.equal('got b');
 	});
+
+	it('keeps the order of bytes when a delay ends', async () => {
+		const {socket} = open();
+		await sleep(waitMs);
+		let sent = '';
+		for (let round = 0; round < 20; round++) {
+			link.delayMs = 20;
+			for (const letter of 'abcdef') {
+				socket.write(letter);
+				sent += letter;
+				await sleep(2);
+				link.delayMs = letter === 'c' ? 0 : link.delayMs;
+			}
+		}
+
+		await sleep(waitMs * 2);
+		expect(received).to.equal(sent);
+	});
 });
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -1,11 +1,12 @@
 import {randomUUID} from 'node:crypto';
 import http from 'node:http';
 import {performance} from 'node:perf_hooks';
-import {callersHost} from '../standins/fleet/index.js';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {header} from '../platform/wire.js';
+import {callersHost, createPromptHeaders} from '../standins/fleet/index.js';
 import type {RandomSource} from '../src/rates/index.js';
 import {ports} from './vm.js';
 import type {Life, SoakVm} from './vm.js';
-import {sleep} from './world.js';
 import type {SoakWorld} from './world.js';
 
 /** How long callers wait, as they say, in milliseconds. */
@@ -60,13 +61,13 @@
 			timeout: callerMs * 4,
 			headers: {
 				Host: callersHost,
-				'Crocusworks-Request-Id': call.id,
-				'Crocusworks-Deadline-Ms': String(callerMs),
-				...isStream && {'Crocusworks-Model': 'm', 'Crocusworks-Token-Count': '2500,69', 'Crocusworks-Prompt-Prefix': 'aa:2000,bb:500'},
+				[header.requestId]: call.id,
+				[header.remainingMs]: String(callerMs),
+				...isStream && createPromptHeaders(),
 			},
 		}, response => {
 			call.status = response.statusCode ?? 0;
-			call.hasReceipt = response.headers['crocusworks-server-stamp'] !== undefined;
+			call.hasReceipt = response.headers[header.receipt.toLowerCase()] !== undefined;
 			response.setEncoding('utf8');
 			response.on('data', (piece: string) => {
 				call.body += piece;
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -1,4 +1,4 @@
-import type {FleetEngine} from '../standins/fleet/index.js';
+import {header} from '../platform/wire.js';
 import {callerMs, callKinds} from './callers.js';
 import type {SeenCall} from './callers.js';
 import type {SoakFault} from './faults.js';
@@ -21,6 +21,8 @@
 /** Part of the requests that is answered well once the faults are over and everything has settled. */
 const recoveredShare = 0.98;
 const events = 4;
+/** Engines that may run a probe: its route is that of a request that may run again. */
+const mostProbeRuns = 2;
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
 /** A fault that was started; times are monotonic, in milliseconds. */
@@ -36,7 +38,6 @@
 	readonly #world: SoakWorld;
 	/** Calls whose ending was not checked yet: how a process ended is told a moment after its connections have closed. */
 	#unchecked: SeenCall[] = [];
-	readonly #isCounted = new Map<FleetEngine, number>();
 
 	constructor(world: SoakWorld) {
 		this.#world = world;
@@ -93,20 +94,6 @@
 		}
 	}
 
-	/** Checks what came to the engines since the last look: no request runs more often than it may. */
-	checkRuns(): void {
-		for (const engine of this.#world.engines) {
-			for (; (this.#isCounted.get(engine) ?? 0) < engine.arrivals.length; this.#isCounted.set(engine, (this.#isCounted.get(engine) ?? 0) + 1)) {
-				const {id, path} = engine.arrivals[this.#isCounted.get(engine) ?? 0]!;
-				const runs = this.#world.listArrivals().filter(arrival => arrival.id === id && arrival.hasRun).length;
-				const mostRuns = callKinds.find(kind => path.startsWith(kind.path))?.mostRuns ?? 2;
-				if (runs > mostRuns) {
-					this.broken.push(`TWICE: ${path} ran ${runs} times`);
-				}
-			}
-		}
-	}
-
 	/** Checks how calls ended that ended before a time, in milliseconds. */
 	checkEndings(before: number): void {
 		for (const call of this.#unchecked.filter(({endedAt}) => endedAt < before)) {
@@ -126,6 +113,7 @@
 			}
 		}
 
+		this.#checkRuns();
 		this.#checkExtras();
 		for (const vm of this.#world.vms) {
 			if (vm.errors !== '') {
@@ -169,11 +157,23 @@
 		}
 	}
 
+	/** Checks that no request ran more often than it may; engines keep every arrival, so that the end tells all. */
+	#checkRuns(): void {
+		const runs = new Map<string, number>();
+		for (const {id, path} of this.#world.listArrivals().filter(({hasRun}) => hasRun)) {
+			const count = (runs.get(id) ?? 0) + 1;
+			runs.set(id, count);
+			if (count > (callKinds.find(kind => path.startsWith(kind.path))?.mostRuns ?? mostProbeRuns)) {
+				this.broken.push(`TWICE: ${path} ran ${count} times`);
+			}
+		}
+	}
+
 	#checkExtras(): void {
 		const seen = new Set<string>();
 		const extras: number[] = [];
-		for (const {id, at, headers} of this.#world.listArrivals().filter(({headers}) => headers['crocusworks-stage'] === undefined).sort((left, right) => left.at - right.at)) {
-			if (seen.has(id) && headers['crocusworks-request-id'] !== undefined) {
+		for (const {id, at, headers} of this.#world.listArrivals().filter(({headers}) => headers[header.stage.toLowerCase()] === undefined).sort((left, right) => left.at - right.at)) {
+			if (seen.has(id) && headers[header.requestId.toLowerCase()] !== undefined) {
 				extras.push(at);
 			}
 
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -1,10 +1,11 @@
 import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {RandomSource} from '../src/rates/index.js';
 import {runCaller, runProbes} from './callers.js';
 import {pickFault} from './faults.js';
 import {Judge} from './judge.js';
 import type {StartedFault} from './judge.js';
-import {sleep, SoakWorld} from './world.js';
+import {SoakWorld} from './world.js';
 
 /** Callers that send at the same time: some hundred requests a second in all. */
 const callers = 10;
@@ -47,7 +48,6 @@
 		const run = {isOver: false};
 		const isOver = () => run.isOver;
 		const looks = setInterval(() => {
-			judge.checkRuns();
 			judge.checkEndings(performance.now() - exitToldMs);
 		}, lookMs);
 		const working = [
@@ -65,7 +65,6 @@
 		run.isOver = true;
 		await Promise.race([Promise.all(working), sleep(lastCallsMs * 4)]);
 		clearInterval(looks);
-		judge.checkRuns();
 		judge.checkRecovered(settledAt);
 		judge.checkWhole();
 		return {
--- a/soak/vm.ts
+++ b/soak/vm.ts
@@ -6,6 +6,8 @@
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
+import {settingsVariable} from '../platform/settings.js';
+import {createSettingsText} from '../standins/fleet/index.js';
 
 /** The program as it is deployed: one bundled file, made by `npm run bundle`. */
 const program = fileURLToPath(new URL('../../target/crocus-platform.mjs', import.meta.url));
@@ -68,27 +70,9 @@
 
 	/** Writes the settings file. */
 	writeSettings(storeAddress: string, seeds: readonly string[]): void {
-		writeFileSync(this.#file, `
-node_name = "${this.name}"
-ip = "${this.ip}"
-zone = "z1"
-port_range = [${ports.peers}, ${ports.peers + 9}]
-seeds = ${JSON.stringify(seeds)}
-heartbeat_ms = 1200
-[listen]
-front = "${this.ip}:${ports.callers}"
-ready = "${this.ip}:${ports.ready}"
-[limits]
-cpu_share = 1.0
-[platform]
-address = "${storeAddress}"
-[bounds]
-grace_s = ${stopMs / 1000}
-retry_budget_ratio = 0.2
-budget_window_s = 10
-drain_ms = ${changeMs}
-config_apply_ms = ${changeMs}
-`);
+		writeFileSync(this.#file, createSettingsText({
+			vm: this.name, ip: this.ip, callersPort: ports.callers, readyPort: ports.ready, peersPort: ports.peers, storeAddress, seeds, stopMs, changeMs,
+		}));
 	}
 
 	/** Starts the process, unless it runs or was retired. */
@@ -98,7 +82,7 @@
 		}
 
 		const child = spawn(process.execPath, ['--import', clock, program], {
-			env: {...process.env, CROCUSWORKS_BOOT: this.#file, ROARR_LOG: 'true'}, stdio: ['ignore', 'pipe', 'pipe'],
+			env: {...process.env, [settingsVariable]: this.#file, ROARR_LOG: 'true'}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		const life: Life = {child, startedAt: performance.now(), seenVersion: 0};
 		this.lives.push(life);
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -4,6 +4,7 @@
 import path from 'node:path';
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Link} from '../rigs/link.js';
 import {
 	createConfiguration, FleetEngine, FleetStore,
@@ -198,10 +199,3 @@
 		return JSON.stringify({...JSON.parse(text) as Record<string, unknown>, address: this.getLink(vm.name, target).address});
 	}
 }
-
-/** Sleeps, in milliseconds. */
-export async function sleep(ms: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		setTimeout(resolve, ms);
-	});
-}
--- a/standins/fleet/configuration.ts
+++ b/standins/fleet/configuration.ts
@@ -36,3 +36,55 @@
 		...changes,
 	};
 }
+
+/** Header fields of a generation's prompt. */
+export function createPromptHeaders(shared = 'aa:2000', own = 500): Record<string, string> {
+	const sharedTokens = Number(shared.split(':')[1]);
+	return {
+		'Crocusworks-Model': 'm', 'Crocusworks-Token-Count': `${sharedTokens + own},69`, 'Crocusworks-Prompt-Prefix': `${shared},bb:${own}`,
+	};
+}
+
+/** What the settings file of a process says of its VM; times in milliseconds. */
+export type SettingsValues = {
+	readonly vm: string;
+	readonly ip: string;
+	readonly callersPort: number;
+	readonly readyPort: number;
+	readonly peersPort: number;
+	readonly storeAddress: string;
+	readonly seeds: readonly string[];
+	/** Time between SIGTERM and SIGKILL. */
+	readonly stopMs: number;
+	/** Time in which changes of engines and of the configuration hold. */
+	readonly changeMs: number;
+};
+
+/** Ports that entries may use among themselves. */
+const peerPortCount = 10;
+
+/** Writes a settings file as the platform gives it to a process. */
+export function createSettingsText(values: SettingsValues): string {
+	const {vm, ip, callersPort, readyPort, peersPort, storeAddress, seeds, stopMs, changeMs} = values;
+	return `
+node_name = "${vm}"
+ip = "${ip}"
+zone = "z1"
+port_range = [${peersPort}, ${peersPort + peerPortCount - 1}]
+seeds = ${JSON.stringify(seeds)}
+heartbeat_ms = 1200
+[listen]
+front = "${ip}:${callersPort}"
+ready = "${ip}:${readyPort}"
+[limits]
+cpu_share = 1.0
+[platform]
+address = "${storeAddress}"
+[bounds]
+grace_s = ${stopMs / 1000}
+retry_budget_ratio = 0.2
+budget_window_s = 10
+drain_ms = ${changeMs}
+config_apply_ms = ${changeMs}
+`;
+}
--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {readBody, sendJson} from '../http.js';
 
 /** What an engine does to the next requests, one after another. */
@@ -254,9 +255,3 @@
 function sendExtra(socket: Socket | undefined, text: string): void {
 	socket?.write(`HTTP/1.1 200 OK\r\nCrocusworks-Request-Id: late\r\nContent-Length: ${text.length}\r\n\r\n${text}`);
 }
-
-async function sleep(ms: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		setTimeout(resolve, ms);
-	});
-}
--- a/standins/fleet/index.ts
+++ b/standins/fleet/index.ts
@@ -1,5 +1,7 @@
 /** Stand-ins of the users' platform: its store and its engines. */
-export {callersHost, createConfiguration} from './configuration.js';
+export {
+	callersHost, createConfiguration, createPromptHeaders, createSettingsText,
+} from './configuration.js';
 export {engineFault, FleetEngine} from './engine.js';
 export type {Arrival, EngineFault, FleetEngineOptions} from './engine.js';
 export {FleetStore, storeMode} from './store.js';
