--- a/faults/fakes/services.ts
+++ b/faults/fakes/services.ts
@@ -58,7 +58,7 @@
 		this.silentPooled = 0;
 		if (this.faults[0] === serviceFault.connectFails) {
 			this.faults.shift();
-			throw new NotRunError('no connection', {cause: new RangeError('ECONNREFUSED')});
+			throw createConnectError();
 		}
 
 		return new FakeConnection(this, false);
@@ -71,7 +71,11 @@
 	/** Runs one call as its next fault says. */
 	async runCall(call: ServiceCall, signal: AbortSignal): Promise<ServiceAnswer> {
 		const fault = this.faults.shift() ?? serviceFault.none;
-		if (fault === serviceFault.refuse || fault === serviceFault.connectFails) {
+		if (fault === serviceFault.connectFails) {
+			throw createConnectError();
+		}
+
+		if (fault === serviceFault.refuse) {
 			throw new NotRunError('the service refused');
 		}
 
@@ -134,3 +138,7 @@
 		}, {once: true});
 	});
 }
+
+function createConnectError(): Error {
+	return new NotRunError('no connection', {cause: new RangeError('ECONNREFUSED'), props: {isUnreached: true}});
+}
--- a/faults/fakes/streams.ts
+++ b/faults/fakes/streams.ts
@@ -238,7 +238,7 @@
 	}
 
 	if (fault === engineFault.connectFails) {
-		throw new NotRunError('no connection', {cause: new RangeError('ECONNREFUSED')});
+		throw new NotRunError('no connection', {cause: new RangeError('ECONNREFUSED'), props: {isUnreached: true}});
 	}
 }
 
--- a/soak/invariantchecker.ts
+++ b/soak/invariantchecker.ts
@@ -155,7 +155,7 @@
 
 		const isSentAtExit = incarnation.exitedAt !== undefined && sentAt > incarnation.exitedAt - stopLossMs;
 		if (status === 0 && error !== 'ECONNREFUSED' && !isSentAtExit) {
-			this.#addViolation(call, `LOST: no answer; connection error: ${error}`);
+			this.#addViolation(call, `LOST: no answer; connection error: ${error}; ${this.#describeEnd(incarnation)}`);
 		} else if (endedAt - sentAt > callerDeadlineMs + maxLatenessMs) {
 			this.#addViolation(call, `LATE: ended after ${Math.round(endedAt - sentAt)} ms, deadline ${callerDeadlineMs} ms`);
 		}
@@ -196,6 +196,12 @@
 		}
 	}
 
+	/** Describes when a process got its first SIGTERM and when its exit was seen, relative to the start of faults. */
+	#describeEnd({sigtermAt, exitedAt}: Incarnation): string {
+		const format = (at: number | undefined) => at === undefined ? 'none' : `${Math.round(at - this.startedAt)} ms`;
+		return `SIGTERM ${format(sigtermAt)}, exit seen ${format(exitedAt)}`;
+	}
+
 	/** Finds when the last fault ended that may have cut a VM from the store, as a monotonic time in milliseconds: infinite while one lasts, minus infinity if there was none. */
 	#findStoreCutEnd(vm: SoakVm): number {
 		return Math.max(...this.faults.filter(({fault}) => fault.isCuttingStore(vm)).map(({endedAt}) => endedAt), Number.NEGATIVE_INFINITY);
--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -13,6 +13,7 @@
 import {sendFailure, sendJson} from './http.js';
 import type {CallerDependencies} from './callerdependencies.js';
 import type {EntryDependencies} from './dependencies.js';
+import {Readiness} from './readiness.js';
 import {serveRelay, serveRelayCancel} from './relay.js';
 import {serveRelayedCall} from './relaycalls.js';
 import {ServiceClients} from './serviceclients.js';
@@ -52,12 +53,14 @@
 
 /** Adds the routes for callers, the balancer and entries that relay requests to this one. */
 export function addCallerRoutes(app: Polka, dependencies: CallerDependencies): void {
+	const readiness = new Readiness(dependencies);
 	app.get('/healthz', (_request, response) => {
 		sendJson(response, 200, {vm: dependencies.settings.vm, phase: dependencies.stop.phase});
 	});
 	app.get('/readyz', (_request, response) => {
-		const isReady = dependencies.stop.phase === stopPhase.serving && dependencies.getDeployment() !== undefined;
-		sendJson(response, isReady ? 200 : 503, {isReady, phase: dependencies.stop.phase});
+		const {isReady: hasUpstreams, lacking} = readiness.check();
+		const isReady = dependencies.stop.phase === stopPhase.serving && hasUpstreams;
+		sendJson(response, isReady ? 200 : 503, {isReady, phase: dependencies.stop.phase, lacking});
 	});
 	app.get('/metrics', async (_request, response) => {
 		response.writeHead(200, {'content-type': dependencies.metrics.registry.contentType});
--- a/src/entry/decisions.ts
+++ b/src/entry/decisions.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import type {Deployment, Upstream} from '../deployment/index.js';
+import {InvalidTextError} from '../errors/index.js';
 import {computeLocalShare} from '../fairness/index.js';
 import type {FactTable} from '../feed/index.js';
 import {
@@ -19,8 +20,7 @@
 
 /**
 Policies that the load tool can select with the environment variable `CROCUS_POLICY`, so that baselines run in the same
-program. Without a value, `full` applies. With an unknown value, requests are routed as with `full`, but engines keep their
-roles.
+program. Without a value, `full` applies; an unknown value stops the start.
 */
 export const policyName = {
 	full: 'full',
@@ -62,7 +62,7 @@
 /** Creates the objects that decide for an entry; nothing runs until `start`. */
 export function createDecisions(dependencies: DecisionDependencies): Decisions {
 	const {settings, timers, facts, getDeployment} = dependencies;
-	const policy = dependencies.policy ?? process.env.CROCUS_POLICY;
+	const policy = dependencies.policy ?? parsePolicy(process.env.CROCUS_POLICY);
 	const random = new RandomSource(dependencies.seed ?? computeRendezvousScore(settings.vm, String(timers.getWallTime())));
 	const liveMembers = new LiveMembers(facts, timers, settings.domain);
 	const fleetView = new FleetView(facts, getDeployment, settings.domain, member => member.vm === settings.vm || liveMembers.isLive(member));
@@ -105,11 +105,21 @@
 	};
 }
 
-function hasRolePlanning(policy: string | undefined): boolean {
-	return policy === undefined || policy === policyName.full || policy === policyName.noAdmission;
+/** Parses the value of `CROCUS_POLICY`. Throws `InvalidTextError` when it is not the name of a policy. */
+export function parsePolicy(value: string | undefined): PolicyName {
+	const names: readonly string[] = Object.values(policyName);
+	if (value !== undefined && !names.includes(value)) {
+		throw new InvalidTextError(`CROCUS_POLICY is "${value}"; allowed: ${names.join(', ')}`);
+	}
+
+	return (value ?? policyName.full) as PolicyName;
+}
+
+function hasRolePlanning(policy: PolicyName): boolean {
+	return policy === policyName.full || policy === policyName.noAdmission;
 }
 
-function createBaseline(policy: string | undefined, facts: FactTable, fleetView: FleetView): Router | undefined {
+function createBaseline(policy: PolicyName, facts: FactTable, fleetView: FleetView): Router | undefined {
 	const listUpstreams = (service: string) => fleetView.listUpstreams(service);
 	if (policy === policyName.roundRobin) {
 		return new RoundRobinRouter(facts, listUpstreams);
--- a/src/entry/relayengine.ts
+++ b/src/entry/relayengine.ts
@@ -99,7 +99,7 @@
 			});
 		} catch (error) {
 			throw isConnectError(error)
-				? new NotRunError('the relaying entry can\'t be reached', {cause: error})
+				? new NotRunError('the relaying entry can\'t be reached', {cause: error, props: {isUnreached: true}})
 				: new UnknownOutcomeError('the relaying entry gave no answer', {cause: error});
 		}
 	}
--- a/src/entry/test/chat.test.ts
+++ b/src/entry/test/chat.test.ts
@@ -138,13 +138,16 @@
 		expect(journal.filter(row => row.event === engineEvent.requestStarted)).to.have.lengthOf(0);
 	});
 
-	it('refuses a relayed request with a wrong proof', async () => {
-		const answer = await sendRequest(`http://${setup.second.address}/internal/v1/generate`, {
-			method: 'POST', headers: {'x-crocus-upstream': 'e2', 'x-crocus-proof': '0'.repeat(64)}, body: '{"id":"x"}',
+	for (const [description, proof] of [['with a wrong proof', {'x-crocus-proof': '0'.repeat(64)}], ['without a proof', {}]] as const) {
+		it(`refuses a relayed request ${description}, and runs nothing`, async () => {
+			const answer = await sendRequest(`http://${setup.second.address}/internal/v1/generate`, {
+				method: 'POST', headers: {'x-crocus-upstream': 'e2', ...proof}, body: '{"id":"x"}',
+			});
+			expect(answer.statusCode).to.equal(400);
+			await answer.body.dump();
+			expect(setup.rig.engines.get('e2')?.core.journal.list().filter(row => row.event === engineEvent.requestStarted)).to.deep.equal([]);
 		});
-		expect(answer.statusCode).to.equal(400);
-		await answer.body.dump();
-	});
+	}
 
 	it('transfers the KV cache from the prefill engine to the decode engine', async () => {
 		const {rig, first} = setup;
--- a/src/errors/errors.ts
+++ b/src/errors/errors.ts
@@ -4,10 +4,22 @@
 /** Base class of all errors of this system. */
 export const CrocusError = ModernError.subclass('CrocusError');
 
-type ErrorClass<Props> = new (message: string, options?: {readonly cause?: unknown; readonly props?: Partial<Props>}) => Error & Readonly<Props>;
+type ErrorOptions<Props> = {readonly cause?: unknown; readonly props?: Partial<Props>};
+
+type ErrorClass<Props> = new (message: string, options?: ErrorOptions<Props>) => Error & Readonly<Props> & {
+	/** The error's own message without those of its causes, which name internal addresses and belong in logs only. */
+	readonly summary: string;
+};
 
 function createErrorClass<Props extends Readonly<Record<string, unknown>>>(name: `${string}Error`, props: Props): ErrorClass<Props> {
-	return CrocusError.subclass(name, {props}) as unknown as ErrorClass<Props>;
+	// The library prepends a cause's message to `message` and then removes the cause.
+	const custom = class extends CrocusError {
+		constructor(message: string, options?: ErrorOptions<Props>) {
+			super(message, options);
+			Object.defineProperty(this, 'summary', {value: message});
+		}
+	};
+	return CrocusError.subclass(name, {props, custom}) as unknown as ErrorClass<Props>;
 }
 
 /** The store could not be reached and the call had no effect. */
@@ -54,8 +66,11 @@
 /** An answer carries another request's id or an unexpected offset. */
 export const ForeignAnswerError = createErrorClass('ForeignAnswerError', {});
 
-/** The request was not run: no upstream has started it or ever will. `retryAfterMs` is the time after which the caller may retry, in milliseconds. */
-export const NotRunError = createErrorClass('NotRunError', {reason: 'unavailable', retryAfterMs: 1000});
+/**
+The request was not run: no upstream has started it or ever will. `retryAfterMs` is the time after which the caller may
+retry, in milliseconds. `isUnreached` is set when no connection to the upstream could be used.
+*/
+export const NotRunError = createErrorClass('NotRunError', {reason: 'unavailable', retryAfterMs: 1000, isUnreached: false});
 
 /** It is not known whether the request ran, and cannot be found out. */
 export const UnknownOutcomeError = createErrorClass('UnknownOutcomeError', {});
--- a/src/operations/test/record.test.ts
+++ b/src/operations/test/record.test.ts
@@ -15,6 +15,15 @@
 	};
 }
 
+async function readError(asked: Promise<unknown>): Promise<Error | undefined> {
+	try {
+		await asked;
+		return undefined;
+	} catch (error) {
+		return error as Error;
+	}
+}
+
 async function readRefusal(asked: Promise<unknown>): Promise<string> {
 	try {
 		await asked;
@@ -50,6 +59,12 @@
 		expect(outcomes.toSorted()).to.deep.equal([operationRefusal.conflict, 'not refused']);
 	});
 
+	it('names the operation that won the race, its kind, subject and state, to the one that lost', async () => {
+		await requestOperation(store, domain, createRequest('winner', 'e1'));
+		const lost = await readError(requestOperation(store, domain, createRequest('loser', 'e1')));
+		expect(lost?.message).to.contain('winner').and.to.contain(operationKind.drain).and.to.contain('e1').and.to.contain(operationState.asked);
+	});
+
 	it('refuses a replacement by an upstream that another open operation is on', async () => {
 		await requestOperation(store, domain, createRequest('1', 'e2'));
 		const request = {...createRequest('2', 'e1', operationKind.replace), replacement: 'e2'};
--- a/src/places/remoteallocator.ts
+++ b/src/places/remoteallocator.ts
@@ -89,12 +89,18 @@
 				return;
 			}
 
+			// A signal that is already aborted emits no event.
+			if (signal.aborted) {
+				reject(createCancelledError());
+				return;
+			}
+
 			this.#pending.set(id, {request, resolve, reject});
 			this.#send({kind: allocatorMessageKind.request, id, request});
 			signal.addEventListener('abort', () => {
 				if (this.#pending.delete(id)) {
 					this.#send({kind: allocatorMessageKind.cancel, id});
-					reject(new NotRunError('The request was cancelled while it waited for a reservation.', {props: {reason: refusalReason.deadline}}));
+					reject(createCancelledError());
 				}
 			}, {once: true});
 		});
@@ -225,6 +231,10 @@
 	}
 }
 
+function createCancelledError(): Error {
+	return new NotRunError('The request was cancelled while it waited for a reservation.', {props: {reason: refusalReason.deadline}});
+}
+
 /** Leaves out `unreachable`: an engine that this VM can't reach may still be reachable for other entries. */
 function selectRemoteOutcome(outcome: EngineOutcome | undefined): EngineOutcome | undefined {
 	return outcome === 'unreachable' ? undefined : outcome;
--- a/src/serving/call.ts
+++ b/src/serving/call.ts
@@ -96,7 +96,7 @@
 				return outcome;
 			}
 
-			dependencies.metrics.countRetry(retryReason.refusedNotRun);
+			dependencies.metrics.countRetry(outcome.error.isUnreached ? retryReason.connectFailed : retryReason.refusedNotRun);
 			excluded.add(upstream.id);
 		}
 	}
@@ -207,7 +207,7 @@
 
 function decideRetryReason(error: unknown): RetryReason | undefined {
 	if (error instanceof NotRunError) {
-		return error.cause === undefined ? retryReason.refusedNotRun : retryReason.connectFailed;
+		return error.isUnreached ? retryReason.connectFailed : retryReason.refusedNotRun;
 	}
 
 	if (error instanceof ForeignAnswerError) {
--- a/src/serving/erroranswer.ts
+++ b/src/serving/erroranswer.ts
@@ -1,5 +1,5 @@
 import {
-	BadRequestError, CallerGoneError, DeadlineError, KeyPendingError, NotRunError, refusalReason, SlowCallerError,
+	BadRequestError, CallerGoneError, CrocusError, DeadlineError, KeyPendingError, NotRunError, refusalReason, SlowCallerError,
 } from '../errors/index.js';
 import type {ErrorDetails} from './wire.js';
 
@@ -13,6 +13,8 @@
 	[refusalReason.callerLimit]: 429,
 	[refusalReason.queueFull]: 429,
 };
+/** Told to callers for an error that is not one of this system's own: its message may name internal addresses. */
+const unknownOutcomeMessage = 'the outcome is not known';
 const invalidRequestType = 'invalid_request_error';
 const serverErrorType = 'server_error';
 const rateLimitType = 'rate_limit_error';
@@ -22,30 +24,30 @@
 	if (error instanceof BadRequestError) {
 		const problems = error.problems.length > 0 ? {problems: error.problems} : {};
 		return {
-			status: 400, message: error.message, type: invalidRequestType, code: refusalReason.badRequest, ran: 'no', ...problems,
+			status: 400, message: error.summary, type: invalidRequestType, code: refusalReason.badRequest, ran: 'no', ...problems,
 		};
 	}
 
 	if (error instanceof NotRunError) {
 		const status = statusByReason[error.reason] ?? 503;
 		return {
-			status, message: error.message, type: decideErrorType(status), code: error.reason, ran: 'no', retryAfterMs: error.retryAfterMs,
+			status, message: error.summary, type: decideErrorType(status), code: error.reason, ran: 'no', retryAfterMs: error.retryAfterMs,
 		};
 	}
 
 	if (error instanceof KeyPendingError) {
 		return {
-			status: 409, message: error.message, type: invalidRequestType, code: refusalReason.keyPending, ran: 'unknown', retryAfterMs: error.retryAfterMs,
+			status: 409, message: error.summary, type: invalidRequestType, code: refusalReason.keyPending, ran: 'unknown', retryAfterMs: error.retryAfterMs,
 		};
 	}
 
 	if (error instanceof DeadlineError) {
 		return {
-			status: 504, message: error.message, type: serverErrorType, code: refusalReason.deadline, ran: 'unknown', retryAfterMs: error.retryAfterMs,
+			status: 504, message: error.summary, type: serverErrorType, code: refusalReason.deadline, ran: 'unknown', retryAfterMs: error.retryAfterMs,
 		};
 	}
 
-	const message = error instanceof Error ? error.message : 'the outcome is not known';
+	const message = isSummarized(error) ? error.summary : unknownOutcomeMessage;
 	return {
 		status: 502, message, type: serverErrorType, code: 'unknown_outcome', ran: 'unknown',
 	};
@@ -71,3 +73,7 @@
 
 	return status < 500 ? invalidRequestType : serverErrorType;
 }
+
+function isSummarized(error: unknown): error is Error & {readonly summary: string} {
+	return error instanceof CrocusError && 'summary' in error;
+}
--- a/src/serving/failure.ts
+++ b/src/serving/failure.ts
@@ -18,7 +18,7 @@
 /** Decides what the error of an attempt means for the request. A generation may be repeated, so it is tried again also when its answer was lost. */
 export function decideFailure(error: unknown): AttemptFailure {
 	if (error instanceof NotRunError) {
-		const reason = error.cause === undefined ? retryReason.refusedNotRun : retryReason.connectFailed;
+		const reason = error.isUnreached ? retryReason.connectFailed : retryReason.refusedNotRun;
 		return {outcome: placementOutcome.notRun, retryReason: error.reason === refusalReason.draining ? retryReason.closedBeforeSend : reason, mayBeHeld: false};
 	}
 
--- a/src/serving/test/call.test.ts
+++ b/src/serving/test/call.test.ts
@@ -30,6 +30,15 @@
 		});
 	}
 
+	for (const [fault, reason] of [[serviceFault.connectFails, 'connect_failed'], [serviceFault.refuse, 'refused_not_run']] as const) {
+		it(`counts its retry after "${fault}" as ${reason}`, async () => {
+			const world = new CallWorld();
+			world.getService('s1').faults.push(fault);
+			await world.settle(world.first.start());
+			expect(await world.first.metrics.format()).to.match(new RegExp(`retries.*reason="${reason}".* 1`, 'v'));
+		});
+	}
+
 	it('does not use a pooled connection that is silent', async () => {
 		const world = new CallWorld();
 		world.getService('s1').silentPooled = 2;
@@ -64,6 +73,15 @@
 });
 
 describe('a call that may be repeated', () => {
+	for (const [fault, reason] of [[serviceFault.connectFails, 'connect_failed'], [serviceFault.refuse, 'refused_not_run']] as const) {
+		it(`counts its retry after "${fault}" as ${reason}`, async () => {
+			const world = new CallWorld();
+			world.getService('s1').faults.push(fault);
+			await world.settle(world.first.start({isRepeatable: true}));
+			expect(await world.first.metrics.format()).to.match(new RegExp(`retries.*reason="${reason}".* 1`, 'v'));
+		});
+	}
+
 	for (const fault of [...ranFaults.filter(fault => fault !== serviceFault.silent), ...notRunFaults]) {
 		it(`gets its whole answer from another instance after "${fault}"`, async () => {
 			const world = new CallWorld();
--- a/src/upstreams/connections.ts
+++ b/src/upstreams/connections.ts
@@ -169,7 +169,7 @@
 		});
 	} catch (error) {
 		if (isConnectError(error)) {
-			throw new NotRunError(`${path}: no connection`, {cause: error});
+			throw new NotRunError(`${path}: no connection`, {cause: error, props: {isUnreached: true}});
 		}
 
 		throw new UnknownOutcomeError(`${path} had no answer`, {cause: error});
--- a/src/upstreams/httpservice.ts
+++ b/src/upstreams/httpservice.ts
@@ -153,7 +153,7 @@
 		});
 	} catch (error) {
 		throw !isConnected && isConnectError(error)
-			? new NotRunError('no connection to the service', {cause: error})
+			? new NotRunError('no connection to the service', {cause: error, props: {isUnreached: true}})
 			: new UnknownOutcomeError('the service gave no answer', {cause: error});
 	}
 
--- a/src/upstreams/liveconnection.ts
+++ b/src/upstreams/liveconnection.ts
@@ -57,7 +57,7 @@
 			const response = await this.client.request({method: 'GET', path, signal: probeSignal});
 			await response.body.dump();
 		} catch (error) {
-			throw new NotRunError('the connection does not answer', {cause: error});
+			throw new NotRunError('the connection does not answer', {cause: error, props: {isUnreached: true}});
 		}
 	}
 
