A store that comes back from an older copy

Cause: a watch compared revisions across the copy (Math.max, reload only on 410), lease numbers were renewed and ended whoever held them by then, the copy's older registrations and its gaps were taken for news. The soak's store also comes back from copies.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {linkState} from '../rigs/link.js';
 import {engineFault, storeMode} from '../standins/fleet/index.js';
 import type {RandomSource} from '../src/rates/index.js';
@@ -173,6 +174,46 @@
 	}
 }
 
+/** Bounds of the age of the copy that a store comes back from, in milliseconds. */
+const minCopyAgeMs = 200;
+const maxCopyAgeMs = 6000;
+/** Longest time in which the operator and the engines write again what the copy lacks, in milliseconds. */
+const maxRewriteMs = 1500;
+
+/** The store is away and comes back from an older copy, once or twice; the operator and the engines then write again what the copy lacks. */
+class ReplacedStore extends SoakFault {
+	readonly #copyAgeMs: number;
+	readonly #rewriteMs: number;
+	readonly #isTwice: boolean;
+
+	constructor(random: RandomSource, durationMs: number) {
+		super('store comes back from a copy', durationMs);
+		this.#copyAgeMs = random.pickBetween(minCopyAgeMs, maxCopyAgeMs);
+		this.#rewriteMs = random.pickBetween(0, maxRewriteMs);
+		this.#isTwice = random.getRandom() < 0.3;
+	}
+
+	override isCuttingStore(): boolean {
+		return true;
+	}
+
+	start({store}: SoakWorld): void {
+		store.mode = storeMode.resetting;
+	}
+
+	async close(world: SoakWorld): Promise<void> {
+		world.restoreStore(this.#copyAgeMs);
+		world.store.mode = storeMode.up;
+		await sleep(this.#rewriteMs);
+		if (this.#isTwice) {
+			world.restoreStore(this.#copyAgeMs);
+			await sleep(this.#rewriteMs);
+		}
+
+		world.rewriteStore();
+	}
+}
+
 /** An engine crashes, and is started again under a new id when the fault ends. */
 class CrashedEngine extends SoakFault {
 	readonly #engineHost: EngineHost;
@@ -248,3 +289,11 @@
 	];
 	return pick(faultFactories)();
 }
+
+/** Share of the picked faults with which the store also comes back from an older copy. */
+const replacedStoreShare = 0.12;
+
+/** Picks whether the store also comes back from an older copy, with a source of its own: the faults that a seed picks stay the same. */
+export function pickReplacedStore(random: RandomSource): SoakFault | undefined {
+	return random.getRandom() < replacedStoreShare ? new ReplacedStore(random, random.pickBetween(200, 3000)) : undefined;
+}
--- a/soak/invariantchecker.ts
+++ b/soak/invariantchecker.ts
@@ -96,13 +96,18 @@
 		}
 	}
 
-	/** Checks the calls that ended before a monotonic time, in milliseconds: none may be lost or late. */
+	/**
+	Checks the calls that ended before a monotonic time, in milliseconds: none may be lost or late. A call without an answer
+	from a process that is stopping is checked once its exit is known.
+	*/
 	checkEndings(before: number): void {
-		for (const call of this.#uncheckedCalls.filter(({endedAt}) => endedAt < before)) {
+		const isDue = ({endedAt, status, incarnation}: ObservedCall) => endedAt < before
+			&& (status !== 0 || incarnation.sigtermAt === undefined || incarnation.exitedAt !== undefined || before === Number.POSITIVE_INFINITY);
+		for (const call of this.#uncheckedCalls.filter(call => isDue(call))) {
 			this.#checkEnding(call);
 		}
 
-		this.#uncheckedCalls = this.#uncheckedCalls.filter(({endedAt}) => endedAt >= before);
+		this.#uncheckedCalls = this.#uncheckedCalls.filter(call => !isDue(call));
 	}
 
 	/** Checks the guarantees that need the observations of the whole run; to be called once, when it is over. */
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -2,7 +2,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {RandomSource} from '../src/rates/index.js';
 import {runCaller, runProbes} from './callers.js';
-import {pickFault} from './faults.js';
+import {pickFault, pickReplacedStore} from './faults.js';
+import type {SoakFault} from './faults.js';
 import {InvariantChecker} from './invariantchecker.js';
 import type {StartedFault} from './invariantchecker.js';
 import {SoakWorld} from './world.js';
@@ -19,6 +20,8 @@
 /** A quarter of the time that calls in progress get to end when the run is over, in milliseconds. */
 const lastCallsMs = 2000;
 const checkIntervalMs = 250;
+/** Distance of the seed that decides when the store comes back from a copy from the seed of the other faults. */
+const storeSeedOffset = 1_000_000;
 /** Longest time from the close of a process's connections until its `exit` event arrives here, in milliseconds. */
 const exitReportDelayMs = 1000;
 
@@ -63,7 +66,7 @@
 				checker.onProbe(version, call);
 			}, hasEnded),
 		];
-		await startFaults(world, checker, random, seconds * 1000);
+		await startFaults(world, checker, {random, storeRandom: new RandomSource(seed + storeSeedOffset)}, seconds * 1000);
 		await sleep(recoveryMs);
 		const recoveredAt = performance.now();
 		await sleep(recoveryCheckMs);
@@ -85,16 +88,26 @@
 	}
 }
 
+type FaultSources = {readonly random: RandomSource; readonly storeRandom: RandomSource};
+
 /** Injects faults for `durationMs` and ends each when its time is up; returns when all have ended. */
-async function startFaults(world: SoakWorld, checker: InvariantChecker, random: RandomSource, durationMs: number): Promise<void> {
+async function startFaults(world: SoakWorld, checker: InvariantChecker, {random, storeRandom}: FaultSources, durationMs: number): Promise<void> {
 	const startedAt = performance.now();
 	const endings: Array<Promise<void>> = [];
-	while (performance.now() - startedAt < durationMs) {
-		await sleep(random.pickBetween(minPauseMs, maxPauseMs));
-		const started: StartedFault = {fault: pickFault(world, random), startedAt: performance.now(), endedAt: Number.POSITIVE_INFINITY};
+	const startFault = async (fault: SoakFault) => {
+		const started: StartedFault = {fault, startedAt: performance.now(), endedAt: Number.POSITIVE_INFINITY};
 		checker.faults.push(started);
 		await started.fault.start(world);
 		endings.push(endFault(world, started));
+	};
+
+	while (performance.now() - startedAt < durationMs) {
+		await sleep(random.pickBetween(minPauseMs, maxPauseMs));
+		await startFault(pickFault(world, random));
+		const replacedStore = pickReplacedStore(storeRandom);
+		if (replacedStore) {
+			await startFault(replacedStore);
+		}
 	}
 
 	await Promise.all(endings);
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -9,7 +9,7 @@
 import {
 	createConfiguration, FleetEngine, FleetStore,
 } from '../standins/fleet/index.js';
-import type {Arrival, FleetEngineOptions} from '../standins/fleet/index.js';
+import type {Arrival, FleetEngineOptions, StoreCopy} from '../standins/fleet/index.js';
 import {SoakVm, ports} from './vm.js';
 import type {Incarnation} from './vm.js';
 
@@ -30,6 +30,10 @@
 /** Time within which every entry has to be ready at the start of a run, in milliseconds. */
 const startTimeoutMs = 40_000;
 
+/** Interval at which the store is copied, in milliseconds, and the number of copies that are kept. */
+const copyIntervalMs = 250;
+const maxCopies = 40;
+
 /** An address at which one incarnation of an engine after another runs. */
 export type EngineHost = {
 	readonly name: string;
@@ -59,6 +63,17 @@
 	/** All incarnations of engines so far, those that have ended included. */
 	readonly startedEngines: FleetEngine[] = [];
 	readonly versions: WrittenVersion[] = [];
+	/** Copies of the store, the oldest first. */
+	readonly #copies: Array<{readonly madeAt: number; readonly copy: StoreCopy}> = [];
+	readonly #copyTimer = setInterval(() => {
+		this.#copies.push({madeAt: performance.now(), copy: this.store.copy()});
+		this.#copies.splice(0, this.#copies.length - maxCopies);
+	}, copyIntervalMs);
+
+	/** The configuration that the operator wrote last. */
+	#configuration: Record<string, unknown> = {};
+	/** Registrations of engines written again so far; each raises the sequence of the next. */
+	#writes = 0;
 	readonly #links = new Map<string, Link>();
 	readonly #folder = mkdtempSync(path.join(tmpdir(), 'crocus-soak-'));
 	readonly #addressPrefix = `127.${64 + (process.pid % 128)}.${Math.floor(process.pid / 128) % 256}`;
@@ -143,10 +158,34 @@
 		const version = this.versions.length + 1;
 		const configuration = createConfiguration(version);
 		const routes = configuration.routes as Array<Record<string, unknown>>;
-		this.store.write('op/config', {...configuration, routes: [...routes, {...routes[0], name: `probe-${version}`, path_prefix: `/probe-${version}/`}]});
+		this.#configuration = {...configuration, routes: [...routes, {...routes[0], name: `probe-${version}`, path_prefix: `/probe-${version}/`}]};
+		this.store.write('op/config', this.#configuration);
 		this.versions.push({version, writtenAt: performance.now()});
 	}
 
+	/** Brings the store back from the latest copy that is at least `ageMs` old, or from the oldest one. */
+	restoreStore(ageMs: number): void {
+		const before = performance.now() - ageMs;
+		const {copy} = this.#copies.findLast(({madeAt}) => madeAt <= before) ?? this.#copies[0]!;
+		this.store.restore(copy);
+	}
+
+	/** Writes the latest configuration and the registrations of the running engines again, and removes the others, as their owners do after the store came back from a copy. */
+	rewriteStore(): void {
+		this.store.write('op/config', this.#configuration);
+		const running = this.engineHosts.filter(({isUp}) => isUp);
+		for (const key of this.store.listKeys('servers/')) {
+			if (!this.engineHosts.some(({id}) => key === `servers/${id}`)) {
+				this.store.remove(key);
+			}
+		}
+
+		for (const {id, engine} of running) {
+			this.#writes++;
+			this.store.write(`servers/${id}`, {...engine.registration, seq: 1 + this.#writes});
+		}
+	}
+
 	/** Returns the link from a VM to another VM, an engine or the store, each given by name. */
 	getLink(from: string, to: string): Link {
 		return this.#links.get(`${from}>${to}`)!;
@@ -173,6 +212,7 @@
 
 	/** Ends everything that was started and removes the settings files. */
 	async close(): Promise<void> {
+		clearInterval(this.#copyTimer);
 		for (const vm of this.vms) {
 			vm.close();
 		}
--- a/src/dispatch/engine.ts
+++ b/src/dispatch/engine.ts
@@ -19,6 +19,8 @@
 	readonly isLeaving: boolean;
 	/** Wall-clock start of this incarnation, in milliseconds; `undefined` when the engine does not report it. */
 	readonly startedAt: number | undefined;
+	/** Number that rises with each write of this incarnation; `undefined` when the engine does not report it. */
+	readonly sequence?: number;
 };
 
 /** Load that an engine reported with an answer: the requests that it processed, and those that waited there. */
--- a/src/dispatch/fleet.ts
+++ b/src/dispatch/fleet.ts
@@ -1,14 +1,30 @@
 import {EngineView} from './engine.js';
 import type {EngineRecord} from './engine.js';
 
+/** Number of removed engines whose last registrations are kept: more than the engines that leave within the age of any copy of the store. */
+const maxRemoved = 1000;
+
 /** The registered engines that this process knows, by service. Engines that are leaving get no requests. */
 export class Fleet {
 	readonly #views = new Map<string, EngineView>();
 	readonly #viewsByService = new Map<string, EngineView[]>();
+	/** Last registrations of removed engines, by id, the earliest removed first. */
+	readonly #removed = new Map<string, EngineRecord>();
 
-	/** Adds or updates an engine; a new incarnation under the same id starts with a new view. Returns whether anything changed. */
+	/**
+	Adds or updates an engine; a new incarnation under the same id starts with a new view. A registration that is older than
+	one seen before is ignored: a store that came back from a copy may list an engine as serving that has begun to leave, or
+	has left. Returns whether anything changed.
+	*/
 	onRegistration(record: EngineRecord): boolean {
 		const known = this.#views.get(record.id);
+		const removed = this.#removed.get(record.id);
+		const isOutdated = known ? isEarlierWrite(record, known.record) : removed !== undefined && !isLaterWrite(record, removed);
+		if (isOutdated) {
+			return false;
+		}
+
+		this.#removed.delete(record.id);
 		if (known && isSameIncarnation(known.record, record)) {
 			const isChanged = hasChanged(known.record, record);
 			known.record = record;
@@ -35,6 +51,12 @@
 		}
 
 		this.#views.delete(id);
+		this.#removed.set(id, known.record);
+		const [oldestId] = this.#removed.keys();
+		if (this.#removed.size > maxRemoved && oldestId !== undefined) {
+			this.#removed.delete(oldestId);
+		}
+
 		const remaining = (this.#viewsByService.get(known.record.service) ?? []).filter(view => view !== known);
 		this.#viewsByService.set(known.record.service, remaining);
 		return true;
@@ -57,6 +79,16 @@
 	}
 }
 
+/** Tells whether `record` is known to have been written before `latest`, by the same incarnation. */
+function isEarlierWrite(record: EngineRecord, latest: EngineRecord): boolean {
+	return isSameIncarnation(latest, record) && record.sequence !== undefined && latest.sequence !== undefined && record.sequence < latest.sequence;
+}
+
+/** Tells whether `record` may have been written after `latest`: by another incarnation, or later by the same one. */
+function isLaterWrite(record: EngineRecord, latest: EngineRecord): boolean {
+	return !isSameIncarnation(latest, record) || record.sequence === undefined || latest.sequence === undefined || record.sequence > latest.sequence;
+}
+
 function isSameIncarnation(known: EngineRecord, record: EngineRecord): boolean {
 	return known.service === record.service && known.address === record.address && known.startedAt === record.startedAt;
 }
--- /dev/null
+++ b/src/dispatch/test/fleet.test.ts
@@ -0,0 +1,42 @@
+import {expect} from 'chai';
+import {engineStage, Fleet} from '../index.js';
+import type {EngineRecord} from '../index.js';
+
+const record: EngineRecord = {
+	id: 'e1', address: '10.0.0.1:80', service: 'app', stage: engineStage.any, slots: 4, isLeaving: false, startedAt: 1, sequence: 5,
+};
+
+describe('Fleet', () => {
+	let fleet: Fleet;
+	beforeEach(() => {
+		fleet = new Fleet();
+		fleet.onRegistration(record);
+	});
+
+	const isServing = () => fleet.findServing('e1') !== undefined;
+
+	it('ignores an earlier registration of an engine that has begun to leave', () => {
+		fleet.onRegistration({...record, sequence: 7, isLeaving: true});
+		expect(fleet.onRegistration({...record, sequence: 6})).to.equal(false);
+		expect(isServing()).to.equal(false);
+		fleet.onRegistration({...record, sequence: 8});
+		expect(isServing()).to.equal(true);
+	});
+
+	it('does not bring back a removed engine by the registration that was known, but by a later one', () => {
+		fleet.remove('e1');
+		fleet.onRegistration(record);
+		expect(isServing()).to.equal(false);
+		fleet.onRegistration({...record, sequence: 6});
+		expect(isServing()).to.equal(true);
+	});
+
+	it('takes another incarnation and registrations without a sequence', () => {
+		fleet.remove('e1');
+		fleet.onRegistration({...record, startedAt: 2, sequence: 1});
+		expect(isServing()).to.equal(true);
+		fleet.remove('e1');
+		fleet.onRegistration({...record, startedAt: 2, sequence: undefined});
+		expect(isServing()).to.equal(true);
+	});
+});
--- a/src/places/test/failover.test.ts
+++ b/src/places/test/failover.test.ts
@@ -1,7 +1,9 @@
 import {expect} from 'chai';
 import {Fleet} from '../../dispatch/index.js';
+import {NotRunError} from '../../errors/index.js';
 import {MessageLink, MessageNetwork} from '../../peers/index.js';
 import {ManualTimers} from '../../timers/index.js';
+import {RemoteAllocator} from '../remoteallocator.js';
 import {listAllocators, SlotAllocator, FailoverReservations} from '../index.js';
 import type {ReservationRequest, AllocatorCandidate} from '../index.js';
 
@@ -63,3 +65,33 @@
 		provider.stop();
 	});
 });
+
+describe('RemoteAllocator', () => {
+	it('sends nothing for a request that was cancelled before, and refuses it as not run', async () => {
+		const sent: unknown[] = [];
+		class CountingLink extends SilentLink {
+			override send(items?: unknown): void {
+				sent.push(items);
+			}
+		}
+
+		class CountingNetwork extends RecordingNetwork {
+			override open(): MessageLink {
+				return new CountingLink();
+			}
+		}
+
+		const allocator = new RemoteAllocator(new ManualTimers(), new CountingNetwork(), 'a:1', {onLost: () => undefined, onAnswer: () => undefined});
+		const sentBefore = sent.length;
+		let error: unknown;
+		try {
+			await allocator.acquire(request, AbortSignal.abort());
+		} catch (error_) {
+			error = error_;
+		}
+
+		expect(error).to.be.instanceOf(NotRunError);
+		expect(sent).to.have.lengthOf(sentBefore);
+		allocator.close();
+	});
+});
--- a/standins/fleet/index.ts
+++ b/standins/fleet/index.ts
@@ -5,4 +5,4 @@
 export {engineFault, FleetEngine} from './engine.js';
 export type {Arrival, EngineFault, FleetEngineOptions} from './engine.js';
 export {FleetStore, storeMode} from './store.js';
-export type {StoreMode} from './store.js';
+export type {StoreCopy, StoreMode} from './store.js';
--- a/standins/fleet/store.ts
+++ b/standins/fleet/store.ts
@@ -12,6 +12,16 @@
 type ChangeEvent = {readonly revision: number; readonly key: string; readonly item: StoredItem | undefined};
 type Lease = {readonly ttlMs: number; timer: NodeJS.Timeout};
 
+/** The contents of a store at one moment. */
+export type StoreCopy = {
+	readonly revision: number;
+	readonly nextLeaseId: number;
+	readonly items: ReadonlyMap<string, StoredItem>;
+	readonly events: readonly ChangeEvent[];
+	/** Lifetimes of the leases, in milliseconds, by their ids. */
+	readonly leases: ReadonlyMap<number, number>;
+};
+
 /** How the store answers calls. */
 export const storeMode = {
 	/** Answers as the users' store does. */
@@ -38,6 +48,9 @@
 	rewriteRead: ((key: string, text: string, caller: string) => string) | undefined;
 	/** Calls received, each as method and path. */
 	readonly calls: string[] = [];
+	/** Text of the era in the answers, instead of the store's own era; an empty text leaves the header out. */
+	eraText: string | undefined;
+	#era = 1;
 	#revision = 1;
 	#historyLostBefore = 0;
 	#nextLeaseId = 100;
@@ -104,6 +117,41 @@
 		return [...this.#items.keys()].filter(key => key.startsWith(prefix));
 	}
 
+	/** Copies the contents, for a later `restore`. */
+	copy(): StoreCopy {
+		return {
+			revision: this.#revision,
+			nextLeaseId: this.#nextLeaseId,
+			items: new Map(this.#items),
+			events: [...this.#events],
+			leases: new Map([...this.#leases].map(([id, {ttlMs}]) => [id, ttlMs])),
+		};
+	}
+
+	/** Goes back to an earlier copy, as a store that was away does: revisions and lease ids are given out again, and the era rises by one. Cuts waiting watches. */
+	restore(copy: StoreCopy): void {
+		this.#era++;
+		this.#revision = copy.revision;
+		this.#nextLeaseId = copy.nextLeaseId;
+		this.#items.clear();
+		for (const [key, item] of copy.items) {
+			this.#items.set(key, item);
+		}
+
+		this.#events.splice(0, this.#events.length, ...copy.events);
+		for (const {timer} of this.#leases.values()) {
+			clearTimeout(timer);
+		}
+
+		this.#leases.clear();
+		for (const [id, ttlMs] of copy.leases) {
+			this.#leases.set(id, {ttlMs, timer: this.#startExpiry(id, ttlMs)});
+		}
+
+		this.#watchers.clear();
+		this.#server.closeAllConnections();
+	}
+
 	/** Drops the history of changes: a watch from an earlier revision gets 410. */
 	forgetHistory(): void {
 		this.#historyLostBefore = this.#revision + 1;
@@ -141,6 +189,11 @@
 		}
 
 		const body = request.method === 'POST' ? await readJson(request) as Record<string, never> : {};
+		const era = this.eraText ?? String(this.#era);
+		if (era !== '') {
+			response.setHeader('Store-Era', era);
+		}
+
 		this.#sendAnswer(request.method ?? 'GET', url, body, response);
 		this.onAnswered?.(`${request.method} ${url.pathname}`);
 	}
@@ -179,6 +232,22 @@
 				}
 
 				case 'kv-txn': {
+					const expected = body.expected as unknown as Array<{key: string; revision: number}>;
+					const writes = body.writes as unknown as Array<{lease: number}>;
+					if (expected.some(({key, revision}) => (this.#items.get(key)?.revision ?? 0) !== revision)) {
+						sendJson(response, 412, {items: []});
+						return;
+					}
+
+					if (writes.some(({lease}) => lease !== 0 && !this.#leases.has(lease))) {
+						sendJson(response, 404, {error: 'no such lease'});
+						return;
+					}
+
+					for (const key of body.remove as unknown as string[]) {
+						this.remove(key);
+					}
+
 					for (const {key, value, lease} of body.writes as unknown as Array<{key: string; value: string; lease: number}>) {
 						this.write(key, Buffer.from(value, 'base64').toString(), lease);
 					}
@@ -253,14 +322,15 @@
 		const after = Number(url.searchParams.get('after'));
 		const watch: {timer?: NodeJS.Timeout} = {};
 		const rewriteValue = this.#createRewrite(response);
+		const isLost = () => after < this.#historyLostBefore - 1 || after > this.#revision;
 		const send = () => {
 			clearTimeout(watch.timer);
 			this.#watchers.delete(onChange);
 			const events = this.#events.filter(event => event.revision > after && event.key.startsWith(prefix));
-			sendJson(response, after < this.#historyLostBefore - 1 ? 410 : 200, {events: events.map(event => encodeEvent(event, rewriteValue)), as_of: this.#revision});
+			sendJson(response, isLost() ? 410 : 200, {events: events.map(event => encodeEvent(event, rewriteValue)), as_of: this.#revision});
 		};
 
-		const isReady = () => after < this.#historyLostBefore - 1 || this.#events.some(event => event.revision > after && event.key.startsWith(prefix));
+		const isReady = () => isLost() || this.#events.some(event => event.revision > after && event.key.startsWith(prefix));
 		const onChange = () => {
 			if (isReady()) {
 				send();
