--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -15,5 +15,6 @@
 export type {GenerationNeeds} from './needs.js';
 export type {GenerationPlacement, PlacementContext} from './placement.js';
 export {AdaptiveThrottle} from './throttle.js';
+export {PrefillModel} from './prefillmodel.js';
 export {EngineUsage, isLong} from './usage.js';
 export type {Prefill} from './usage.js';
--- a/src/dispatch/needs.ts
+++ b/src/dispatch/needs.ts
@@ -8,4 +8,8 @@
 	readonly uniqueTokens: number;
 	/** Maximum number of tokens that it generates. */
 	readonly outputTokens: number;
+	/** KV memory of an engine, in tokens; 0 if it is not known. */
+	readonly kvCapacityTokens: number;
+	/** Time to transfer the KV cache of one token between two engines, in milliseconds. */
+	readonly kvTransferMsPerToken: number;
 };
--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -1,4 +1,4 @@
-import {computeRendezvousScore} from '../rates/index.js';
+import {computeRendezvousScore, maxRendezvousScore} from '../rates/index.js';
 import type {PrefixCacheIndex} from './prefixcache.js';
 import {engineStage} from './engine.js';
 import type {EngineView} from './engine.js';
@@ -30,21 +30,22 @@
 	readonly hasShortWaiting: boolean;
 };
 
-/**
-Prefill backlog beyond which an engine gets no more prompts, in milliseconds: enough to keep it busy between messages.
-A request that waits in the queue instead can still be reordered or refused.
-*/
-const maxPrefillBacklogMs = 40;
 /** Share of an engine's slots that long generations may hold: the others are for short ones. */
 const maxLongShare = 0.84;
 /** The same while short generations wait: each of them needs a slot for a few hundredths of the time of a long one. */
 const maxLongShareWhenContended = 0.67;
 /** Short generations that may wait at a decode engine: when one ends, the next begins without a network delay. */
 const maxQueuedShort = 1;
-/** Time to hand a prefilled prompt over to another engine for decoding, in milliseconds: a message each way and the KV transfer. */
+/** Time to hand a prefilled prompt over to another engine for decoding, beyond the KV transfer, in milliseconds: a message each way. */
 const handoffMs = 6;
-/** Cost of fetching prefix blocks from another engine, in milliseconds: the fetch takes less, but leaves them in the memory of two engines. */
+/** Cost of fetching prefix blocks from another engine, beyond the KV transfer, in milliseconds: the fetch leaves them in the memory of two engines. */
 const prefixFetchCostMs = 5;
+/** Transfer time between failure domains, relative to that within one. */
+const transferFactor = 2;
+/** Weight of the time in which an engine reads blocks that another one holds or is reading: it is lost to other prompts. */
+const repeatedReadWeight = 1;
+/** Share of an engine's KV memory that requests in progress may take at their fullest; the rest holds blocks for further prompts. */
+const maxKvShare = 0.9;
 /** Load of a request whose prompt is still being prefilled on another engine, in slots: it needs its slot only after that. */
 const awaitingPrefillWeight = 0.25;
 /** Maximum number of requests for each slot of an engine of an application service. */
@@ -97,67 +98,110 @@
 	}
 
 	const {getUsage} = context;
-	const findLeastLoaded = () => findLowest(decodeEngines, view => computeDecodeLoad(getUsage(view)))!;
 	if (isLong(needs)) {
-		return {prefillEngine: undefined, decodeEngine: findLeastLoaded(), ...findPrefixSource(decodeEngines[0]!, new Map(), needs)};
+		return {
+			prefillEngine: undefined, decodeEngine: findLowest(decodeEngines, view => computeDecodeLoad(getUsage(view)))!, prefixSource: undefined, prefillTokens: needs.uniqueTokens + countTokens(needs),
+		};
 	}
 
-	const missingTokens = new Map(available.map(view => [view, context.prefixCaches.countMissingTokens(view, needs.prefixBlocks)]));
-	const fewestMissing = Math.min(...missingTokens.values());
-	const estimateMs = (view: EngineView) => getUsage(view).computePrefillMs(needs.uniqueTokens + fewestMissing) + (missingTokens.get(view)! > fewestMissing ? prefixFetchCostMs : 0);
-	const combinedEngine = findLowest(decodeEngines.filter(view => hasPrefillRoom(view, context)), estimateMs);
-	const prefillEngine = findLowest(
-		available.filter(view => view.record.stage === engineStage.prefill && hasPrefillRoom(view, context)),
-		estimateMs,
-	);
-	if (prefillEngine && (!combinedEngine || estimateMs(prefillEngine) + handoffMs < estimateMs(combinedEngine))) {
-		const prefixId = needs.prefixBlocks.at(-1)?.id;
-		const holders = decodeEngines.filter(view => missingTokens.get(view) === 0);
-		const homeEngines = holders.length > 0 ? holders : decodeEngines;
-		const decodeEngine = prefixId === undefined ? findLeastLoaded() : findLowest(homeEngines, view => -computeRendezvousScore(prefixId, view.record.id))!;
-		return {prefillEngine, decodeEngine, ...findPrefixSource(prefillEngine, missingTokens, needs)};
+	const prefills = available.map(view => planPrefill(view, available, needs, context));
+	const combined = findLowest(prefills.filter(({view}) => decodeEngines.includes(view)), ({costMs}) => costMs);
+	const separate = findLowest(prefills.filter(({view}) => view.record.stage === engineStage.prefill), ({costMs}) => costMs);
+	const transferMs = (needs.uniqueTokens + countTokens(needs)) * needs.kvTransferMsPerToken * transferFactor;
+	if (separate && (!combined || separate.costMs + handoffMs + transferMs < combined.costMs)) {
+		return {prefillEngine: separate.view, decodeEngine: chooseDecodeEngine(decodeEngines, needs, context), prefixSource: separate.prefixSource, prefillTokens: separate.prefillTokens};
 	}
 
-	return combinedEngine && {prefillEngine: undefined, decodeEngine: combinedEngine, ...findPrefixSource(combinedEngine, missingTokens, needs)};
+	return combined && {prefillEngine: undefined, decodeEngine: combined.view, prefixSource: combined.prefixSource, prefillTokens: combined.prefillTokens};
 }
 
-/** Finds the engine that holds the most prefix blocks, if more than `view`, and the tokens left to prefill after fetching them. */
-function findPrefixSource(view: EngineView, missingTokens: ReadonlyMap<EngineView, number>, needs: GenerationNeeds) {
-	const ownMissingTokens = missingTokens.get(view) ?? needs.prefixBlocks.reduce((sum, block) => sum + block.tokens, 0);
+/** How one engine would prefill a prompt. */
+type PrefillPlan = {
+	readonly view: EngineView;
+	readonly prefixSource: EngineView | undefined;
+	readonly prefillTokens: number;
+	/** Expected time until the prompt is prefilled, and what it costs others, in milliseconds. */
+	readonly costMs: number;
+};
+
+/** Plans the prefill on one engine; its cost is infinite when the engine has no room for a further prompt. */
+function planPrefill(view: EngineView, others: readonly EngineView[], needs: GenerationNeeds, context: PlacementContext): PrefillPlan {
+	const {getUsage, prefixCaches} = context;
+	const usage = getUsage(view);
+	const missingTokens = prefixCaches.countMissingTokens(view, needs.prefixBlocks, true);
+	let fetchedTokens = 0;
 	let prefixSource: EngineView | undefined;
-	let remainingTokens = ownMissingTokens;
-	for (const [other, tokens] of missingTokens) {
-		if (tokens < remainingTokens) {
+	let repeatedTokens = 0;
+	for (const other of missingTokens > 0 ? others : []) {
+		const tokens = missingTokens - prefixCaches.countMissingTokens(other, needs.prefixBlocks, false);
+		if (other !== view && tokens > fetchedTokens) {
 			prefixSource = other;
-			remainingTokens = tokens;
+			fetchedTokens = tokens;
 		}
+
+		repeatedTokens = Math.max(repeatedTokens, missingTokens - prefixCaches.countMissingTokens(other, needs.prefixBlocks, true));
 	}
 
-	return {prefixSource, prefillTokens: needs.uniqueTokens + remainingTokens};
+	const prefillTokens = needs.uniqueTokens + missingTokens - fetchedTokens;
+	const fetchMs = prefixSource ? prefixFetchCostMs + (fetchedTokens * needs.kvTransferMsPerToken * transferFactor) : 0;
+	const repeatedMs = usage.computeReadMs(Math.max(0, repeatedTokens - fetchedTokens)) * repeatedReadWeight;
+	return {
+		view, prefixSource, prefillTokens, costMs: hasPrefillRoom(view, needs, context) ? usage.computePrefillMs(prefillTokens) + fetchMs + repeatedMs : Number.POSITIVE_INFINITY,
+	};
+}
+
+/**
+Chooses the engine that decodes a prompt which another one prefills: that with the shortest wait behind prompts that it
+prefills itself. Among similar ones, it is one that holds the prefix blocks, or their home by rendezvous hashing.
+*/
+function chooseDecodeEngine(decodeEngines: readonly EngineView[], needs: GenerationNeeds, {getUsage, prefixCaches}: PlacementContext): EngineView {
+	const prefixId = needs.prefixBlocks.at(-1)?.id;
+	const blockTransferMs = prefixFetchCostMs + (countTokens(needs) * needs.kvTransferMsPerToken * transferFactor);
+	return findLowest(decodeEngines, view => {
+		const usage = getUsage(view);
+		if (prefixId === undefined) {
+			return usage.computeBacklogMs() + computeDecodeLoad(usage);
+		}
+
+		const isHolder = prefixCaches.countMissingTokens(view, needs.prefixBlocks, true) === 0;
+		const homeShare = 1 - (computeRendezvousScore(prefixId, view.record.id) / maxRendezvousScore);
+		return usage.computeBacklogMs() + (isHolder ? 0 : blockTransferMs) + (homeShare * prefixFetchCostMs);
+	})!;
 }
 
-function hasPrefillRoom(view: EngineView, {slotShare, getUsage, now}: PlacementContext): boolean {
-	return getUsage(view).hasPrefillRoom(maxPrefillBacklogMs * slotShare, now);
+function countTokens({prefixBlocks}: GenerationNeeds): number {
+	return prefixBlocks.reduce((sum, {tokens}) => sum + tokens, 0);
+}
+
+function hasPrefillRoom(view: EngineView, needs: GenerationNeeds, {slotShare, getUsage, now}: PlacementContext): boolean {
+	const usage = getUsage(view);
+	return hasKvRoom(usage, needs, slotShare) && usage.hasPrefillRoom(slotShare, now);
+}
+
+/** Tells whether the KV memory of an engine holds a further request at its fullest; an engine without requests takes any. */
+function hasKvRoom(usage: EngineUsage, needs: GenerationNeeds, slotShare: number): boolean {
+	return needs.kvCapacityTokens === 0 || !usage.isHoldingKv || usage.computeKvTokens(needs) <= needs.kvCapacityTokens * maxKvShare * slotShare;
 }
 
 function hasDecodeRoom(view: EngineView, needs: GenerationNeeds, {slotShare, getUsage, hasShortWaiting}: PlacementContext): boolean {
 	const usage = getUsage(view);
 	const slots = Math.max(1, view.record.slots * slotShare);
 	const isOverLongLimit = isLong(needs) && usage.longDecodeCount + 1 > Math.max(1, slots * (hasShortWaiting ? maxLongShareWhenContended : maxLongShare));
-	return !isOverLongLimit && computeDecodeLoad(usage) + 1 <= slots + (isLong(needs) ? 0 : maxQueuedShort * slotShare);
+	return !isOverLongLimit && hasKvRoom(usage, needs, slotShare) && computeDecodeLoad(usage) + 1 <= slots + (isLong(needs) ? 0 : maxQueuedShort * slotShare);
 }
 
 function computeDecodeLoad(usage: EngineUsage): number {
 	return usage.decodeCount - (usage.awaitingPrefillCount * (1 - awaitingPrefillWeight));
 }
 
-function findLowest(views: readonly EngineView[], measure: (view: EngineView) => number): EngineView | undefined {
-	let best: EngineView | undefined;
+/** Finds the item with the lowest finite measure. */
+function findLowest<Item>(items: readonly Item[], measure: (item: Item) => number): Item | undefined {
+	let best: Item | undefined;
 	let lowest = Number.POSITIVE_INFINITY;
-	for (const view of views) {
-		const value = measure(view);
+	for (const item of items) {
+		const value = measure(item);
 		if (value < lowest) {
-			best = view;
+			best = item;
 			lowest = value;
 		}
 	}
--- a/src/dispatch/prefillwindow.ts
+++ b/src/dispatch/prefillwindow.ts
@@ -7,8 +7,6 @@
 since while an engine is saturated every prefill waits there, and none shows the round trip alone.
 */
 const minRoundTripPeriodMs = 30_000;
-/** Maximum round trip that is taken into account, in milliseconds: half of a short target. */
-const maxRoundTripMs = 60;
 const millisecondsPerSecond = 1000;
 
 /**
@@ -35,8 +33,11 @@
 		this.#minRoundTripMs = Math.min(this.#minRoundTripMs, durationMs);
 	}
 
-	/** Computes how many tokens may be in flight if a prompt may wait at the engine for `queueMs`. */
-	computeMaxTokens(queueMs: number, now: number): number {
+	/**
+	Computes how many tokens may be in flight if a prompt may wait at the engine for `queueMs`. `maxRoundTripMs` bounds the
+	round trip: while an engine stays saturated, even its shortest one includes time in its queue.
+	*/
+	computeMaxTokens(queueMs: number, maxRoundTripMs: number, now: number): number {
 		const roundTripMs = Math.min(this.#minRoundTripMs, this.#previousMinRoundTripMs, maxRoundTripMs);
 		return this.#prefilledTokens.computeRate(now) / millisecondsPerSecond * (roundTripMs + queueMs);
 	}
--- a/src/dispatch/usage.ts
+++ b/src/dispatch/usage.ts
@@ -1,22 +1,28 @@
-import {LinearFit} from '../rates/index.js';
 import type {LinearModel} from '../rates/index.js';
+import {PrefillModel} from './prefillmodel.js';
 import {PrefillWindow} from './prefillwindow.js';
 import {EngineHealth} from './health.js';
 import type {GenerationNeeds} from './needs.js';
 
 /** Output tokens from which a generation holds its slot for long: about half a second, at somewhat under a millisecond a token. */
 const minLongOutputTokens = 700;
-/** Time to prefill one token until it has been measured, in milliseconds: on an engine that only prefills, and on one that also decodes. */
-const initialPrefillOnlyMsPerToken = 0.002;
-const initialMixedMsPerToken = 0.005;
-/** Time of a prefill beyond that of its tokens until it has been measured, in milliseconds: messages and the first token. */
-const initialOverheadMs = 8;
-/** Share of their weight that earlier prefills keep with each new one: about fifty prefills count. */
-const fitDecayFactor = 0.98;
-/** Number of measured prefills from which the fitted model is used. */
-const minSamples = 20;
-/** Maximum multiple of its expected time that a prefill counts as: a longer one points to a lost message, not to a slow engine. */
-const maxSlowdown = 4;
+/**
+Time of prompts that may wait at an engine, as a multiple of the time of a mean prompt: one is prefilled, one follows, and
+one covers that sizes vary. A request that waits in the queue instead can still be reordered or refused.
+*/
+const maxQueuedPrompts = 3;
+/** Minimum of that time, in milliseconds: messages between entries take as long on any engine. */
+const minQueueMs = 40;
+/** Minimum of the longest round trip that counts as the engine's and the network's own, in milliseconds: slow senders of fast engines. */
+const minRoundTripLimitMs = 60;
+/** The longest round trip as a multiple of the fitted time of an empty engine. */
+const roundTripLimitFactor = 1.25;
+/** Prompts that an engine gets at once before a prefill of its kind was measured. */
+const maxUnmeasuredPrompts = 2;
+
+/** Lines that are assumed before anything was measured, so that engines compare by their backlogs; an engine that also decodes is slower. */
+const unmeasuredPrefillOnlyLine: LinearModel = {intercept: 0, slope: 0.005};
+const unmeasuredMixedLine: LinearModel = {intercept: 0, slope: 0.0125};
 
 /** Tells whether a generation holds its slot for long. */
 export function isLong(needs: GenerationNeeds): boolean {
@@ -48,34 +54,55 @@
 	awaitingPrefillCount = 0;
 	/** Number of those that hold their slot for long. */
 	longDecodeCount = 0;
-	readonly #prefillFit = new LinearFit(fitDecayFactor);
+	readonly #prefillModel: PrefillModel;
+	readonly #unmeasuredLine: LinearModel;
 	readonly #prefillWindow = new PrefillWindow();
-	#prefillModel: LinearModel;
+	/** Blocks of the requests in progress, with the number of requests that use each. */
+	readonly #activeBlocks = new Map<string, {readonly tokens: number; readonly count: number}>();
+	#ownKvTokens = 0;
+	#sharedKvTokens = 0;
 
-	/** Takes whether the engine only prefills, which sets the speed assumed until it has been measured. */
-	constructor(isPrefillOnly: boolean) {
-		this.#prefillModel = {intercept: initialOverheadMs, slope: isPrefillOnly ? initialPrefillOnlyMsPerToken : initialMixedMsPerToken};
+	/** Takes whether the engine only prefills, and the prefill model of all engines of its kind. */
+	constructor(isPrefillOnly: boolean, kindModel = new PrefillModel()) {
+		this.#prefillModel = new PrefillModel(kindModel);
+		this.#unmeasuredLine = isPrefillOnly ? unmeasuredPrefillOnlyLine : unmeasuredMixedLine;
 	}
 
-	/** Estimates the time until a further prompt of `tokens` would be prefilled, in milliseconds. */
+	/** Estimates the time until a further prompt of `tokens` would be prefilled, in milliseconds; before anything was measured, the tokens themselves are the measure. */
 	computePrefillMs(tokens: number): number {
-		return this.#prefillModel.intercept + ((this.prefillTokens + tokens) * this.#prefillModel.slope);
+		const {intercept, slope} = this.#prefillModel.line ?? this.#unmeasuredLine;
+		return intercept + ((this.prefillTokens + tokens) * slope);
 	}
 
 	/** Estimates the time that the prompts in progress take to prefill, in milliseconds. */
 	computeBacklogMs(): number {
-		return this.prefillTokens * this.#prefillModel.slope;
+		return this.prefillTokens * (this.#prefillModel.line ?? this.#unmeasuredLine).slope;
+	}
+
+	/** Estimates the time that the engine is busy with the prefill of `tokens`, in milliseconds. */
+	computeReadMs(tokens: number): number {
+		return tokens * (this.#prefillModel.line ?? this.#unmeasuredLine).slope;
 	}
 
 	/**
-	Tells whether one more prompt may be sent, so that none waits much longer than `maxBacklogMs` at the engine. A prompt
-	may be sent when the estimated backlog is short enough, or when fewer tokens are in flight than the measured throughput
-	allows; the latter keeps the engine busy when senders are slow.
+	Tells whether one more prompt may be sent, so that none waits much longer at the engine than a few prompts take. It may be
+	sent when the estimated backlog is short enough, or when fewer tokens are in flight than the measured throughput allows;
+	the latter keeps the engine busy while prompts are under way, and where the time to the first token is fixed.
+	`share` is the share of the engine's capacity that may be reserved.
 	*/
-	hasPrefillRoom(maxBacklogMs: number, now: number): boolean {
-		return this.prefillCount === 0
-			|| this.computeBacklogMs() <= maxBacklogMs
-			|| this.prefillTokens < this.#prefillWindow.computeMaxTokens(maxBacklogMs, now);
+	hasPrefillRoom(share: number, now: number): boolean {
+		const {line, meanTokens} = this.#prefillModel;
+		if (this.prefillCount === 0) {
+			return true;
+		}
+
+		if (!line) {
+			return this.prefillCount < maxUnmeasuredPrompts;
+		}
+
+		const queueMs = Math.max(minQueueMs, meanTokens * line.slope * maxQueuedPrompts) * share;
+		return this.computeBacklogMs() <= queueMs
+			|| this.prefillTokens < this.#prefillWindow.computeMaxTokens(queueMs, Math.max(minRoundTripLimitMs, line.intercept * roundTripLimitFactor), now);
 	}
 
 	/** Adds a prompt to prefill at `now`, in milliseconds. */
@@ -93,11 +120,44 @@
 			return;
 		}
 
-		this.#prefillWindow.onPrefill(prefill.tokens, now - prefill.startedAt, now);
-		const expectedMs = this.#prefillModel.intercept + (prefill.backlogTokens * this.#prefillModel.slope);
-		this.#prefillFit.add(prefill.backlogTokens, Math.min(now - prefill.startedAt, expectedMs * maxSlowdown));
-		const model = this.#prefillFit.count < minSamples ? undefined : this.#prefillFit.computeModel();
-		this.#prefillModel = model && model.slope > 0 ? model : this.#prefillModel;
+		const durationMs = now - prefill.startedAt;
+		this.#prefillWindow.onPrefill(prefill.tokens, durationMs, now);
+		this.#prefillModel.add(prefill.tokens, prefill.backlogTokens, durationMs);
+	}
+
+	/** Whether a request in progress takes KV memory. */
+	get isHoldingKv(): boolean {
+		return this.#ownKvTokens + this.#sharedKvTokens > 0;
+	}
+
+	/** Computes the tokens of KV memory that the requests in progress and a further one take at their fullest; blocks that several share count once. */
+	computeKvTokens(needs: GenerationNeeds): number {
+		const newBlockTokens = needs.prefixBlocks.reduce((sum, {id, tokens}) => sum + (this.#activeBlocks.has(id) ? 0 : tokens), 0);
+		return this.#ownKvTokens + this.#sharedKvTokens + needs.uniqueTokens + needs.outputTokens + newBlockTokens;
+	}
+
+	/** Adds the KV memory of a request. */
+	holdKv({prefixBlocks, uniqueTokens, outputTokens}: GenerationNeeds): void {
+		this.#ownKvTokens += uniqueTokens + outputTokens;
+		for (const {id, tokens} of prefixBlocks) {
+			const active = this.#activeBlocks.get(id);
+			this.#sharedKvTokens += active ? 0 : tokens;
+			this.#activeBlocks.set(id, {tokens: active?.tokens ?? tokens, count: (active?.count ?? 0) + 1});
+		}
+	}
+
+	/** Removes the KV memory of a request that `holdKv` added. */
+	releaseKv({prefixBlocks, uniqueTokens, outputTokens}: GenerationNeeds): void {
+		this.#ownKvTokens -= uniqueTokens + outputTokens;
+		for (const {id} of prefixBlocks) {
+			const active = this.#activeBlocks.get(id);
+			if (active && active.count > 1) {
+				this.#activeBlocks.set(id, {tokens: active.tokens, count: active.count - 1});
+			} else if (active) {
+				this.#activeBlocks.delete(id);
+				this.#sharedKvTokens -= active.tokens;
+			}
+		}
 	}
 
 	/** Adds a request to decode. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -133,7 +133,7 @@
 		const deadlineTimer = this.#dependencies.timers.startTimer(times.deadlineAt - this.#dependencies.timers.getNow(), onAbort);
 		answer.signal.addEventListener('abort', onAbort, {once: true});
 		const served: ServedRequest = {
-			request, route, service, answer, trace, fleet: this.fleet, signal: controller.signal, kvCapacityTokens: model?.kvCapacityTokens ?? 0, ...times,
+			request, route, service, answer, trace, fleet: this.fleet, signal: controller.signal, model, ...times,
 		};
 		try {
 			await runProcedure(model
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -10,7 +10,7 @@
 import type {KvCacheHandle} from './ports.js';
 import {selectRetryReason, RequestProgress} from './progress.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
-import type {Prompt} from './types.js';
+import type {ModelEngineSpec, Prompt} from './types.js';
 
 /** Multiple of the route's target after which a silent prefill is aborted: the decode engine can run the prefill too. */
 const prefillSilenceTargets = 2.5;
@@ -29,9 +29,9 @@
 	/** Id of the last event that was sent to the caller. */
 	lastEventId: string | undefined;
 
-	constructor(prompt: Prompt | undefined) {
+	constructor(prompt: Prompt | undefined, model: ModelEngineSpec | undefined) {
 		super();
-		this.needs = createNeeds(prompt);
+		this.needs = createNeeds(prompt, model);
 	}
 }
 
@@ -40,7 +40,7 @@
 at another engine where the route allows it.
 */
 export function * serveGeneration(dependencies: GatewayDependencies, served: ServedRequest): Procedure<void> {
-	const progress = new GenerationProgress(served.request.prompt);
+	const progress = new GenerationProgress(served.request.prompt, served.model);
 	for (;;) {
 		const reservation = yield * callStep('wait for a place', async () => acquireReservation(dependencies, served, progress));
 		const decodeEngine = reservation && served.fleet.findServing(reservation.engines.decodeEngine);
@@ -133,7 +133,6 @@
 			deadlineMs: served.deadlineAt - now,
 			firstByteTimeoutMs: served.request.arrivedAt + served.route.firstByteTimeoutMs - now,
 			serviceMs: dependencies.serviceTimes.estimateMs(served.route.name),
-			kvCapacityTokens: served.kvCapacityTokens,
 			excludedEngines: [...progress.triedIds, ...unavailableIds],
 		}, served.signal);
 		served.trace.onAdmitted();
@@ -277,12 +276,14 @@
 	return engineId === undefined ? undefined : served.fleet.findServing(engineId)?.record.address;
 }
 
-function createNeeds(prompt: Prompt | undefined): GenerationNeeds {
+function createNeeds(prompt: Prompt | undefined, model: ModelEngineSpec | undefined): GenerationNeeds {
 	const sharedBlocks = (prompt?.prefixBlocks ?? []).slice(0, -1);
 	const sharedTokens = sharedBlocks.reduce((sum, block) => sum + block.tokens, 0);
 	return {
 		prefixBlocks: sharedBlocks,
 		uniqueTokens: Math.max(0, (prompt?.promptTokens ?? 0) - sharedTokens),
 		outputTokens: prompt?.outputTokens ?? 0,
+		kvCapacityTokens: model?.kvCapacityTokens ?? 0,
+		kvTransferMsPerToken: model?.kvTransferMsPerToken ?? 0,
 	};
 }
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -5,7 +5,7 @@
 import type {CallerAnswer, EngineLink} from './ports.js';
 import type {ServiceTimes} from './servicetimes.js';
 import type {RequestReporter, RequestTrace} from './trace.js';
-import type {GatewayRequest, Route} from './types.js';
+import type {GatewayRequest, ModelEngineSpec, Route} from './types.js';
 
 /** What a gateway is built from. */
 export type GatewayDependencies = {
@@ -30,8 +30,8 @@
 	readonly fleet: Fleet;
 	/** Aborted when the caller has disconnected or the deadline has passed. */
 	readonly signal: AbortSignal;
-	/** Tokens of KV cache that an engine of the service holds; 0 for an application service. */
-	readonly kvCapacityTokens: number;
+	/** The service's engines; `undefined` for an application service. */
+	readonly model: ModelEngineSpec | undefined;
 	/** Until then the answer is on time. */
 	readonly targetAt: number;
 	/** Until then the answer is of use. */
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -39,6 +39,8 @@
 	readonly slots: number;
 	/** Tokens of KV cache that an engine's memory holds. */
 	readonly kvCapacityTokens: number;
+	/** Time to transfer the KV cache of one token between two engines of a failure domain, in milliseconds. */
+	readonly kvTransferMsPerToken: number;
 };
 
 /** One service of the configuration. */
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -1,5 +1,5 @@
 import {
-	PrefixCacheIndex, chooseGenerationPlacement, engineOutcome, engineStage, EngineUsage, GrantRate, isLong, QueueRefusal, AdmissionQueue,
+	PrefixCacheIndex, chooseGenerationPlacement, engineOutcome, engineStage, EngineUsage, GrantRate, isLong, PrefillModel, QueueRefusal, AdmissionQueue,
 } from '../dispatch/index.js';
 import type {
 	EngineOutcome, EngineView, Fleet, GenerationPlacement, Prefill,
@@ -29,6 +29,7 @@
 	readonly #queues = new Map<string, AdmissionQueue<Allocation>>();
 	readonly #grantRates = new Map<string, GrantRate>();
 	readonly #usages = new WeakMap<EngineView, EngineUsage>();
+	readonly #kindModels = new Map<string, PrefillModel>();
 	readonly #prefixCaches = new PrefixCacheIndex();
 
 	constructor(dependencies: SlotAllocatorDependencies) {
@@ -85,13 +86,26 @@
 	getUsage(view: EngineView): EngineUsage {
 		let usage = this.#usages.get(view);
 		if (!usage) {
-			usage = new EngineUsage(view.record.stage === engineStage.prefill);
+			usage = new EngineUsage(view.record.stage === engineStage.prefill, this.#getKindModel(view));
 			this.#usages.set(view, usage);
 		}
 
 		return usage;
 	}
 
+	/** Records that the blocks of a prompt are in an engine's memory now, or that the engine failed to read them. */
+	onBlocksRead(view: EngineView, request: ReservationRequest, hasRead: boolean): void {
+		this.#prefixCaches.finishRead(view, request.prefixBlocks, hasRead);
+	}
+
+	/** Returns the prefill model of the engines of the same service and stage. */
+	#getKindModel({record: {service, stage}}: EngineView): PrefillModel {
+		const kind = `${service} ${stage}`;
+		const model = this.#kindModels.get(kind) ?? new PrefillModel();
+		this.#kindModels.set(kind, model);
+		return model;
+	}
+
 	/** Tries to grant the queued requests of a service after capacity was released. */
 	onCapacityFreed(service: string): void {
 		this.#queues.get(service)?.dispatch();
@@ -118,7 +132,8 @@
 		this.getUsage(decodeEngine).startDecode(request, prefillEngine !== undefined);
 		// After the prefill both engines hold the prefix blocks: one computed or fetched them, the other received them with the KV cache.
 		for (const view of prefillEngine ? [prefillEngine, decodeEngine] : [decodeEngine]) {
-			this.#prefixCaches.add(view, request.prefixBlocks, request.kvCapacityTokens);
+			this.getUsage(view).holdKv(request);
+			this.#prefixCaches.startRead(view, request.prefixBlocks, request.kvCapacityTokens);
 		}
 
 		return {placement, prefill};
@@ -176,8 +191,10 @@
 
 		this.#isPrefillPending = false;
 		const {prefillEngine, decodeEngine} = this.#placement;
+		this.#allocator.onBlocksRead(prefillEngine ?? decodeEngine, this.#request, outcome === engineOutcome.answered);
 		this.#allocator.getUsage(prefillEngine ?? decodeEngine).finishPrefill(this.#prefill, this.#timers.getNow(), outcome === engineOutcome.answered);
 		if (prefillEngine) {
+			this.#allocator.getUsage(prefillEngine).releaseKv(this.#request);
 			this.#allocator.getUsage(decodeEngine).onPrefilled();
 			this.#onOutcome(prefillEngine, outcome);
 		}
@@ -193,7 +210,13 @@
 		this.onPrefillEnd(undefined);
 		this.#isHeld = false;
 		this.#expiryTimer.cancel();
-		this.#allocator.getUsage(this.#placement.decodeEngine).finishDecode(this.#request);
+		const {prefillEngine, decodeEngine} = this.#placement;
+		if (prefillEngine) {
+			this.#allocator.onBlocksRead(decodeEngine, this.#request, outcome === engineOutcome.answered);
+		}
+
+		this.#allocator.getUsage(decodeEngine).releaseKv(this.#request);
+		this.#allocator.getUsage(decodeEngine).finishDecode(this.#request);
 		this.#onOutcome(this.#placement.decodeEngine, outcome);
 		this.#allocator.onCapacityFreed(this.#request.service);
 	}
--- a/src/places/messages.ts
+++ b/src/places/messages.ts
@@ -41,6 +41,7 @@
 				request.outputTokens,
 				request.kvCapacityTokens,
 				request.excludedEngines,
+				request.kvTransferMsPerToken,
 			];
 		}
 
@@ -110,7 +111,7 @@
 }
 
 function parseReservationRequest(items: readonly unknown[]): ReservationRequest {
-	const [service, targetMs, deadlineMs, firstByteTimeoutMs, serviceMs, prefixBlocks, uniqueTokens, outputTokens, kvCapacityTokens, excludedEngines] = items;
+	const [service, targetMs, deadlineMs, firstByteTimeoutMs, serviceMs, prefixBlocks, uniqueTokens, outputTokens, kvCapacityTokens, excludedEngines, kvTransferMsPerToken] = items;
 	return {
 		service: parseString(service),
 		targetMs: parseNumber(targetMs),
@@ -121,6 +122,8 @@
 		uniqueTokens: parseNumber(uniqueTokens),
 		outputTokens: parseNumber(outputTokens),
 		kvCapacityTokens: parseNumber(kvCapacityTokens),
+		// Entries of a build without this field may send requests during an update.
+		kvTransferMsPerToken: kvTransferMsPerToken === undefined ? 0 : parseNumber(kvTransferMsPerToken),
 		excludedEngines: Array.isArray(excludedEngines) ? excludedEngines.map(id => parseString(id)) : [],
 	};
 }
--- a/src/places/test/allocator.test.ts
+++ b/src/places/test/allocator.test.ts
@@ -8,7 +8,7 @@
 import type {LocalReservation, ReservationRequest} from '../index.js';
 
 const request: ReservationRequest = {
-	service: 'llm', targetMs: 120, deadlineMs: 1800, firstByteTimeoutMs: 2000, serviceMs: 40, prefixBlocks: [], uniqueTokens: 10, outputTokens: 10, kvCapacityTokens: 1000, excludedEngines: [],
+	service: 'llm', targetMs: 120, deadlineMs: 1800, firstByteTimeoutMs: 2000, serviceMs: 40, prefixBlocks: [], uniqueTokens: 10, outputTokens: 10, kvCapacityTokens: 1000, kvTransferMsPerToken: 0, excludedEngines: [],
 };
 
 /** Creates an allocator for one engine. */
--- a/src/places/test/messages.test.ts
+++ b/src/places/test/messages.test.ts
@@ -18,6 +18,7 @@
 	uniqueTokens: integer,
 	outputTokens: integer,
 	kvCapacityTokens: integer,
+	kvTransferMsPerToken: fc.double({min: 0, max: 1, noNaN: true}),
 	excludedEngines: fc.array(text, {maxLength: 3}),
 });
 
--- a/src/places/test/overload.test.ts
+++ b/src/places/test/overload.test.ts
@@ -8,7 +8,7 @@
 import type {ReservationRequest} from '../index.js';
 
 const request: ReservationRequest = {
-	service: 'llm', targetMs: 180, deadlineMs: 1900, firstByteTimeoutMs: 2000, serviceMs: 40, prefixBlocks: [], uniqueTokens: 5000, outputTokens: 2, kvCapacityTokens: 1_400_000, excludedEngines: [],
+	service: 'llm', targetMs: 180, deadlineMs: 1900, firstByteTimeoutMs: 2000, serviceMs: 40, prefixBlocks: [], uniqueTokens: 5000, outputTokens: 2, kvCapacityTokens: 1_400_000, kvTransferMsPerToken: 0, excludedEngines: [],
 };
 /** Time that an engine takes for one request, in milliseconds: ten engines serve 500 requests per second. */
 const requestMs = 20;
--- a/src/places/test/slowsenders.test.ts
+++ b/src/places/test/slowsenders.test.ts
@@ -19,6 +19,7 @@
 	uniqueTokens: promptTokens,
 	outputTokens: 2,
 	kvCapacityTokens: 1_400_000,
+kvTransferMsPerToken: 0,
 	excludedEngines: [],
 };
 /** Time that a prefill engine takes for one token, in milliseconds. */
--- a/src/places/types.ts
+++ b/src/places/types.ts
@@ -15,8 +15,6 @@
 	readonly firstByteTimeoutMs: number;
 	/** Estimated time from the grant to the first byte of the answer. */
 	readonly serviceMs: number;
-	/** KV cache capacity of each engine of the service, in tokens. */
-	readonly kvCapacityTokens: number;
 	/** Ids of engines that may not be chosen: they failed this request, or the requesting entry sends them no work at present. */
 	readonly excludedEngines: readonly string[];
 };
