--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -3,6 +3,8 @@
 import {engineStage} from './engine.js';
 import type {EngineView} from './engine.js';
 import type {GenerationNeeds} from './needs.js';
+import {createPrefillWork} from './prefillmodel.js';
+import type {PrefillWork} from './prefillmodel.js';
 import {isLong} from './usage.js';
 import type {EngineUsage} from './usage.js';
 
@@ -14,8 +16,10 @@
 	readonly decodeEngine: EngineView;
 	/** Engine from which the one that prefills fetches the prefix blocks that it lacks; `undefined` when nothing is fetched. */
 	readonly prefixSource: EngineView | undefined;
-	/** Number of tokens left to prefill. */
-	readonly prefillTokens: number;
+	/** What is left to prefill. */
+	readonly work: PrefillWork;
+	/** Expected time from the reservation to the first token, in milliseconds. */
+	readonly firstTokenMs: number;
 };
 
 /** What a placement is chosen from, beside the engines and the needs of the generation. */
@@ -98,33 +102,41 @@
 	}
 
 	const {getUsage} = context;
+	const promptTokens = needs.uniqueTokens + countTokens(needs);
 	if (isLong(needs)) {
+		const decodeEngine = findLowest(decodeEngines, view => computeDecodeLoad(getUsage(view)))!;
+		const work = createPrefillWork(promptTokens, promptTokens);
 		return {
-			prefillEngine: undefined, decodeEngine: findLowest(decodeEngines, view => computeDecodeLoad(getUsage(view)))!, prefixSource: undefined, prefillTokens: needs.uniqueTokens + countTokens(needs),
+			prefillEngine: undefined, decodeEngine, prefixSource: undefined, work, firstTokenMs: getUsage(decodeEngine).computePrefillMs(work),
 		};
 	}
 
 	const prefills = available.map(view => planPrefill(view, available, needs, context));
 	const combined = findLowest(prefills.filter(({view}) => decodeEngines.includes(view)), ({costMs}) => costMs);
 	const separate = findLowest(prefills.filter(({view}) => view.record.stage === engineStage.prefill), ({costMs}) => costMs);
-	const transferMs = (needs.uniqueTokens + countTokens(needs)) * needs.kvTransferMsPerToken * transferFactor;
+	const transferMs = promptTokens * needs.kvTransferMsPerToken * transferFactor;
 	if (separate && (!combined || separate.costMs + handoffMs + transferMs < combined.costMs)) {
-		return {prefillEngine: separate.view, decodeEngine: chooseDecodeEngine(decodeEngines, needs, context), prefixSource: separate.prefixSource, prefillTokens: separate.prefillTokens};
+		const decodeEngine = chooseDecodeEngine(decodeEngines, needs, context);
+		return {
+			...separate, prefillEngine: separate.view, decodeEngine, firstTokenMs: separate.firstTokenMs + handoffMs + transferMs + getUsage(decodeEngine).computeBacklogMs(),
+		};
 	}
 
-	return combined && {prefillEngine: undefined, decodeEngine: combined.view, prefixSource: combined.prefixSource, prefillTokens: combined.prefillTokens};
+	return combined && {...combined, prefillEngine: undefined, decodeEngine: combined.view};
 }
 
 /** How one engine would prefill a prompt. */
 type PrefillPlan = {
 	readonly view: EngineView;
 	readonly prefixSource: EngineView | undefined;
-	readonly prefillTokens: number;
-	/** Expected time until the prompt is prefilled, and what it costs others, in milliseconds. */
+	readonly work: PrefillWork;
+	/** Expected time until the prompt is prefilled, in milliseconds. */
+	readonly firstTokenMs: number;
+	/** That time and what the prefill costs other prompts, in milliseconds; infinite when the engine has no room for it. */
 	readonly costMs: number;
 };
 
-/** Plans the prefill on one engine; its cost is infinite when the engine has no room for a further prompt. */
+/** Plans the prefill on one engine. */
 function planPrefill(view: EngineView, others: readonly EngineView[], needs: GenerationNeeds, context: PlacementContext): PrefillPlan {
 	const {getUsage, prefixCaches} = context;
 	const usage = getUsage(view);
@@ -142,11 +154,13 @@
 		repeatedTokens = Math.max(repeatedTokens, missingTokens - prefixCaches.countMissingTokens(other, needs.prefixBlocks, true));
 	}
 
-	const prefillTokens = needs.uniqueTokens + missingTokens - fetchedTokens;
+	const promptTokens = needs.uniqueTokens + countTokens(needs);
+	const work = createPrefillWork(needs.uniqueTokens + missingTokens - fetchedTokens, promptTokens);
 	const fetchMs = prefixSource ? prefixFetchCostMs + (fetchedTokens * needs.kvTransferMsPerToken * transferFactor) : 0;
-	const repeatedMs = usage.computeReadMs(Math.max(0, repeatedTokens - fetchedTokens)) * repeatedReadWeight;
+	const repeatedWork = createPrefillWork(Math.max(0, repeatedTokens - fetchedTokens), promptTokens);
+	const firstTokenMs = usage.computePrefillMs(work) + fetchMs;
 	return {
-		view, prefixSource, prefillTokens, costMs: hasPrefillRoom(view, needs, context) ? usage.computePrefillMs(prefillTokens) + fetchMs + repeatedMs : Number.POSITIVE_INFINITY,
+		view, prefixSource, work, firstTokenMs, costMs: hasPrefillRoom(view, needs, context) ? firstTokenMs + (usage.computeBusyMs(repeatedWork) * repeatedReadWeight) : Number.POSITIVE_INFINITY,
 	};
 }
 
--- a/src/dispatch/prefillmodel.ts
+++ b/src/dispatch/prefillmodel.ts
@@ -1,5 +1,28 @@
-import {LinearFit} from '../rates/index.js';
-import type {LinearModel} from '../rates/index.js';
+import {LinearFit, PlaneFit} from '../rates/index.js';
+import type {PlaneModel} from '../rates/index.js';
+
+/** What an engine has to do for a prefill. */
+export type PrefillWork = {
+	/** Tokens that it prefills. */
+	readonly tokens: number;
+	/** Pairs of a prefilled token and one before it in the prompt, in millions: the attention of long prompts costs more per token. */
+	readonly pairs: number;
+};
+
+/** Work of an engine that has nothing to do. */
+export const noPrefillWork: PrefillWork = {tokens: 0, pairs: 0};
+
+const tokensPerPairUnit = 1_000_000;
+
+/** Computes the work of prefilling the last `tokens` of a prompt of `promptTokens`. */
+export function createPrefillWork(tokens: number, promptTokens: number): PrefillWork {
+	return {tokens, pairs: tokens * (Math.max(tokens, promptTokens) - (tokens / 2)) / tokensPerPairUnit};
+}
+
+/** Adds `factor` times the work `right` to the work `left`. */
+export function addPrefillWork(left: PrefillWork, right: PrefillWork, factor = 1): PrefillWork {
+	return {tokens: left.tokens + (right.tokens * factor), pairs: left.pairs + (right.pairs * factor)};
+}
 
 /** Share of their weight that earlier prefills keep with each new one: about fifty prefills count. */
 const fitDecayFactor = 0.98;
@@ -7,42 +30,59 @@
 const minSamples = 12;
 /** Maximum multiple of its expected time that a prefill counts as: a longer one points to a lost message, not to a slow engine. */
 const maxSlowdown = 4;
-/** Weight of the newest prompt in the mean size. */
-const meanTokensWeight = 0.05;
+/** Weight of the newest prompt in the mean work. */
+const meanWeight = 0.05;
 
 /**
-Time of a prefill, from its reservation to its report, as a line over the tokens in front of it and its own. The intercept
-is what a prefill takes without occupying the engine: messages, and a fixed time to the first token.
+Time of a prefill, from its reservation to its report, by the work in front of it and its own. The intercept is what a
+prefill takes without occupying the engine: messages, and a fixed time to the first token.
 */
 export class PrefillModel {
-	readonly #fit = new LinearFit(fitDecayFactor);
+	readonly #plane = new PlaneFit(fitDecayFactor);
+	readonly #line = new LinearFit(fitDecayFactor);
 	readonly #parent: PrefillModel | undefined;
-	#model: LinearModel | undefined;
-	#meanTokens: number | undefined;
+	#model: PlaneModel | undefined;
+	#meanWork: PrefillWork | undefined;
 
 	/** Takes the model of all engines of the same kind, which applies until enough prefills of this one are measured. */
 	constructor(parent?: PrefillModel) {
 		this.#parent = parent;
 	}
 
-	/** The fitted line, in milliseconds and milliseconds per token; `undefined` before anything of the kind was measured. */
-	get line(): LinearModel | undefined {
-		return this.#model ?? this.#parent?.line;
+	/** The fitted model, in milliseconds, per token and per million pairs; `undefined` before enough prefills of the kind were measured. */
+	get model(): PlaneModel | undefined {
+		return this.#model ?? this.#parent?.model;
+	}
+
+	/** Mean work of a prompt. */
+	get meanWork(): PrefillWork {
+		return this.#meanWork ?? this.#parent?.meanWork ?? noPrefillWork;
 	}
 
-	/** Mean number of tokens of a prompt; 0 before the first. */
-	get meanTokens(): number {
-		return this.#meanTokens ?? this.#parent?.meanTokens ?? 0;
+	/** Adds a prefill that took `durationMs`, with `backlog` the work in front of it and of its own. */
+	add(work: PrefillWork, backlog: PrefillWork, durationMs: number): void {
+		const {model} = this;
+		const maxMs = model ? computePlane(model, backlog) * maxSlowdown : Number.POSITIVE_INFINITY;
+		const countedMs = Math.min(durationMs, maxMs);
+		this.#line.add(backlog.tokens, countedMs);
+		this.#plane.add(backlog.tokens, backlog.pairs, countedMs);
+		this.#model = this.#line.count < minSamples ? undefined : this.#fitModel() ?? this.#model;
+		this.#meanWork = addPrefillWork(this.#meanWork ?? work, addPrefillWork(work, this.#meanWork ?? work, -1), meanWeight);
+		this.#parent?.add(work, backlog, durationMs);
 	}
 
-	/** Adds a prefill of `tokens` that took `durationMs` with `backlogTokens` in front of it and of its own. */
-	add(tokens: number, backlogTokens: number, durationMs: number): void {
-		const {line} = this;
-		const maxMs = line ? (line.intercept + (backlogTokens * line.slope)) * maxSlowdown : Number.POSITIVE_INFINITY;
-		this.#fit.add(backlogTokens, Math.min(durationMs, maxMs));
-		const model = this.#fit.count < minSamples ? undefined : this.#fit.computeModel();
-		this.#model = model && model.slope > 0 ? model : this.#model;
-		this.#meanTokens = this.#meanTokens === undefined ? tokens : this.#meanTokens + ((tokens - this.#meanTokens) * meanTokensWeight);
-		this.#parent?.add(tokens, backlogTokens, durationMs);
+	#fitModel(): PlaneModel | undefined {
+		const plane = this.#plane.computeModel();
+		if (plane) {
+			return plane;
+		}
+
+		const line = this.#line.computeModel();
+		return line && line.slope > 0 ? {intercept: line.intercept, first: line.slope, second: 0} : undefined;
 	}
 }
+
+/** Computes the time of work by a model, in milliseconds. */
+export function computePlane({intercept, first, second}: PlaneModel, {tokens, pairs}: PrefillWork): number {
+	return intercept + (tokens * first) + (pairs * second);
+}
--- a/src/dispatch/prefillwindow.ts
+++ b/src/dispatch/prefillwindow.ts
@@ -10,20 +10,20 @@
 const millisecondsPerSecond = 1000;
 
 /**
-Computes how many prompt tokens to have in flight to one engine. It measures the throughput of the engine's prefills and
-their minimum round trip, as the senders see them; most of that round trip is network delay and time at the senders.
-Throughput times minimum round trip is what has to be in flight to keep the engine busy; whatever is sent beyond that
-waits at the engine.
+Computes how much work to have in flight to one engine, in milliseconds of its time. It measures the throughput of the
+engine's prefills and their minimum round trip, as the senders see them; most of that round trip is network delay and time
+at the senders. Throughput times minimum round trip is what has to be in flight to keep the engine busy; whatever is sent
+beyond that waits at the engine.
 */
 export class PrefillWindow {
-	readonly #prefilledTokens = new DecayedSum(halfLifeMs);
+	readonly #finishedMs = new DecayedSum(halfLifeMs);
 	#minRoundTripMs = Number.POSITIVE_INFINITY;
 	#previousMinRoundTripMs = Number.POSITIVE_INFINITY;
 	#periodStartedAt = Number.NEGATIVE_INFINITY;
 
-	/** Records a finished prefill of `tokens` that took `durationMs`, from its reservation to the sender's report. */
-	onPrefill(tokens: number, durationMs: number, now: number): void {
-		this.#prefilledTokens.add(tokens, now);
+	/** Records a finished prefill of `workMs` of the engine's time that took `durationMs`, from its reservation to the sender's report. */
+	onPrefill(workMs: number, durationMs: number, now: number): void {
+		this.#finishedMs.add(workMs, now);
 		if (now - this.#periodStartedAt > minRoundTripPeriodMs) {
 			this.#previousMinRoundTripMs = this.#minRoundTripMs;
 			this.#minRoundTripMs = Number.POSITIVE_INFINITY;
@@ -34,11 +34,11 @@
 	}
 
 	/**
-	Computes how many tokens may be in flight if a prompt may wait at the engine for `queueMs`. `maxRoundTripMs` bounds the
+	Computes how much work may be in flight if a prompt may wait at the engine for `queueMs`. `maxRoundTripMs` bounds the
 	round trip: while an engine stays saturated, even its shortest one includes time in its queue.
 	*/
-	computeMaxTokens(queueMs: number, maxRoundTripMs: number, now: number): number {
+	computeMaxMs(queueMs: number, maxRoundTripMs: number, now: number): number {
 		const roundTripMs = Math.min(this.#minRoundTripMs, this.#previousMinRoundTripMs, maxRoundTripMs);
-		return this.#prefilledTokens.computeRate(now) / millisecondsPerSecond * (roundTripMs + queueMs);
+		return this.#finishedMs.computeRate(now) / millisecondsPerSecond * (roundTripMs + queueMs);
 	}
 }
--- a/src/dispatch/usage.ts
+++ b/src/dispatch/usage.ts
@@ -1,5 +1,6 @@
-import type {LinearModel} from '../rates/index.js';
-import {PrefillModel} from './prefillmodel.js';
+import type {PlaneModel} from '../rates/index.js';
+import {addPrefillWork, computePlane, noPrefillWork, PrefillModel} from './prefillmodel.js';
+import type {PrefillWork} from './prefillmodel.js';
 import {PrefillWindow} from './prefillwindow.js';
 import {EngineHealth} from './health.js';
 import type {GenerationNeeds} from './needs.js';
@@ -20,9 +21,9 @@
 /** Prompts that an engine gets at once before a prefill of its kind was measured. */
 const maxUnmeasuredPrompts = 2;
 
-/** Lines that are assumed before anything was measured, so that engines compare by their backlogs; an engine that also decodes is slower. */
-const unmeasuredPrefillOnlyLine: LinearModel = {intercept: 0, slope: 0.005};
-const unmeasuredMixedLine: LinearModel = {intercept: 0, slope: 0.0125};
+/** Models that are assumed before anything was measured, so that engines compare by their backlogs; an engine that also decodes is slower. */
+const unmeasuredPrefillOnlyModel: PlaneModel = {intercept: 0, first: 0.005, second: 0};
+const unmeasuredMixedModel: PlaneModel = {intercept: 0, first: 0.0125, second: 0};
 
 /** Tells whether a generation holds its slot for long. */
 export function isLong(needs: GenerationNeeds): boolean {
@@ -31,9 +32,9 @@
 
 /** A prefill in progress. */
 export type Prefill = {
-	readonly tokens: number;
-	/** Tokens that the engine had to prefill when this one started, its own included. */
-	readonly backlogTokens: number;
+	readonly work: PrefillWork;
+	/** Work that the engine had to do when this one started, its own included. */
+	readonly backlog: PrefillWork;
 	readonly startedAt: number;
 };
 
@@ -46,8 +47,8 @@
 	readonly health = new EngineHealth();
 	/** Number of prompts that it has to prefill, for itself or for another engine. */
 	prefillCount = 0;
-	/** Number of tokens of those prompts. */
-	prefillTokens = 0;
+	/** Work of those prompts. */
+	prefillWork = noPrefillWork;
 	/** Number of requests that it decodes, or will decode once their prompts are prefilled. */
 	decodeCount = 0;
 	/** Number of those whose prompts are still being prefilled on another engine. */
@@ -55,7 +56,7 @@
 	/** Number of those that hold their slot for long. */
 	longDecodeCount = 0;
 	readonly #prefillModel: PrefillModel;
-	readonly #unmeasuredLine: LinearModel;
+	readonly #unmeasuredModel: PlaneModel;
 	readonly #prefillWindow = new PrefillWindow();
 	/** Blocks of the requests in progress, with the number of requests that use each. */
 	readonly #activeBlocks = new Map<string, {readonly tokens: number; readonly count: number}>();
@@ -65,64 +66,68 @@
 	/** Takes whether the engine only prefills, and the prefill model of all engines of its kind. */
 	constructor(isPrefillOnly: boolean, kindModel = new PrefillModel()) {
 		this.#prefillModel = new PrefillModel(kindModel);
-		this.#unmeasuredLine = isPrefillOnly ? unmeasuredPrefillOnlyLine : unmeasuredMixedLine;
+		this.#unmeasuredModel = isPrefillOnly ? unmeasuredPrefillOnlyModel : unmeasuredMixedModel;
 	}
 
-	/** Estimates the time until a further prompt of `tokens` would be prefilled, in milliseconds; before anything was measured, the tokens themselves are the measure. */
-	computePrefillMs(tokens: number): number {
-		const {intercept, slope} = this.#prefillModel.line ?? this.#unmeasuredLine;
-		return intercept + ((this.prefillTokens + tokens) * slope);
+	/** Estimates the time until a further prompt would be prefilled, in milliseconds; before anything was measured, the work itself is the measure. */
+	computePrefillMs(work: PrefillWork): number {
+		return computePlane(this.#model, addPrefillWork(this.prefillWork, work));
 	}
 
 	/** Estimates the time that the prompts in progress take to prefill, in milliseconds. */
 	computeBacklogMs(): number {
-		return this.prefillTokens * (this.#prefillModel.line ?? this.#unmeasuredLine).slope;
+		return this.computeBusyMs(this.prefillWork);
 	}
 
-	/** Estimates the time that the engine is busy with the prefill of `tokens`, in milliseconds. */
-	computeReadMs(tokens: number): number {
-		return tokens * (this.#prefillModel.line ?? this.#unmeasuredLine).slope;
+	/** Estimates the time that the engine is busy with some work, in milliseconds. */
+	computeBusyMs(work: PrefillWork): number {
+		return computePlane({...this.#model, intercept: 0}, work);
 	}
 
 	/**
 	Tells whether one more prompt may be sent, so that none waits much longer at the engine than a few prompts take. It may be
-	sent when the estimated backlog is short enough, or when fewer tokens are in flight than the measured throughput allows;
-	the latter keeps the engine busy while prompts are under way, and where the time to the first token is fixed.
-	`share` is the share of the engine's capacity that may be reserved.
+	sent when the estimated backlog is short enough, or when less work is in flight than the measured throughput allows; the
+	latter keeps the engine busy while prompts are under way, and where the time to the first token is fixed. `share` is the
+	share of the engine's capacity that may be reserved.
 	*/
 	hasPrefillRoom(share: number, now: number): boolean {
-		const {line, meanTokens} = this.#prefillModel;
+		const {model, meanWork} = this.#prefillModel;
 		if (this.prefillCount === 0) {
 			return true;
 		}
 
-		if (!line) {
+		if (!model) {
 			return this.prefillCount < maxUnmeasuredPrompts;
 		}
 
-		const queueMs = Math.max(minQueueMs, meanTokens * line.slope * maxQueuedPrompts) * share;
-		return this.computeBacklogMs() <= queueMs
-			|| this.prefillTokens < this.#prefillWindow.computeMaxTokens(queueMs, Math.max(minRoundTripLimitMs, line.intercept * roundTripLimitFactor), now);
+		const queueMs = Math.max(minQueueMs, this.computeBusyMs(meanWork) * maxQueuedPrompts) * share;
+		const maxRoundTripMs = Math.max(minRoundTripLimitMs, model.intercept * roundTripLimitFactor);
+		const backlogMs = this.computeBacklogMs();
+		return backlogMs <= queueMs || backlogMs < this.#prefillWindow.computeMaxMs(queueMs, maxRoundTripMs, now);
 	}
 
 	/** Adds a prompt to prefill at `now`, in milliseconds. */
-	startPrefill(tokens: number, now: number): Prefill {
+	startPrefill(work: PrefillWork, now: number): Prefill {
 		this.prefillCount++;
-		this.prefillTokens += tokens;
-		return {tokens, backlogTokens: this.prefillTokens, startedAt: now};
+		this.prefillWork = addPrefillWork(this.prefillWork, work);
+		return {work, backlog: this.prefillWork, startedAt: now};
 	}
 
 	/** Removes a prefill that ended at `now`; `isMeasured` is false when its time does not tell how fast the engine is. */
 	finishPrefill(prefill: Prefill, now: number, isMeasured: boolean): void {
 		this.prefillCount--;
-		this.prefillTokens -= prefill.tokens;
+		this.prefillWork = this.prefillCount === 0 ? noPrefillWork : addPrefillWork(this.prefillWork, prefill.work, -1);
 		if (!isMeasured) {
 			return;
 		}
 
 		const durationMs = now - prefill.startedAt;
-		this.#prefillWindow.onPrefill(prefill.tokens, durationMs, now);
-		this.#prefillModel.add(prefill.tokens, prefill.backlogTokens, durationMs);
+		this.#prefillWindow.onPrefill(this.computeBusyMs(prefill.work), durationMs, now);
+		this.#prefillModel.add(prefill.work, prefill.backlog, durationMs);
+	}
+
+	get #model(): PlaneModel {
+		return this.#prefillModel.model ?? this.#unmeasuredModel;
 	}
 
 	/** Whether a request in progress takes KV memory. */
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -16,6 +16,8 @@
 const prefillSilenceTargets = 2.5;
 /** Multiple of the route's target after which a silent stream that can be resumed is moved to another engine. */
 const decodeSilenceTargets = 3.3;
+/** Multiple of the expected time to the first token up to which a silent engine may still be at work. */
+const maxExpectedMultiple = 2.5;
 /** Shortest silence after which a send is aborted, in milliseconds: longer than the pauses between events that callers accept. */
 const minSilenceTimeoutMs = 400;
 
@@ -84,7 +86,7 @@
 			continueFrom: kvCacheHandle,
 			fetchFrom: kvCacheHandle ? undefined : findAddress(served, reservation.engines.prefixSource),
 			resumeAfter: progress.lastEventId,
-			silenceTimeoutMs: mayResume ? Math.max(minSilenceTimeoutMs, served.route.targetMs * decodeSilenceTargets) : undefined,
+			silenceTimeoutMs: mayResume ? computeSilenceTimeoutMs(served, reservation, decodeSilenceTargets) : undefined,
 			mayReuseIdle: served.route.isResumable,
 		}));
 		const isDone = yield * callStep('pass the stream on', async () => relayStream(dependencies, served, {
@@ -135,7 +137,7 @@
 			serviceMs: dependencies.serviceTimes.estimateMs(served.route.name),
 			excludedEngines: [...progress.triedIds, ...unavailableIds],
 		}, served.signal);
-		served.trace.onAdmitted();
+		served.trace.onAdmitted(reservation.engines.firstTokenMs);
 		return reservation;
 	} catch (error) {
 		refuseUnadmitted(served, error, progress.runs > 0);
@@ -168,7 +170,7 @@
 	const attempt = yield * callStep('send to the engine that reads', async () => callEngine(dependencies, served, prefillEngine, {
 		purpose: 'prefill',
 		fetchFrom: findAddress(served, reservation.engines.prefixSource),
-		silenceTimeoutMs: Math.max(minSilenceTimeoutMs, served.route.targetMs * prefillSilenceTargets),
+		silenceTimeoutMs: computeSilenceTimeoutMs(served, reservation, prefillSilenceTargets),
 		mayReuseIdle: true,
 	}));
 	const handle = yield * callStep('read the handle', async () => readHandle(dependencies, attempt));
@@ -272,6 +274,11 @@
 	return true;
 }
 
+/** Computes the silence after which a send is aborted, in milliseconds: a multiple of the route's target, and longer where the engine is expected to take long. */
+function computeSilenceTimeoutMs({route}: ServedRequest, {engines}: Reservation, targets: number): number {
+	return Math.max(minSilenceTimeoutMs, route.targetMs * targets, engines.firstTokenMs * maxExpectedMultiple);
+}
+
 function findAddress(served: ServedRequest, engineId: string | undefined): string | undefined {
 	return engineId === undefined ? undefined : served.fleet.findServing(engineId)?.record.address;
 }
--- a/src/gateway/reporter.ts
+++ b/src/gateway/reporter.ts
@@ -61,6 +61,7 @@
 		deadlineMs: trace.request.callerDeadlineMs,
 		...(trace.request.prompt ? {promptTokens: trace.request.prompt.promptTokens, outputTokens: trace.request.prompt.outputTokens} : {}),
 		waitedMs: formatNumber(trace.waitedMs),
+		expectedMs: formatNumber(trace.expectedMs),
 		firstByteMs: formatNumber(trace.firstByteMs),
 		totalMs: formatNumber(trace.totalMs),
 		attempts: trace.attempts.map(attempt => ({
--- a/src/gateway/trace.ts
+++ b/src/gateway/trace.ts
@@ -44,6 +44,7 @@
 	route: Route | undefined;
 	service: string | undefined;
 	waitedMs: number | undefined;
+	expectedMs: number | undefined;
 	firstByteMs: number | undefined;
 	outcome: RequestOutcome | undefined;
 	reason: string | undefined;
@@ -63,9 +64,10 @@
 		this.service = service;
 	}
 
-	/** Records that the request has an engine and no longer waits. */
-	onAdmitted(): void {
+	/** Records that the request has an engine and no longer waits, and the expected time from then to its first token, in milliseconds. */
+	onAdmitted(expectedMs?: number): void {
 		this.waitedMs = this.#measureElapsedMs();
+		this.expectedMs = expectedMs;
 	}
 
 	/** Records a send and returns its trace, which is completed when the send ends. */
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -2,7 +2,7 @@
 	PrefixCacheIndex, chooseGenerationPlacement, engineOutcome, engineStage, EngineUsage, GrantRate, isLong, PrefillModel, QueueRefusal, AdmissionQueue,
 } from '../dispatch/index.js';
 import type {
-	EngineOutcome, EngineView, Fleet, GenerationPlacement, Prefill,
+	EngineOutcome, EngineView, Fleet, GenerationPlacement, Prefill, PrefixBlock,
 } from '../dispatch/index.js';
 import type {Timer, TimerService} from '../timers/index.js';
 import {formatRequestKind, Reservation} from './types.js';
@@ -31,6 +31,7 @@
 	readonly #usages = new WeakMap<EngineView, EngineUsage>();
 	readonly #kindModels = new Map<string, PrefillModel>();
 	readonly #prefixCaches = new PrefixCacheIndex();
+	#allocationCount = 0;
 
 	constructor(dependencies: SlotAllocatorDependencies) {
 		this.#dependencies = dependencies;
@@ -94,8 +95,8 @@
 	}
 
 	/** Records that the blocks of a prompt are in an engine's memory now, or that the engine failed to read them. */
-	onBlocksRead(view: EngineView, request: ReservationRequest, hasRead: boolean): void {
-		this.#prefixCaches.finishRead(view, request.prefixBlocks, hasRead);
+	onBlocksRead(view: EngineView, blocks: readonly PrefixBlock[], hasRead: boolean): void {
+		this.#prefixCaches.finishRead(view, blocks, hasRead);
 	}
 
 	/** Returns the prefill model of the engines of the same service and stage. */
@@ -128,15 +129,17 @@
 			this.getUsage(view).health.onSend();
 		}
 
-		const prefill = this.getUsage(prefillEngine ?? decodeEngine).startPrefill(placement.prefillTokens, now);
+		const prefill = this.getUsage(prefillEngine ?? decodeEngine).startPrefill(placement.work, now);
 		this.getUsage(decodeEngine).startDecode(request, prefillEngine !== undefined);
-		// After the prefill both engines hold the prefix blocks: one computed or fetched them, the other received them with the KV cache.
+		// The engines keep the unique part too, until other blocks need its memory.
+		const blocks = [...request.prefixBlocks, {id: `unique ${this.#allocationCount++}`, tokens: request.uniqueTokens}];
+		// After the prefill both engines hold the blocks: one computed or fetched them, the other received them with the KV cache.
 		for (const view of prefillEngine ? [prefillEngine, decodeEngine] : [decodeEngine]) {
 			this.getUsage(view).holdKv(request);
-			this.#prefixCaches.startRead(view, request.prefixBlocks, request.kvCapacityTokens);
+			this.#prefixCaches.startRead(view, blocks, request.kvCapacityTokens);
 		}
 
-		return {placement, prefill};
+		return {placement, prefill, blocks};
 	}
 
 	#getGrantRate(request: ReservationRequest): GrantRate {
@@ -157,7 +160,7 @@
 	}
 }
 
-type Allocation = {readonly placement: GenerationPlacement; readonly prefill: Prefill};
+type Allocation = {readonly placement: GenerationPlacement; readonly prefill: Prefill; readonly blocks: readonly PrefixBlock[]};
 
 /** A reservation granted by the allocator of this process. */
 export class LocalReservation extends Reservation {
@@ -165,20 +168,22 @@
 	readonly #allocator: SlotAllocator;
 	readonly #placement: GenerationPlacement;
 	readonly #prefill: Prefill;
+	readonly #blocks: readonly PrefixBlock[];
 	readonly #request: ReservationRequest;
 	readonly #timers: TimerService;
 	readonly #expiryTimer: Timer;
 	#isPrefillPending = true;
 	#isHeld = true;
 
-	constructor(allocator: SlotAllocator, {placement, prefill}: Allocation, request: ReservationRequest, timers: TimerService) {
+	constructor(allocator: SlotAllocator, {placement, prefill, blocks}: Allocation, request: ReservationRequest, timers: TimerService) {
 		super();
 		this.#allocator = allocator;
 		this.#placement = placement;
 		this.#prefill = prefill;
+		this.#blocks = blocks;
 		this.#request = request;
 		this.#timers = timers;
-		this.engines = {prefillEngine: placement.prefillEngine?.record.id, decodeEngine: placement.decodeEngine.record.id, prefixSource: placement.prefixSource?.record.id};
+		this.engines = {prefillEngine: placement.prefillEngine?.record.id, decodeEngine: placement.decodeEngine.record.id, prefixSource: placement.prefixSource?.record.id, firstTokenMs: placement.firstTokenMs};
 		this.#expiryTimer = timers.startTimer(request.deadlineMs + expiryMarginMs, () => {
 			this.release(undefined);
 		});
@@ -191,7 +196,7 @@
 
 		this.#isPrefillPending = false;
 		const {prefillEngine, decodeEngine} = this.#placement;
-		this.#allocator.onBlocksRead(prefillEngine ?? decodeEngine, this.#request, outcome === engineOutcome.answered);
+		this.#allocator.onBlocksRead(prefillEngine ?? decodeEngine, this.#blocks, outcome === engineOutcome.answered);
 		this.#allocator.getUsage(prefillEngine ?? decodeEngine).finishPrefill(this.#prefill, this.#timers.getNow(), outcome === engineOutcome.answered);
 		if (prefillEngine) {
 			this.#allocator.getUsage(prefillEngine).releaseKv(this.#request);
@@ -212,7 +217,7 @@
 		this.#expiryTimer.cancel();
 		const {prefillEngine, decodeEngine} = this.#placement;
 		if (prefillEngine) {
-			this.#allocator.onBlocksRead(decodeEngine, this.#request, outcome === engineOutcome.answered);
+			this.#allocator.onBlocksRead(decodeEngine, this.#blocks, outcome === engineOutcome.answered);
 		}
 
 		this.#allocator.getUsage(decodeEngine).releaseKv(this.#request);
--- a/src/places/messages.ts
+++ b/src/places/messages.ts
@@ -46,7 +46,8 @@
 		}
 
 		case allocatorMessageKind.grant: {
-			return [message.kind, message.id, message.engines.prefillEngine ?? '', message.engines.decodeEngine, message.engines.prefixSource ?? '', Math.round(message.grantRate * 100)];
+			const {prefillEngine, decodeEngine, prefixSource, firstTokenMs} = message.engines;
+			return [message.kind, message.id, prefillEngine ?? '', decodeEngine, prefixSource ?? '', Math.round(message.grantRate * 100), Math.round(firstTokenMs)];
 		}
 
 		case allocatorMessageKind.refuse: {
@@ -80,7 +81,7 @@
 		}
 
 		case allocatorMessageKind.grant: {
-			const engines = {prefillEngine: parseString(rest[0]) || undefined, decodeEngine: parseString(rest[1]), prefixSource: parseString(rest[2]) || undefined};
+			const engines = {prefillEngine: parseString(rest[0]) || undefined, decodeEngine: parseString(rest[1]), prefixSource: parseString(rest[2]) || undefined, firstTokenMs: parseOptionalNumber(rest[4])};
 			return {
 				kind, id, engines, grantRate: parseNumber(rest[3]) / 100,
 			};
@@ -122,8 +123,7 @@
 		uniqueTokens: parseNumber(uniqueTokens),
 		outputTokens: parseNumber(outputTokens),
 		kvCapacityTokens: parseNumber(kvCapacityTokens),
-		// Entries of a build without this field may send requests during an update.
-		kvTransferMsPerToken: kvTransferMsPerToken === undefined ? 0 : parseNumber(kvTransferMsPerToken),
+		kvTransferMsPerToken: parseOptionalNumber(kvTransferMsPerToken),
 		excludedEngines: Array.isArray(excludedEngines) ? excludedEngines.map(id => parseString(id)) : [],
 	};
 }
@@ -146,6 +146,11 @@
 	return value;
 }
 
+/** Parses a number that entries of an earlier build don't send; 0 then. */
+function parseOptionalNumber(value: unknown): number {
+	return value === undefined ? 0 : parseNumber(value);
+}
+
 function parseString(value: unknown): string {
 	if (typeof value !== 'string') {
 		throw new BadFrameError('allocator message has a field that is not a string');
--- a/src/places/types.ts
+++ b/src/places/types.ts
@@ -37,6 +37,8 @@
 	readonly decodeEngine: string;
 	/** Holds prefix blocks that the prefilling engine lacks and fetches from it; `undefined` when no engine holds more of them. */
 	readonly prefixSource: string | undefined;
+	/** Expected time from the reservation to the first token, in milliseconds. */
+	readonly firstTokenMs: number;
 };
 
 /** Capacity on engines that is held for one request until it is released. */
