--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -11,7 +11,7 @@
 	isOnTimeAt, comparePriority, computeRetryAfterMs, isOverdue, QueueRefusal, AdmissionQueue,
 } from './queue.js';
 export type {QueuedRequest} from './queue.js';
-export {chooseGenerationPlacement, choosePlainEngine} from './placement.js';
+export {chooseGenerationPlacement, choosePlainEngine, estimateFirstTokenMs} from './placement.js';
 export type {GenerationNeeds} from './needs.js';
 export type {GenerationPlacement, PlacementContext} from './placement.js';
 export {AdaptiveThrottle} from './throttle.js';
--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -1,10 +1,12 @@
-import {computeRendezvousScore, maxRendezvousScore} from '../rates/index.js';
-import type {PrefixCacheIndex} from './prefixcache.js';
 import {engineStage} from './engine.js';
 import type {EngineView} from './engine.js';
 import type {GenerationNeeds} from './needs.js';
 import {createPrefillWork} from './prefillmodel.js';
 import type {PrefillWork} from './prefillmodel.js';
+import {
+	computeHomeDistance, computeTransferMs, countPrefixTokens, planPrefills, prefixFetchMs,
+} from './prefillplan.js';
+import type {PrefillPlanContext} from './prefillplan.js';
 import {isLong} from './usage.js';
 import type {EngineUsage} from './usage.js';
 
@@ -23,13 +25,11 @@
 };
 
 /** What a placement is chosen from, beside the engines and the needs of the generation. */
-export type PlacementContext = {
+export type PlacementContext = PrefillPlanContext & {
 	/** Monotonic time, in milliseconds. */
 	readonly now: number;
 	/** Share of each engine's capacity that may be reserved, above 0 up to 1. */
 	readonly slotShare: number;
-	readonly getUsage: (view: EngineView) => EngineUsage;
-	readonly prefixCaches: PrefixCacheIndex;
 	/** Whether short generations wait for a reservation. */
 	readonly hasShortWaiting: boolean;
 };
@@ -42,12 +42,6 @@
 const maxQueuedShort = 1;
 /** Time to hand a prefilled prompt over to another engine for decoding, beyond the KV transfer, in milliseconds: a message each way. */
 const handoffMs = 6;
-/** Cost of fetching prefix blocks from another engine, beyond the KV transfer, in milliseconds: the fetch leaves them in the memory of two engines. */
-const prefixFetchCostMs = 5;
-/** Transfer time between failure domains, relative to that within one. */
-const transferFactor = 2;
-/** Weight of the time in which an engine reads blocks that another one holds or is reading: it is lost to other prompts. */
-const repeatedReadWeight = 1;
 /** Share of an engine's KV memory that requests in progress may take at their fullest; the rest holds blocks for further prompts. */
 const maxKvShare = 0.9;
 /** Load of a request whose prompt is still being prefilled on another engine, in slots: it needs its slot only after that. */
@@ -102,7 +96,7 @@
 	}
 
 	const {getUsage} = context;
-	const promptTokens = needs.uniqueTokens + countTokens(needs);
+	const promptTokens = needs.uniqueTokens + countPrefixTokens(needs);
 	if (isLong(needs)) {
 		const decodeEngine = findLowest(decodeEngines, view => computeDecodeLoad(getUsage(view)))!;
 		const work = createPrefillWork(promptTokens, promptTokens);
@@ -111,57 +105,24 @@
 		};
 	}
 
-	const prefills = available.map(view => planPrefill(view, available, needs, context));
-	const combined = findLowest(prefills.filter(({view}) => decodeEngines.includes(view)), ({costMs}) => costMs);
-	const separate = findLowest(prefills.filter(({view}) => view.record.stage === engineStage.prefill), ({costMs}) => costMs);
-	const transferMs = promptTokens * needs.kvTransferMsPerToken * transferFactor;
-	if (separate && (!combined || separate.costMs + handoffMs + transferMs < combined.costMs)) {
-		const decodeEngine = chooseDecodeEngine(decodeEngines, needs, context);
+	const plans = planPrefills(available, needs, context).filter(({view}) => hasPrefillRoom(view, needs, context));
+	const combined = findLowest(plans.filter(({view}) => decodeEngines.includes(view)), ({costMs}) => costMs);
+	const separate = findLowest(plans.filter(({view}) => view.record.stage === engineStage.prefill), ({costMs}) => costMs);
+	const decodeEngine = chooseDecodeEngine(decodeEngines, needs, context);
+	const separateMs = handoffMs + computeTransferMs(promptTokens, needs) + getUsage(decodeEngine).computeBacklogMs();
+	if (separate && (!combined || separate.costMs + separateMs < combined.costMs)) {
 		return {
-			...separate, prefillEngine: separate.view, decodeEngine, firstTokenMs: separate.firstTokenMs + handoffMs + transferMs + getUsage(decodeEngine).computeBacklogMs(),
+			...separate, prefillEngine: separate.view, decodeEngine, firstTokenMs: separate.firstTokenMs + separateMs,
 		};
 	}
 
 	return combined && {...combined, prefillEngine: undefined, decodeEngine: combined.view};
 }
 
-/** How one engine would prefill a prompt. */
-type PrefillPlan = {
-	readonly view: EngineView;
-	readonly prefixSource: EngineView | undefined;
-	readonly work: PrefillWork;
-	/** Expected time until the prompt is prefilled, in milliseconds. */
-	readonly firstTokenMs: number;
-	/** That time and what the prefill costs other prompts, in milliseconds; infinite when the engine has no room for it. */
-	readonly costMs: number;
-};
-
-/** Plans the prefill on one engine. */
-function planPrefill(view: EngineView, others: readonly EngineView[], needs: GenerationNeeds, context: PlacementContext): PrefillPlan {
-	const {getUsage, prefixCaches} = context;
-	const usage = getUsage(view);
-	const missingTokens = prefixCaches.countMissingTokens(view, needs.prefixBlocks, true);
-	let fetchedTokens = 0;
-	let prefixSource: EngineView | undefined;
-	let repeatedTokens = 0;
-	for (const other of missingTokens > 0 ? others : []) {
-		const tokens = missingTokens - prefixCaches.countMissingTokens(other, needs.prefixBlocks, false);
-		if (other !== view && tokens > fetchedTokens) {
-			prefixSource = other;
-			fetchedTokens = tokens;
-		}
-
-		repeatedTokens = Math.max(repeatedTokens, missingTokens - prefixCaches.countMissingTokens(other, needs.prefixBlocks, true));
-	}
-
-	const promptTokens = needs.uniqueTokens + countTokens(needs);
-	const work = createPrefillWork(needs.uniqueTokens + missingTokens - fetchedTokens, promptTokens);
-	const fetchMs = prefixSource ? prefixFetchCostMs + (fetchedTokens * needs.kvTransferMsPerToken * transferFactor) : 0;
-	const repeatedWork = createPrefillWork(Math.max(0, repeatedTokens - fetchedTokens), promptTokens);
-	const firstTokenMs = usage.computePrefillMs(work) + fetchMs;
-	return {
-		view, prefixSource, work, firstTokenMs, costMs: hasPrefillRoom(view, needs, context) ? firstTokenMs + (usage.computeBusyMs(repeatedWork) * repeatedReadWeight) : Number.POSITIVE_INFINITY,
-	};
+/** Estimates the shortest time to the first token that any engine offers now, room or not, in milliseconds; infinite without an engine. */
+export function estimateFirstTokenMs(views: readonly EngineView[], needs: GenerationNeeds, context: PlacementContext): number {
+	const available = views.filter(view => context.getUsage(view).health.isAvailable(context.now));
+	return Math.min(Number.POSITIVE_INFINITY, ...planPrefills(available, needs, context).map(({firstTokenMs}) => firstTokenMs));
 }
 
 /**
@@ -169,24 +130,18 @@
 prefills itself. Among similar ones, it is one that holds the prefix blocks, or their home by rendezvous hashing.
 */
 function chooseDecodeEngine(decodeEngines: readonly EngineView[], needs: GenerationNeeds, {getUsage, prefixCaches}: PlacementContext): EngineView {
-	const prefixId = needs.prefixBlocks.at(-1)?.id;
-	const blockTransferMs = prefixFetchCostMs + (countTokens(needs) * needs.kvTransferMsPerToken * transferFactor);
+	const blockTransferMs = prefixFetchMs + computeTransferMs(countPrefixTokens(needs), needs);
 	return findLowest(decodeEngines, view => {
 		const usage = getUsage(view);
-		if (prefixId === undefined) {
+		if (needs.prefixBlocks.length === 0) {
 			return usage.computeBacklogMs() + computeDecodeLoad(usage);
 		}
 
 		const isHolder = prefixCaches.countMissingTokens(view, needs.prefixBlocks, true) === 0;
-		const homeShare = 1 - (computeRendezvousScore(prefixId, view.record.id) / maxRendezvousScore);
-		return usage.computeBacklogMs() + (isHolder ? 0 : blockTransferMs) + (homeShare * prefixFetchCostMs);
+		return usage.computeBacklogMs() + (isHolder ? 0 : blockTransferMs) + (computeHomeDistance(view, needs) * prefixFetchMs);
 	})!;
 }
 
-function countTokens({prefixBlocks}: GenerationNeeds): number {
-	return prefixBlocks.reduce((sum, {tokens}) => sum + tokens, 0);
-}
-
 function hasPrefillRoom(view: EngineView, needs: GenerationNeeds, {slotShare, getUsage, now}: PlacementContext): boolean {
 	const usage = getUsage(view);
 	return hasKvRoom(usage, needs, slotShare) && usage.hasPrefillRoom(slotShare, now);
--- a/src/dispatch/prefixcache.ts
+++ b/src/dispatch/prefixcache.ts
@@ -67,6 +67,19 @@
 		cache.evict(capacityTokens);
 	}
 
+	/** Records the blocks that an engine says it holds, beside those that are known already. */
+	addHeld(view: EngineView, blocks: readonly PrefixBlock[], capacityTokens: number): void {
+		const cache = this.#getCache(view);
+		for (const {id, tokens} of blocks) {
+			const known = cache.get(id);
+			if (known?.pendingReads !== 0) {
+				cache.set(id, {tokens, pendingReads: 0});
+			}
+		}
+
+		cache.evict(capacityTokens);
+	}
+
 	/** Records that an engine has read the blocks of a prompt of `startRead`, or failed to. */
 	finishRead(view: EngineView, blocks: readonly PrefixBlock[], hasRead: boolean): void {
 		const cache = this.#getCache(view);
--- a/src/dispatch/queue.ts
+++ b/src/dispatch/queue.ts
@@ -32,10 +32,13 @@
 	}
 }
 
+/** Makes a reservation at a monotonic time, in milliseconds. Returns `undefined` when there is no capacity, and a refusal when waiting for it is of no use. */
+export type TryReserve<Reservation> = (now: number) => Reservation | QueueRefusal | undefined;
+
 /** A queued request, how to make its reservation, and how to settle its wait. */
 type Waiter<Reservation> = {
 	readonly request: QueuedRequest;
-	readonly tryReserve: (now: number) => Reservation | undefined;
+	readonly tryReserve: TryReserve<Reservation>;
 	readonly resolve: (result: Reservation | QueueRefusal) => void;
 };
 
@@ -162,7 +165,7 @@
 	Waits until `tryReserve` returns a reservation, and returns it. Throws `NotRunError` when the request is refused
 	instead, or when `signal` is aborted.
 	*/
-	async wait(request: QueuedRequest, tryReserve: (now: number) => Reservation | undefined, signal: AbortSignal): Promise<Reservation> {
+	async wait(request: QueuedRequest, tryReserve: TryReserve<Reservation>, signal: AbortSignal): Promise<Reservation> {
 		const result = await this.tryWait(request, tryReserve, signal);
 		if (result instanceof QueueRefusal) {
 			throw result.toError();
@@ -172,7 +175,7 @@
 	}
 
 	/** Does what `wait` does, but returns a refusal where `wait` throws. */
-	async tryWait(request: QueuedRequest, tryReserve: (now: number) => Reservation | undefined, signal: AbortSignal): Promise<Reservation | QueueRefusal> {
+	async tryWait(request: QueuedRequest, tryReserve: TryReserve<Reservation>, signal: AbortSignal): Promise<Reservation | QueueRefusal> {
 		const now = this.#timers.getNow();
 		if (now + request.serviceMs >= request.deadlineAt) {
 			return this.#createRefusal(request, now, refusalReason.deadline);
@@ -227,7 +230,10 @@
 			}
 
 			group.remove(waiter);
-			group.onGrant(now);
+			if (!(reservation instanceof QueueRefusal)) {
+				group.onGrant(now);
+			}
+
 			waiter.resolve(reservation);
 		}
 	}
--- a/src/dispatch/usage.ts
+++ b/src/dispatch/usage.ts
@@ -8,10 +8,9 @@
 /** Output tokens from which a generation holds its slot for long: about half a second, at somewhat under a millisecond a token. */
 const minLongOutputTokens = 700;
 /**
-Time of prompts that may wait at an engine, as a multiple of the time of a mean prompt: one is prefilled, one follows, and
-one covers that sizes vary. A request that waits in the queue instead can still be reordered or refused.
+Time of prompts that may wait at an engine, as a multiple of the time of a mean prompt: one is prefilled and one follows. A request that waits in the queue instead can still be reordered or refused.
 */
-const maxQueuedPrompts = 3;
+const maxQueuedPrompts = 2;
 /** Minimum of that time, in milliseconds: messages between entries take as long on any engine. */
 const minQueueMs = 40;
 /** Minimum of the longest round trip that counts as the engine's and the network's own, in milliseconds: slow senders of fast engines. */
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -1,5 +1,5 @@
 import type {EngineLoad} from '../dispatch/index.js';
-import type {GatewayRequest, HeaderList} from './types.js';
+import type {GatewayRequest, HeaderList, PrefixBlock} from './types.js';
 
 /** One incarnation of an engine, and its address. */
 export type EngineTarget = {
@@ -68,6 +68,9 @@
 	/** Tells the engine to free a KV cache that no engine will use; returns at once. */
 	abstract releaseKvCache(handle: KvCacheHandle, engineId: string): void;
 
+	/** Asks an engine which prefix blocks its KV memory holds; `undefined` when it can't be asked or does not say. */
+	abstract listHeldBlocks(engine: EngineTarget): Promise<readonly PrefixBlock[] | undefined>;
+
 	/** Reads the KV cache handle from the answer to a prefill. */
 	abstract readHandle(reply: EngineReply): Promise<string>;
 }
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -1,15 +1,22 @@
 import {
-	PrefixCacheIndex, chooseGenerationPlacement, engineOutcome, engineStage, EngineUsage, GrantRate, isLong, PrefillModel, QueueRefusal, AdmissionQueue,
+	PrefixCacheIndex, chooseGenerationPlacement, computeRetryAfterMs, engineOutcome, estimateFirstTokenMs, engineStage, EngineUsage, GrantRate, isLong, PrefillModel, QueueRefusal, AdmissionQueue,
 } from '../dispatch/index.js';
 import type {
-	EngineOutcome, EngineView, Fleet, GenerationPlacement, Prefill, PrefixBlock,
+	EngineOutcome, EngineRecord, EngineView, Fleet, GenerationPlacement, PlacementContext, Prefill, PrefixBlock,
 } from '../dispatch/index.js';
+import {refusalReason} from '../errors/index.js';
 import type {Timer, TimerService} from '../timers/index.js';
 import {formatRequestKind, Reservation} from './types.js';
 import type {ReservedEngines, ReservationRequest} from './types.js';
 
 /** Time after a request's deadline at which its reservation is released if the holder has not released it, in milliseconds. */
 const expiryMarginMs = 500;
+/** Multiple of the time left up to which an estimated time to the first token may be too long by chance. */
+const estimateMargin = 1.2;
+/** Time without requests after which other entries may have placed prompts at the engines, in milliseconds: several requests come in it on any load that fills caches. */
+const maxUnfollowedMs = 1500;
+/** Share of the capacity that is open to answers which will be late. */
+const lateShare = 0.5;
 
 export type SlotAllocatorDependencies = {
 	readonly timers: TimerService;
@@ -17,6 +24,8 @@
 	readonly getRandom: () => number;
 	/** Returns the share of each engine's capacity that this allocator may grant, above 0 up to 1. */
 	readonly getSlotShare: () => number;
+	/** Asks an engine which blocks it holds; `undefined` when it does not say. */
+	readonly listHeldBlocks?: (engine: EngineRecord) => Promise<readonly PrefixBlock[] | undefined>;
 };
 
 /**
@@ -32,6 +41,9 @@
 	readonly #kindModels = new Map<string, PrefillModel>();
 	readonly #prefixCaches = new PrefixCacheIndex();
 	#allocationCount = 0;
+	/** Engines whose caches are followed; those of others are asked for. */
+	#followedViews = new WeakSet<EngineView>();
+	#lastRequestAt = Number.NEGATIVE_INFINITY;
 
 	constructor(dependencies: SlotAllocatorDependencies) {
 		this.#dependencies = dependencies;
@@ -62,10 +74,13 @@
 		const {timers, fleet} = this.#dependencies;
 		const now = timers.getNow();
 		const excluded = new Set(request.excludedEngines);
+		this.#followCaches(request, now);
 		const allocation = await this.#getQueue(request.service).tryWait({
 			targetAt: now + request.targetMs, deadlineAt: now + request.deadlineMs, firstByteDeadlineAt: now + request.firstByteTimeoutMs, queuedAt: now, serviceMs: request.serviceMs,
 			group: isLong(request) ? 'long' : 'short',
-		}, at => this.#tryAllocate(request, fleet.listServing(request.service).filter(view => !excluded.has(view.record.id)), at), signal);
+		}, at => this.#tryAllocate(request, fleet.listServing(request.service).filter(view => !excluded.has(view.record.id)), {
+			now: at, targetAt: now + request.targetMs, callerLeavesAt: now + Math.min(request.deadlineMs, request.firstByteTimeoutMs),
+		}), signal);
 		const isGranted = !(allocation instanceof QueueRefusal);
 		this.#getGrantRate(request).onEnd(isGranted, timers.getNow());
 		return isGranted ? new LocalReservation(this, allocation, request, timers) : allocation;
@@ -112,16 +127,25 @@
 		this.#queues.get(service)?.dispatch();
 	}
 
-	#tryAllocate(request: ReservationRequest, views: readonly EngineView[], now: number): Allocation | undefined {
-		const placement = chooseGenerationPlacement(views, request, {
+	#tryAllocate(request: ReservationRequest, views: readonly EngineView[], {now, targetAt, callerLeavesAt}: AllocationTimes): Allocation | QueueRefusal | undefined {
+		const slotShare = this.#dependencies.getSlotShare();
+		const context: PlacementContext = {
 			now,
-			slotShare: this.#dependencies.getSlotShare(),
+			slotShare,
 			getUsage: view => this.getUsage(view),
 			prefixCaches: this.#prefixCaches,
 			hasShortWaiting: this.#getQueue(request.service).countWaiting('short') > 0,
-		});
-		if (!placement) {
-			return undefined;
+		};
+		const maxFirstTokenMs = (callerLeavesAt - now) * estimateMargin;
+		let placement = chooseGenerationPlacement(views, request, context);
+		if (placement && now + placement.firstTokenMs > targetAt) {
+			// An answer that will be late gets what requests that can be on time leave.
+			placement = chooseGenerationPlacement(views, request, {...context, slotShare: slotShare * lateShare});
+		}
+
+		if (!placement || placement.firstTokenMs > maxFirstTokenMs) {
+			const isHopeless = estimateFirstTokenMs(views, request, context) > maxFirstTokenMs && views.length > 0;
+			return isHopeless ? new QueueRefusal(refusalReason.overload, computeRetryAfterMs(callerLeavesAt - now, this.#dependencies.getRandom())) : undefined;
 		}
 
 		const {prefillEngine, decodeEngine} = placement;
@@ -142,6 +166,38 @@
 		return {placement, prefill, blocks};
 	}
 
+	/**
+	Asks the engines of a service which blocks they hold unless this allocator has followed their caches by what it placed
+	there: after a start, and after a time in which others allocated. An allocator that grants a share only does not ask, since
+	all entries do so then.
+	*/
+	#followCaches(request: ReservationRequest, now: number): void {
+		const {fleet, getSlotShare, listHeldBlocks} = this.#dependencies;
+		if (now - this.#lastRequestAt > maxUnfollowedMs) {
+			this.#followedViews = new WeakSet();
+		}
+
+		this.#lastRequestAt = now;
+		if (!listHeldBlocks || getSlotShare() < 1) {
+			return;
+		}
+
+		for (const view of fleet.listServing(request.service)) {
+			if (!this.#followedViews.has(view)) {
+				this.#followedViews.add(view);
+				void this.#addHeldBlocks(view, request.kvCapacityTokens, listHeldBlocks);
+			}
+		}
+	}
+
+	async #addHeldBlocks(view: EngineView, kvCapacityTokens: number, listHeldBlocks: NonNullable<SlotAllocatorDependencies['listHeldBlocks']>): Promise<void> {
+		const blocks = await listHeldBlocks(view.record);
+		if (blocks) {
+			this.#prefixCaches.addHeld(view, blocks, kvCapacityTokens);
+			this.onCapacityFreed(view.record.service);
+		}
+	}
+
 	#getGrantRate(request: ReservationRequest): GrantRate {
 		const kind = formatRequestKind(request);
 		const grantRate = this.#grantRates.get(kind) ?? new GrantRate();
@@ -160,6 +216,9 @@
 	}
 }
 
+/** Monotonic times of an attempt to allocate, in milliseconds. */
+type AllocationTimes = {readonly now: number; readonly targetAt: number; readonly callerLeavesAt: number};
+
 type Allocation = {readonly placement: GenerationPlacement; readonly prefill: Prefill; readonly blocks: readonly PrefixBlock[]};
 
 /** A reservation granted by the allocator of this process. */
