--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -15,6 +15,8 @@
 export type {GenerationNeeds} from './needs.js';
 export type {GenerationPlacement, PlacementContext} from './placement.js';
 export {AdaptiveThrottle} from './throttle.js';
-export {PrefillModel} from './prefillmodel.js';
+export {createPrefillWork, noPrefillWork, PrefillModel} from './prefillmodel.js';
+export type {PrefillWork} from './prefillmodel.js';
+export {countPrefixTokens} from './prefillplan.js';
 export {EngineUsage, isLong} from './usage.js';
 export type {Prefill} from './usage.js';
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -1,5 +1,5 @@
 import {
-	PrefixCacheIndex, chooseGenerationPlacement, computeRetryAfterMs, engineOutcome, estimateFirstTokenMs, engineStage, EngineUsage, GrantRate, isLong, PrefillModel, QueueRefusal, AdmissionQueue,
+	PrefixCacheIndex, chooseGenerationPlacement, computeRetryAfterMs, countPrefixTokens, createPrefillWork, engineOutcome, estimateFirstTokenMs, engineStage, EngineUsage, GrantRate, isLong, noPrefillWork, PrefillModel, QueueRefusal, AdmissionQueue,
 } from '../dispatch/index.js';
 import type {
 	EngineOutcome, EngineRecord, EngineView, Fleet, GenerationPlacement, PlacementContext, Prefill, PrefixBlock,
@@ -83,7 +83,31 @@
 		}), signal);
 		const isGranted = !(allocation instanceof QueueRefusal);
 		this.#getGrantRate(request).onEnd(isGranted, timers.getNow());
-		return isGranted ? new LocalReservation(this, allocation, request, timers) : allocation;
+		return isGranted ? new LocalReservation(this, allocation, request, {timers, isAdopted: false}) : allocation;
+	}
+
+	/**
+	Accounts for a reservation that another allocator granted and that is still held, so that the engines do not look idle
+	after a change of allocator. Returns `undefined` when its engines are not known here.
+	*/
+	adopt(request: ReservationRequest, engines: ReservedEngines, isPrefillPending: boolean): LocalReservation | undefined {
+		const {timers, fleet} = this.#dependencies;
+		const decodeEngine = fleet.findServing(engines.decodeEngine);
+		const prefillEngine = engines.prefillEngine === undefined ? undefined : fleet.findServing(engines.prefillEngine);
+		if (!decodeEngine || (engines.prefillEngine !== undefined && !prefillEngine)) {
+			return undefined;
+		}
+
+		const promptTokens = request.uniqueTokens + countPrefixTokens(request);
+		const work = isPrefillPending ? createPrefillWork(request.uniqueTokens, promptTokens) : noPrefillWork;
+		const reservation = new LocalReservation(this, this.#hold(request, {
+			prefillEngine, decodeEngine, prefixSource: undefined, work, firstTokenMs: engines.firstTokenMs,
+		}, timers.getNow()), request, {timers, isAdopted: true});
+		if (!isPrefillPending) {
+			reservation.onPrefillEnd(undefined);
+		}
+
+		return reservation;
 	}
 
 	/** Computes the share of the latest requests of the same kind that were granted, 0 to 1. */
@@ -153,6 +177,12 @@
 			this.getUsage(view).health.onSend();
 		}
 
+		return this.#hold(request, placement, now);
+	}
+
+	/** Accounts for a reservation. */
+	#hold(request: ReservationRequest, placement: GenerationPlacement, now: number): Allocation {
+		const {prefillEngine, decodeEngine} = placement;
 		const prefill = this.getUsage(prefillEngine ?? decodeEngine).startPrefill(placement.work, now);
 		this.getUsage(decodeEngine).startDecode(request, prefillEngine !== undefined);
 		// The engines keep the unique part too, until other blocks need its memory.
@@ -231,11 +261,14 @@
 	readonly #request: ReservationRequest;
 	readonly #timers: TimerService;
 	readonly #expiryTimer: Timer;
+	readonly #isAdopted: boolean;
 	#isPrefillPending = true;
 	#isHeld = true;
 
-	constructor(allocator: SlotAllocator, {placement, prefill, blocks}: Allocation, request: ReservationRequest, timers: TimerService) {
+	/** Takes whether another allocator granted the reservation; its prefill then tells nothing of the engine's speed. */
+	constructor(allocator: SlotAllocator, {placement, prefill, blocks}: Allocation, request: ReservationRequest, {timers, isAdopted}: {readonly timers: TimerService; readonly isAdopted: boolean}) {
 		super();
+		this.#isAdopted = isAdopted;
 		this.#allocator = allocator;
 		this.#placement = placement;
 		this.#prefill = prefill;
@@ -256,7 +289,7 @@
 		this.#isPrefillPending = false;
 		const {prefillEngine, decodeEngine} = this.#placement;
 		this.#allocator.onBlocksRead(prefillEngine ?? decodeEngine, this.#blocks, outcome === engineOutcome.answered);
-		this.#allocator.getUsage(prefillEngine ?? decodeEngine).finishPrefill(this.#prefill, this.#timers.getNow(), outcome === engineOutcome.answered);
+		this.#allocator.getUsage(prefillEngine ?? decodeEngine).finishPrefill(this.#prefill, this.#timers.getNow(), outcome === engineOutcome.answered && !this.#isAdopted);
 		if (prefillEngine) {
 			this.#allocator.getUsage(prefillEngine).releaseKv(this.#request);
 			this.#allocator.getUsage(decodeEngine).onPrefilled();
--- a/src/places/failover.ts
+++ b/src/places/failover.ts
@@ -5,6 +5,8 @@
 import type {AllocatorCandidate} from './candidates.js';
 import {RecentRefusals} from './refusals.js';
 import {AllocatorLostError, RemoteAllocator} from './remoteallocator.js';
+import {computeRemainingRequest, HeldReservations} from './tracked.js';
+import type {RequestAtTime} from './tracked.js';
 import {ReservationProvider} from './types.js';
 import type {Reservation, ReservationRequest} from './types.js';
 
@@ -43,6 +45,7 @@
 	readonly #refusals: RecentRefusals;
 	/** Addresses of the allocators of each service, chosen from `#candidates`. */
 	readonly #allocators = new Map<string, readonly string[]>();
+	readonly #held: HeldReservations;
 	#candidates: readonly AllocatorCandidate[] = [];
 	#isIsolated = false;
 
@@ -50,6 +53,7 @@
 		super();
 		this.#dependencies = dependencies;
 		this.#refusals = new RecentRefusals(dependencies.timers, dependencies.getRandom);
+		this.#held = new HeldReservations(dependencies.timers);
 	}
 
 	/** Computes the share of each engine's capacity that the allocator of this process may grant, above 0 up to 1. */
@@ -59,11 +63,11 @@
 
 	async acquire(request: ReservationRequest, signal: AbortSignal): Promise<Reservation> {
 		const {timers, localAllocator, localAddress} = this.#dependencies;
-		const requestedAt = timers.getNow();
+		const requestAtTime = {request, requestedAt: timers.getNow()};
 		for (const address of this.#listAllocators(request.service)) {
 			if (address === localAddress) {
 				this.#isIsolated = false;
-				return localAllocator.acquire(this.#computeRemaining(request, requestedAt), signal);
+				return this.#acquireFrom(localAllocator, requestAtTime, signal);
 			}
 
 			if ((this.#skippedUntil.get(address) ?? 0) > timers.getNow()) {
@@ -71,7 +75,9 @@
 			}
 
 			try {
-				return await this.#acquireRemote(address, this.#computeRemaining(request, requestedAt), signal);
+				const allocator = this.#getRemoteAllocator(address);
+				this.#refusals.check(request);
+				return await this.#acquireFrom(allocator, requestAtTime, signal);
 			} catch (error) {
 				if (!(error instanceof AllocatorLostError)) {
 					throw error;
@@ -80,7 +86,7 @@
 		}
 
 		this.#isIsolated = true;
-		return localAllocator.acquire(this.#computeRemaining(request, requestedAt), signal);
+		return this.#acquireFrom(localAllocator, requestAtTime, signal);
 	}
 
 	/** Closes the connections to other entries' allocators. */
@@ -102,21 +108,11 @@
 		return allocators;
 	}
 
-	/** Waits for a reservation from another entry's allocator, unless `#refusals` refuses the request first. */
-	async #acquireRemote(address: string, request: ReservationRequest, signal: AbortSignal): Promise<Reservation> {
-		const allocator = this.#getRemoteAllocator(address);
-		this.#refusals.check(request);
-		return allocator.acquire(request, signal);
-	}
-
-	/** Subtracts the time since `requestedAt`, spent on lost allocators, from the request's remaining times. */
-	#computeRemaining(request: ReservationRequest, requestedAt: number): ReservationRequest {
-		const elapsedMs = this.#dependencies.timers.getNow() - requestedAt;
-		return elapsedMs === 0
-			? request
-			: {
-				...request, targetMs: request.targetMs - elapsedMs, deadlineMs: request.deadlineMs - elapsedMs, firstByteTimeoutMs: request.firstByteTimeoutMs - elapsedMs,
-			};
+	/** Waits for a reservation from an allocator, which is told of those that are held if others granted them. */
+	async #acquireFrom(allocator: SlotAllocator | RemoteAllocator, requestAtTime: RequestAtTime, signal: AbortSignal): Promise<Reservation> {
+		this.#held.onAllocator(requestAtTime.request.service, allocator);
+		const granted = await allocator.acquire(computeRemainingRequest(requestAtTime, this.#dependencies.timers.getNow()), signal);
+		return this.#held.track(requestAtTime, allocator, granted);
 	}
 
 	#getRemoteAllocator(address: string): RemoteAllocator {
--- a/src/places/messages.ts
+++ b/src/places/messages.ts
@@ -6,7 +6,7 @@
 
 /** Number of each kind of message on the wire, where it is the first item. Add new kinds at the end. */
 export const allocatorMessageKind = {
-	request: 1, grant: 2, refuse: 3, prefillEnd: 4, release: 5, cancel: 6, ping: 7, pong: 8,
+	request: 1, grant: 2, refuse: 3, prefillEnd: 4, release: 5, cancel: 6, ping: 7, pong: 8, adopt: 9,
 } as const;
 
 /** A message between an entry and a slot allocator. `id` identifies the reservation request, or the ping, on its connection. */
@@ -16,6 +16,7 @@
 	| {readonly kind: typeof allocatorMessageKind.refuse; readonly id: number; readonly reason: RefusalReason; readonly retryAfterMs: number; readonly grantRate: number}
 	| {readonly kind: typeof allocatorMessageKind.prefillEnd; readonly id: number; readonly outcome: EngineOutcome | undefined}
 	| {readonly kind: typeof allocatorMessageKind.release; readonly id: number; readonly outcome: EngineOutcome | undefined}
+	| {readonly kind: typeof allocatorMessageKind.adopt; readonly id: number; readonly request: ReservationRequest; readonly engines: ReservedEngines; readonly isPrefillPending: boolean}
 	| {readonly kind: typeof allocatorMessageKind.cancel; readonly id: number}
 	| {readonly kind: typeof allocatorMessageKind.ping; readonly id: number}
 	| {readonly kind: typeof allocatorMessageKind.pong; readonly id: number};
@@ -27,22 +28,12 @@
 export function toItems(message: AllocatorMessage): unknown[] {
 	switch (message.kind) {
 		case allocatorMessageKind.request: {
-			const {request} = message;
-			return [
-				message.kind,
-				message.id,
-				request.service,
-				Math.round(request.targetMs),
-				Math.round(request.deadlineMs),
-				Math.round(request.firstByteTimeoutMs),
-				Math.round(request.serviceMs),
-				request.prefixBlocks.flatMap(block => [block.id, block.tokens]),
-				request.uniqueTokens,
-				request.outputTokens,
-				request.kvCapacityTokens,
-				request.excludedEngines,
-				request.kvTransferMsPerToken,
-			];
+			return [message.kind, message.id, ...toRequestItems(message.request)];
+		}
+
+		case allocatorMessageKind.adopt: {
+			const {prefillEngine, decodeEngine, firstTokenMs} = message.engines;
+			return [message.kind, message.id, prefillEngine ?? '', decodeEngine, Math.round(firstTokenMs), message.isPrefillPending, ...toRequestItems(message.request)];
 		}
 
 		case allocatorMessageKind.grant: {
@@ -67,6 +58,22 @@
 	}
 }
 
+function toRequestItems(request: ReservationRequest): unknown[] {
+	return [
+		request.service,
+		Math.round(request.targetMs),
+		Math.round(request.deadlineMs),
+		Math.round(request.firstByteTimeoutMs),
+		Math.round(request.serviceMs),
+		request.prefixBlocks.flatMap(block => [block.id, block.tokens]),
+		request.uniqueTokens,
+		request.outputTokens,
+		request.kvCapacityTokens,
+		request.excludedEngines,
+		request.kvTransferMsPerToken,
+	];
+}
+
 /** Parses a received list of items. Throws `BadFrameError` when it is not a message. */
 export function parseItems(items: unknown): AllocatorMessage {
 	if (!Array.isArray(items)) {
@@ -80,6 +87,19 @@
 			return {kind, id, request: parseReservationRequest(rest)};
 		}
 
+		case allocatorMessageKind.adopt: {
+			const [prefillEngine, decodeEngine, firstTokenMs, isPrefillPending, ...requestItems] = rest;
+			return {
+				kind,
+				id,
+				engines: {
+					prefillEngine: parseString(prefillEngine) || undefined, decodeEngine: parseString(decodeEngine), prefixSource: undefined, firstTokenMs: parseNumber(firstTokenMs),
+				},
+				isPrefillPending: isPrefillPending === true,
+				request: parseReservationRequest(requestItems),
+			};
+		}
+
 		case allocatorMessageKind.grant: {
 			const engines = {prefillEngine: parseString(rest[0]) || undefined, decodeEngine: parseString(rest[1]), prefixSource: parseString(rest[2]) || undefined, firstTokenMs: parseOptionalNumber(rest[4])};
 			return {
--- a/src/places/remoteallocator.ts
+++ b/src/places/remoteallocator.ts
@@ -109,6 +109,17 @@
 		});
 	}
 
+	/** Tells the allocator of a reservation that another one granted. Returns it as a reservation of this allocator too. */
+	adopt(request: ReservationRequest, engines: ReservedEngines, isPrefillPending: boolean): RemoteReservation {
+		const id = this.#nextId++;
+		this.#send({
+			kind: allocatorMessageKind.adopt, id, request, engines, isPrefillPending,
+		});
+		return new RemoteReservation(engines, message => {
+			this.#send({...message, id});
+		});
+	}
+
 	/** Closes the connection. */
 	close(): void {
 		this.#markLost('closed');
--- a/src/places/serve.ts
+++ b/src/places/serve.ts
@@ -61,6 +61,15 @@
 			return;
 		}
 
+		if (message.kind === allocatorMessageKind.adopt) {
+			const reservation = allocator.adopt(message.request, message.engines, message.isPrefillPending);
+			if (reservation) {
+				requests.set(message.id, {controller: new AbortController(), reservation});
+			}
+
+			return;
+		}
+
 		if (message.kind === allocatorMessageKind.ping) {
 			send({kind: allocatorMessageKind.pong, id: message.id});
 			return;
--- a/src/places/test/messages.test.ts
+++ b/src/places/test/messages.test.ts
@@ -41,6 +41,14 @@
 			{kind: allocatorMessageKind.ping, id: 6},
 			{kind: allocatorMessageKind.pong, id: 7},
 		];
+		fc.assert(fc.property(requests, fc.nat(), fc.boolean(), (request, id, isPrefillPending) => {
+			const message: AllocatorMessage = {
+				kind: allocatorMessageKind.adopt, id, request, isPrefillPending, engines: {
+					prefillEngine: isPrefillPending ? 'p' : undefined, decodeEngine: 'd', prefixSource: undefined, firstTokenMs: 140,
+				},
+			};
+			expect(parseItems(toItems(message))).to.deep.equal(message);
+		}), {seed});
 		for (const message of others) {
 			expect(parseItems(toItems(message))).to.deep.equal(message);
 		}
