--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -11,8 +11,6 @@
 
 /** Time after a request's deadline at which its reservation is released if the holder has not released it, in milliseconds. */
 const expiryMarginMs = 500;
-/** Multiple of the time left up to which an estimated time to the first token may be too long by chance. */
-const estimateMargin = 1.2;
 /** Time without requests after which other entries may have placed prompts at the engines, in milliseconds: several requests come in it on any load that fills caches. */
 const maxUnfollowedMs = 1500;
 /** Share of the capacity that is open to answers which will be late. */
@@ -160,7 +158,7 @@
 			prefixCaches: this.#prefixCaches,
 			hasShortWaiting: this.#getQueue(request.service).countWaiting('short') > 0,
 		};
-		const maxFirstTokenMs = (callerLeavesAt - now) * estimateMargin;
+		const maxFirstTokenMs = callerLeavesAt - now;
 		let placement = chooseGenerationPlacement(views, request, context);
 		if (placement && now + placement.firstTokenMs > targetAt) {
 			// An answer that will be late gets what requests that can be on time leave.
