Check the decode engine again after the prefill

Change: a generation whose decode engine leaves during the prefill gets another one, which continues from the KV cache.

--- a/src/dispatch/throttle.ts
+++ b/src/dispatch/throttle.ts
@@ -5,7 +5,7 @@
 /** Time without an answer after which the share grows again, in milliseconds: under overload an entry gets several answers in it. */
 const recoveryDelayMs = 250;
 /** Time in which the share then doubles, in milliseconds: short, so that the end of an overload is noticed soon. */
-const recoveryDoublingMs = 100;
+const recoveryDoublingMs = 80;
 /** Minimum share: some requests have to be sent to find out whether capacity is free again. */
 const minPassShare = 0.03;
 
--- a/src/dispatch/usage.ts
+++ b/src/dispatch/usage.ts
@@ -1,5 +1,7 @@
 import type {PlaneModel} from '../rates/index.js';
-import {addPrefillWork, computePlane, noPrefillWork, PrefillModel} from './prefillmodel.js';
+import {
+	addPrefillWork, computePlane, noPrefillWork, PrefillModel,
+} from './prefillmodel.js';
 import type {PrefillWork} from './prefillmodel.js';
 import {PrefillWindow} from './prefillwindow.js';
 import {EngineHealth} from './health.js';
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -21,6 +21,9 @@
 /** Shortest silence after which a send is aborted, in milliseconds: longer than the pauses between events that callers accept. */
 const minSilenceTimeoutMs = 400;
 
+/** KV cache of a prompt, and the id of the engine that prefilled it. */
+type PrefilledKvCache = KvCacheHandle & {readonly engineId: string};
+
 /** Progress of one generation. */
 class GenerationProgress extends RequestProgress {
 	readonly needs: GenerationNeeds;
@@ -30,6 +33,8 @@
 	prefillAttempts = 0;
 	/** Id of the last event that was sent to the caller. */
 	lastEventId: string | undefined;
+	/** KV cache of the prompt that no decode engine was told of yet. */
+	heldKvCache: PrefilledKvCache | undefined;
 
 	constructor(prompt: Prompt | undefined, model: ModelEngineSpec | undefined) {
 		super();
@@ -47,6 +52,7 @@
 		const reservation = yield * callStep('wait for a place', async () => acquireReservation(dependencies, served, progress));
 		const decodeEngine = reservation && served.fleet.findServing(reservation.engines.decodeEngine);
 		if (!reservation) {
+			releaseHeldKvCache(dependencies, progress);
 			return;
 		}
 
@@ -58,19 +64,23 @@
 		}
 
 		const attempt = yield * runReserved(dependencies, served, progress, {reservation, decodeEngine});
+		if (attempt === 'again') {
+			continue;
+		}
+
 		if (!attempt || !decideNext(dependencies, served, progress, attempt)) {
 			return;
 		}
 	}
 }
 
-/** Runs a generation on its reserved engines; returns the attempt if the caller's answer has not ended, otherwise `undefined`. */
+/** Runs a generation on its reserved engines; returns the attempt if the caller's answer has not ended, `'again'` if nothing was sent to the decode engine, and otherwise `undefined`. */
 function * runReserved(
 	dependencies: GatewayDependencies,
 	served: ServedRequest,
 	progress: GenerationProgress,
 	{reservation, decodeEngine}: {readonly reservation: Reservation; readonly decodeEngine: EngineView},
-): Procedure<Attempt | undefined> {
+): Procedure<Attempt | 'again' | undefined> {
 	let outcome: EngineOutcome | undefined;
 	try {
 		const prefillResult = yield * runPrefill(dependencies, served, progress, reservation);
@@ -79,8 +89,14 @@
 			return undefined;
 		}
 
-		const mayResume = served.route.isResumable && progress.runs + 1 < served.route.maxRuns;
 		const kvCacheHandle = typeof prefillResult === 'object' ? prefillResult : undefined;
+		if (!served.fleet.findServing(decodeEngine.record.id)) {
+			// The engine began to leave, or left, during the prefill: another one continues from the KV cache.
+			progress.heldKvCache = kvCacheHandle;
+			return 'again';
+		}
+
+		const mayResume = served.route.isResumable && progress.runs + 1 < served.route.maxRuns;
 		const attempt = yield * callStep('send to the engine that writes', async () => callEngine(dependencies, served, decodeEngine, {
 			purpose: progress.lastEventId === undefined ? 'run' : 'resume',
 			continueFrom: kvCacheHandle,
@@ -93,8 +109,8 @@
 			progress, attempt, reservation, mayResume,
 		}));
 		outcome = attempt.trace.sign;
-		if (attempt.isNotRun && kvCacheHandle && reservation.engines.prefillEngine !== undefined) {
-			dependencies.link.releaseKvCache(kvCacheHandle, reservation.engines.prefillEngine);
+		if (attempt.isNotRun && kvCacheHandle) {
+			dependencies.link.releaseKvCache(kvCacheHandle, kvCacheHandle.engineId);
 		}
 
 		return isDone ? undefined : attempt;
@@ -155,7 +171,14 @@
 	served: ServedRequest,
 	progress: GenerationProgress,
 	reservation: Reservation,
-): Procedure<KvCacheHandle | 'rejected' | undefined> {
+): Procedure<PrefilledKvCache | 'rejected' | undefined> {
+	const {heldKvCache} = progress;
+	if (heldKvCache) {
+		progress.heldKvCache = undefined;
+		reservation.onPrefillEnd(undefined);
+		return heldKvCache;
+	}
+
 	const prefillEngine = reservation.engines.prefillEngine === undefined ? undefined : served.fleet.findServing(reservation.engines.prefillEngine);
 	if (!prefillEngine || progress.prefillAttempts > 0) {
 		// A second prefill would count as a retry.
@@ -176,13 +199,21 @@
 	const handle = yield * callStep('read the handle', async () => readHandle(dependencies, attempt));
 	reservation.onPrefillEnd(attempt.trace.sign);
 	if (handle !== undefined) {
-		return {address: prefillEngine.record.address, handle};
+		return {address: prefillEngine.record.address, handle, engineId: prefillEngine.record.id};
 	}
 
 	dependencies.reporter.onRetry(retryReason.prefillFailed);
 	return attempt.isNotRun && !attempt.isNotSent ? 'rejected' : undefined;
 }
 
+/** Frees the KV cache that no decode engine will use, if there is one. */
+function releaseHeldKvCache(dependencies: GatewayDependencies, progress: GenerationProgress): void {
+	if (progress.heldKvCache) {
+		dependencies.link.releaseKvCache(progress.heldKvCache, progress.heldKvCache.engineId);
+		progress.heldKvCache = undefined;
+	}
+}
+
 async function readHandle(dependencies: GatewayDependencies, attempt: Attempt): Promise<string | undefined> {
 	if (!attempt.reply || attempt.isNotRun) {
 		return undefined;
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -1,5 +1,19 @@
 import {
-	PrefixCacheIndex, chooseGenerationPlacement, computeRetryAfterMs, countPrefixTokens, createPrefillWork, engineOutcome, estimateFirstTokenMs, engineStage, EngineUsage, GrantRate, isLong, noPrefillWork, PrefillModel, QueueRefusal, AdmissionQueue,
+	AdmissionQueue,
+	chooseGenerationPlacement,
+	computeRetryAfterMs,
+	countPrefixTokens,
+	createPrefillWork,
+	engineOutcome,
+	engineStage,
+	EngineUsage,
+	estimateFirstTokenMs,
+	GrantRate,
+	isLong,
+	noPrefillWork,
+	PrefillModel,
+	PrefixCacheIndex,
+	QueueRefusal,
 } from '../dispatch/index.js';
 import type {
 	EngineOutcome, EngineRecord, EngineView, Fleet, GenerationPlacement, PlacementContext, Prefill, PrefixBlock,
@@ -136,6 +150,11 @@
 		this.#prefixCaches.finishRead(view, blocks, hasRead);
 	}
 
+	/** Tries to grant the queued requests of a service after capacity was released. */
+	onCapacityFreed(service: string): void {
+		this.#queues.get(service)?.dispatch();
+	}
+
 	/** Returns the prefill model of the engines of the same service and stage. */
 	#getKindModel({record: {service, stage}}: EngineView): PrefillModel {
 		const kind = `${service} ${stage}`;
@@ -144,11 +163,6 @@
 		return model;
 	}
 
-	/** Tries to grant the queued requests of a service after capacity was released. */
-	onCapacityFreed(service: string): void {
-		this.#queues.get(service)?.dispatch();
-	}
-
 	#tryAllocate(request: ReservationRequest, views: readonly EngineView[], {now, targetAt, callerLeavesAt}: AllocationTimes): Allocation | QueueRefusal | undefined {
 		const slotShare = this.#dependencies.getSlotShare();
 		const context: PlacementContext = {
@@ -273,7 +287,9 @@
 		this.#blocks = blocks;
 		this.#request = request;
 		this.#timers = timers;
-		this.engines = {prefillEngine: placement.prefillEngine?.record.id, decodeEngine: placement.decodeEngine.record.id, prefixSource: placement.prefixSource?.record.id, firstTokenMs: placement.firstTokenMs};
+		this.engines = {
+			prefillEngine: placement.prefillEngine?.record.id, decodeEngine: placement.decodeEngine.record.id, prefixSource: placement.prefixSource?.record.id, firstTokenMs: placement.firstTokenMs,
+		};
 		this.#expiryTimer = timers.startTimer(request.deadlineMs + expiryMarginMs, () => {
 			this.release(undefined);
 		});
--- a/src/places/messages.ts
+++ b/src/places/messages.ts
@@ -101,7 +101,9 @@
 		}
 
 		case allocatorMessageKind.grant: {
-			const engines = {prefillEngine: parseString(rest[0]) || undefined, decodeEngine: parseString(rest[1]), prefixSource: parseString(rest[2]) || undefined, firstTokenMs: parseOptionalNumber(rest[4])};
+			const engines = {
+				prefillEngine: parseString(rest[0]) || undefined, decodeEngine: parseString(rest[1]), prefixSource: parseString(rest[2]) || undefined, firstTokenMs: parseOptionalNumber(rest[4]),
+			};
 			return {
 				kind, id, engines, grantRate: parseNumber(rest[3]) / 100,
 			};
--- a/src/places/test/allocator.test.ts
+++ b/src/places/test/allocator.test.ts
@@ -6,10 +6,9 @@
 import {ManualTimers} from '../../timers/index.js';
 import {SlotAllocator} from '../index.js';
 import type {LocalReservation, ReservationRequest} from '../index.js';
+import {createReservationRequest} from './requests.js';
 
-const request: ReservationRequest = {
-	service: 'llm', targetMs: 120, deadlineMs: 1800, firstByteTimeoutMs: 2000, serviceMs: 40, prefixBlocks: [], uniqueTokens: 10, outputTokens: 10, kvCapacityTokens: 1000, kvTransferMsPerToken: 0, excludedEngines: [],
-};
+const request = createReservationRequest();
 
 /** Creates an allocator for one engine. */
 function createAllocator(timers: ManualTimers): {readonly allocator: SlotAllocator; readonly view: EngineView} {
--- a/src/places/test/failover.test.ts
+++ b/src/places/test/failover.test.ts
@@ -6,10 +6,9 @@
 import {RemoteAllocator} from '../remoteallocator.js';
 import {listAllocators, SlotAllocator, FailoverReservations} from '../index.js';
 import type {ReservationRequest, AllocatorCandidate} from '../index.js';
+import {createReservationRequest} from './requests.js';
 
-const request: ReservationRequest = {
-	service: 'llm', targetMs: 120, deadlineMs: 1800, firstByteTimeoutMs: 2000, serviceMs: 40, prefixBlocks: [], uniqueTokens: 10, outputTokens: 10, kvCapacityTokens: 1000, kvTransferMsPerToken: 0, excludedEngines: [],
-};
+const request = createReservationRequest();
 const candidates: readonly AllocatorCandidate[] = ['a', 'b', 'c', 'd'].map(name => ({address: `${name}:1`, domain: 'one', cores: 1}));
 
 class SilentLink extends MessageLink {
--- a/src/places/test/messages.test.ts
+++ b/src/places/test/messages.test.ts
@@ -30,7 +30,9 @@
 		}), {seed});
 		const others: AllocatorMessage[] = [
 			{
-				kind: allocatorMessageKind.grant, id: 1, engines: {prefillEngine: undefined, decodeEngine: 'w', prefixSource: 'k', firstTokenMs: 140}, grantRate: 1,
+				kind: allocatorMessageKind.grant, id: 1, engines: {
+					prefillEngine: undefined, decodeEngine: 'w', prefixSource: 'k', firstTokenMs: 140,
+				}, grantRate: 1,
 			},
 			{
 				kind: allocatorMessageKind.refuse, id: 2, reason: 'deadline', retryAfterMs: 250, grantRate: 0.25,
--- a/src/places/test/overload.test.ts
+++ b/src/places/test/overload.test.ts
@@ -6,10 +6,11 @@
 import {ManualTimers} from '../../timers/index.js';
 import {SlotAllocator, RecentRefusals} from '../index.js';
 import type {ReservationRequest} from '../index.js';
+import {createReservationRequest} from './requests.js';
 
-const request: ReservationRequest = {
-	service: 'llm', targetMs: 180, deadlineMs: 1900, firstByteTimeoutMs: 2000, serviceMs: 40, prefixBlocks: [], uniqueTokens: 5000, outputTokens: 2, kvCapacityTokens: 1_400_000, kvTransferMsPerToken: 0, excludedEngines: [],
-};
+const request = createReservationRequest({
+	targetMs: 180, deadlineMs: 1900, uniqueTokens: 5000, outputTokens: 2, kvCapacityTokens: 1_400_000,
+});
 /** Time that an engine takes for one request, in milliseconds: ten engines serve 500 requests per second. */
 const requestMs = 20;
 const engineCount = 10;
--- a/src/places/test/refusals.test.ts
+++ b/src/places/test/refusals.test.ts
@@ -3,10 +3,9 @@
 import {ManualTimers} from '../../timers/index.js';
 import {RecentRefusals} from '../index.js';
 import type {ReservationRequest} from '../index.js';
+import {createReservationRequest} from './requests.js';
 
-const request: ReservationRequest = {
-	service: 'llm', targetMs: 120, deadlineMs: 1800, firstByteTimeoutMs: 2000, serviceMs: 40, prefixBlocks: [], uniqueTokens: 10, outputTokens: 10, kvCapacityTokens: 1000, kvTransferMsPerToken: 0, excludedEngines: [],
-};
+const request = createReservationRequest();
 
 describe('RecentRefusals', () => {
 	it('refuses requests of a refused kind for a short time, with a time to retry after', async () => {
--- a/src/places/test/slowsenders.test.ts
+++ b/src/places/test/slowsenders.test.ts
@@ -7,21 +7,12 @@
 import {ManualTimers} from '../../timers/index.js';
 import {SlotAllocator} from '../index.js';
 import type {ReservationRequest} from '../index.js';
+import {createReservationRequest} from './requests.js';
 
 const promptTokens = 5000;
-const request: ReservationRequest = {
-	service: 'llm',
-	targetMs: 180,
-	deadlineMs: 1900,
-	firstByteTimeoutMs: 2000,
-	serviceMs: 70,
-	prefixBlocks: [],
-	uniqueTokens: promptTokens,
-	outputTokens: 2,
-	kvCapacityTokens: 1_400_000,
-kvTransferMsPerToken: 0,
-	excludedEngines: [],
-};
+const request = createReservationRequest({
+	targetMs: 180, deadlineMs: 1900, serviceMs: 70, uniqueTokens: promptTokens, outputTokens: 2, kvCapacityTokens: 1_400_000,
+});
 /** Time that a prefill engine takes for one token, in milliseconds. */
 const prefillTokenMs = 0.002;
 const prefillEngineCount = 4;
--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -75,6 +75,8 @@
 	readonly arrivals: Arrival[] = [];
 	/** Paths of the DELETE requests received, by which callers release KV caches. */
 	readonly deletedPaths: string[] = [];
+	/** Blocks that the engine says it holds. */
+	readonly heldBlocks: Array<{readonly id: string; readonly tokens: number}> = [];
 	/** Requests that run now. */
 	running = 0;
 	/** Largest number of requests that ran at once. */
@@ -136,6 +138,11 @@
 			return;
 		}
 
+		if (request.url === '/kv-list') {
+			sendJson(response, 200, {epoch: 1, next: 0, held: this.heldBlocks.map(({id, tokens}) => ['', id, tokens, 'm'])});
+			return;
+		}
+
 		const {headers} = request;
 		const arrival: Arrival = {
 			id: String(headers['crocusworks-request-id']), method: request.method ?? '', path: request.url ?? '', headers, body, at: performance.now(), isCut: false, hasRun: false,
