--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -17,6 +17,6 @@
 export {AdaptiveThrottle} from './throttle.js';
 export {createPrefillWork, noPrefillWork, PrefillModel} from './prefillmodel.js';
 export type {PrefillWork} from './prefillmodel.js';
-export {countPrefixTokens} from './prefillplan.js';
+export {computeTransferMs, countPrefixTokens} from './prefillplan.js';
 export {EngineUsage, isLong} from './usage.js';
 export type {Prefill} from './usage.js';
--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -6,7 +6,7 @@
 import {
 	computeHomeDistance, computeTransferMs, countPrefixTokens, planPrefills, prefixFetchMs,
 } from './prefillplan.js';
-import type {PrefillPlanContext} from './prefillplan.js';
+import type {PrefillPlan, PrefillPlanContext} from './prefillplan.js';
 import {isLong} from './usage.js';
 import type {EngineUsage} from './usage.js';
 
@@ -42,6 +42,10 @@
 const maxQueuedShort = 1;
 /** Time to hand a prefilled prompt over to another engine for decoding, beyond the KV transfer, in milliseconds: a message each way. */
 const handoffMs = 6;
+/** Weight of the time that a prompt takes at a decode engine for each prompt which is prefilled elsewhere and will wait there behind it. */
+const delayedPromptWeight = 0.5;
+/** Multiple of the time of a mean prompt up to which a prompt may be read at a decode engine where others are awaited. */
+const maxBlockingPrompts = 3;
 /** Share of an engine's KV memory that requests in progress may take at their fullest; the rest holds blocks for further prompts. */
 const maxKvShare = 0.9;
 /** Load of a request whose prompt is still being prefilled on another engine, in slots: it needs its slot only after that. */
@@ -106,11 +110,16 @@
 	}
 
 	const plans = planPrefills(available, needs, context).filter(({view}) => hasPrefillRoom(view, needs, context));
-	const combined = findLowest(plans.filter(({view}) => decodeEngines.includes(view)), ({costMs}) => costMs);
+	const computeCombinedMs = ({view, costMs, work}: PrefillPlan) => {
+		const usage = getUsage(view);
+		return costMs + (usage.computeBusyMs(work) * usage.awaitingPrefillCount * delayedPromptWeight);
+	};
+
+	const combined = findLowest(plans.filter(({view, work}) => decodeEngines.includes(view) && !isBlocking(getUsage(view), work)), computeCombinedMs);
 	const separate = findLowest(plans.filter(({view}) => view.record.stage === engineStage.prefill), ({costMs}) => costMs);
 	const decodeEngine = chooseDecodeEngine(decodeEngines, needs, context);
 	const separateMs = handoffMs + computeTransferMs(promptTokens, needs) + getUsage(decodeEngine).computeBacklogMs();
-	if (separate && (!combined || separate.costMs + separateMs < combined.costMs)) {
+	if (separate && (!combined || separate.costMs + separateMs < computeCombinedMs(combined))) {
 		return {
 			...separate, prefillEngine: separate.view, decodeEngine, firstTokenMs: separate.firstTokenMs + separateMs,
 		};
@@ -147,6 +156,11 @@
 	return hasKvRoom(usage, needs, slotShare) && usage.hasPrefillRoom(slotShare, now);
 }
 
+/** Tells whether a prompt is so long that those which are prefilled elsewhere and will be decoded at the engine would wait too long behind it. */
+function isBlocking(usage: EngineUsage, work: PrefillWork): boolean {
+	return usage.awaitingPrefillCount > 0 && usage.computeBusyMs(work) > usage.computeMeanMs() * maxBlockingPrompts;
+}
+
 /** Tells whether the KV memory of an engine holds a further request at its fullest; an engine without requests takes any. */
 function hasKvRoom(usage: EngineUsage, needs: GenerationNeeds, slotShare: number): boolean {
 	return needs.kvCapacityTokens === 0 || !usage.isHoldingKv || usage.computeKvTokens(needs) <= needs.kvCapacityTokens * maxKvShare * slotShare;
--- a/src/dispatch/prefillplan.ts
+++ b/src/dispatch/prefillplan.ts
@@ -77,7 +77,10 @@
 			prefixSource: fetchedTokens > 0 ? holder : undefined,
 			work,
 			firstTokenMs,
-			costMs: firstTokenMs + computeCostMs(repeatedTokens, repeatedReadWeight) + computeCostMs(fetchedTokens, copyWeight) + computeCostMs(newTokens, copyWeight * computeHomeDistance(view, needs)),
+			costMs: firstTokenMs
+				+ computeCostMs(repeatedTokens, repeatedReadWeight)
+				+ computeCostMs(fetchedTokens, copyWeight)
+				+ computeCostMs(newTokens, copyWeight * computeHomeDistance(view, needs)),
 		};
 	});
 }
--- a/src/dispatch/usage.ts
+++ b/src/dispatch/usage.ts
@@ -80,6 +80,11 @@
 		return this.computeBusyMs(this.prefillWork);
 	}
 
+	/** Estimates the time that the engine is busy with a mean prompt, in milliseconds; infinite before anything was measured. */
+	computeMeanMs(): number {
+		return this.#prefillModel.model ? this.computeBusyMs(this.#prefillModel.meanWork) : Number.POSITIVE_INFINITY;
+	}
+
 	/** Estimates the time that the engine is busy with some work, in milliseconds. */
 	computeBusyMs(work: PrefillWork): number {
 		return computePlane({...this.#model, intercept: 0}, work);
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -25,6 +25,8 @@
 
 /** Time after a request's deadline at which its reservation is released if the holder has not released it, in milliseconds. */
 const expiryMarginMs = 500;
+/** Share of the time that its caller waits up to which the expected time of a request is granted: prompts of others in front of it often take longer than expected. */
+const maxExpectedShare = 0.9;
 /** Time without requests after which other entries may have placed prompts at the engines, in milliseconds: several requests come in it on any load that fills caches. */
 const maxUnfollowedMs = 1500;
 /** Share of the capacity that is open to answers which will be late. */
@@ -172,7 +174,7 @@
 			prefixCaches: this.#prefixCaches,
 			hasShortWaiting: this.#getQueue(request.service).countWaiting('short') > 0,
 		};
-		const maxFirstTokenMs = callerLeavesAt - now;
+		const maxFirstTokenMs = (callerLeavesAt - now) * maxExpectedShare;
 		let placement = chooseGenerationPlacement(views, request, context);
 		if (placement && now + placement.firstTokenMs > targetAt) {
 			// An answer that will be late gets what requests that can be on time leave.
