--- a/src/places/test/takeover.test.ts
+++ b/src/places/test/takeover.test.ts
@@ -62,6 +62,8 @@
 	}
 }
 
+type TakeoverEvent = {readonly reserveAt: number} | {readonly prefilled: number} | {readonly released: number} | {readonly viewOf: number; readonly missing: number};
+
 /** Entries that reserve slots of the same engines, each with its own view of which entries are live. */
 class TakeoverWorld {
 	readonly timers = new ManualTimers();
@@ -118,6 +120,19 @@
 		await this.timers.advance(0);
 	}
 
+	/** Plays one event: a request, the end of a prefill or of a request, or a change of an entry's view of which entries are live. */
+	async play(event: TakeoverEvent): Promise<void> {
+		if ('reserveAt' in event) {
+			await this.reserve(event.reserveAt);
+		} else if ('viewOf' in event) {
+			this.entries[event.viewOf]!.live = this.candidates.filter((_, index) => index !== event.missing);
+		} else if ('prefilled' in event) {
+			this.held[event.prefilled]?.onPrefillEnd(engineOutcome.answered);
+		} else {
+			this.held.splice(event.released, 1)[0]?.release(engineOutcome.answered);
+		}
+	}
+
 	/** Counts the requests that an entry's allocator accounts for at an engine. */
 	countAt(entryIndex: number, engineId: string): number {
 		const {allocator, fleet} = this.entries[entryIndex]!;
@@ -131,42 +146,20 @@
 	}
 }
 
-const steps = fc.array(fc.oneof(
-	fc.record({kind: fc.constant('reserve' as const), entry: fc.nat(entryCount - 1)}),
-	fc.record({kind: fc.constant('prefilled' as const), index: fc.nat(40)}),
-	fc.record({kind: fc.constant('release' as const), index: fc.nat(40)}),
-	// The entries learn of a change at different times: each step changes the view of one of them.
-	fc.record({kind: fc.constant('view' as const), entry: fc.nat(entryCount - 1), missing: fc.nat(entryCount)}),
+const eventLists = fc.array(fc.oneof(
+	fc.record({reserveAt: fc.nat(entryCount - 1)}),
+	fc.record({prefilled: fc.nat(40)}),
+	fc.record({released: fc.nat(40)}),
+	// The entries learn of a change at different times: each event changes the view of one of them.
+	fc.record({viewOf: fc.nat(entryCount - 1), missing: fc.nat(entryCount)}),
 ), {minLength: 5, maxLength: 60});
 
 describe('a change of the slot allocator', () => {
 	it('gives no slot twice once all entries use the new one and have asked it, whatever the order of events', async () => {
-		await fc.assert(fc.asyncProperty(steps, fc.nat(entryCount - 1), async (events, leaving) => {
+		await fc.assert(fc.asyncProperty(eventLists, fc.nat(entryCount - 1), async (events, leaving) => {
 			const world = new TakeoverWorld();
 			for (const event of events) {
-				switch (event.kind) {
-					case 'reserve': {
-						await world.reserve(event.entry);
-
-						break;
-					}
-
-					case 'view': {
-						world.entries[event.entry]!.live = world.candidates.filter((_, index) => index !== event.missing);
-
-						break;
-					}
-
-					case 'prefilled': {
-						world.held[event.index]?.onPrefillEnd(engineOutcome.answered);
-
-						break;
-					}
-
-					default: {
-						world.held.splice(event.index, 1)[0]?.release(engineOutcome.answered);
-					}
-				}
+				await world.play(event);
 			}
 
 			const live = world.candidates.filter((_, index) => index !== leaving);
