--- /dev/null
+++ b/src/changefeed/index.ts
@@ -0,0 +1,9 @@
+/** Passes the changes of the store on between entries of a failure domain, so that one of them watches it for all. */
+export {ChangeFollower} from './follower.js';
+export type {ChangeFollowerDependencies, FollowedChanges} from './follower.js';
+export {isFeedMessage, parseFeedItems, toFeedItems} from './messages.js';
+export type {FeedMessage} from './messages.js';
+export {ChangePublisher} from './publisher.js';
+export {chooseReader} from './reader.js';
+export type {ReaderCandidate} from './reader.js';
+export type {ChangeBatch, StoreChange, StorePosition} from './types.js';
--- /dev/null
+++ b/src/changefeed/messages.ts
@@ -0,0 +1,110 @@
+import {BadFrameError} from '../errors/index.js';
+import type {ChangeBatch, StoreChange, StorePosition} from './types.js';
+
+/** Number of each kind of message on the wire, where it is the first item; they differ from those of slot allocators, which use the same connections' port. */
+export const feedMessageKind = {
+	follow: 40, batch: 41, alive: 42, refuse: 43,
+} as const;
+
+/** A message between an entry that reads the store and one that follows it. */
+export type FeedMessage =
+	/** Asks for all changes after a position. */
+	| {readonly kind: typeof feedMessageKind.follow; readonly position: StorePosition}
+	| {readonly kind: typeof feedMessageKind.batch; readonly batch: ChangeBatch}
+	/** No further change up to a position; the store's last answer is `ageMs` old. */
+	| {readonly kind: typeof feedMessageKind.alive; readonly position: StorePosition; readonly ageMs: number}
+	/** The changes can't be had here. */
+	| {readonly kind: typeof feedMessageKind.refuse};
+
+/** Stands for a store that reports no eras. */
+const noEra = -1;
+
+/** Tells whether received items are a message of this kind of feed. */
+export function isFeedMessage(items: unknown): boolean {
+	return Array.isArray(items) && typeof items[0] === 'number' && items[0] >= feedMessageKind.follow && items[0] <= feedMessageKind.refuse;
+}
+
+/** Converts a message into the list of items that is sent. */
+export function toFeedItems(message: FeedMessage): unknown[] {
+	switch (message.kind) {
+		case feedMessageKind.follow: {
+			return [message.kind, ...toPositionItems(message.position)];
+		}
+
+		case feedMessageKind.batch: {
+			const {from, to, changes} = message.batch;
+			return [message.kind, ...toPositionItems(to), from.revision, changes.map(({key, value, revision}) => [key, value ?? null, revision])];
+		}
+
+		case feedMessageKind.alive: {
+			return [message.kind, ...toPositionItems(message.position), Math.round(message.ageMs)];
+		}
+
+		case feedMessageKind.refuse: {
+			return [message.kind];
+		}
+	}
+}
+
+/** Parses a received list of items. Throws `BadFrameError` when it is not a message. */
+export function parseFeedItems(items: unknown): FeedMessage {
+	if (!Array.isArray(items)) {
+		throw new BadFrameError('feed message is not a list');
+	}
+
+	const [kind, ...rest] = items as unknown[];
+	switch (kind) {
+		case feedMessageKind.follow: {
+			return {kind, position: parsePosition(rest)};
+		}
+
+		case feedMessageKind.batch: {
+			const to = parsePosition(rest);
+			return {kind, batch: {to, from: {revision: parseNumber(rest[2]), era: to.era}, changes: parseChanges(rest[3])}};
+		}
+
+		case feedMessageKind.alive: {
+			return {kind, position: parsePosition(rest), ageMs: parseNumber(rest[2])};
+		}
+
+		case feedMessageKind.refuse: {
+			return {kind};
+		}
+
+		default: {
+			throw new BadFrameError('feed message is of an unknown kind');
+		}
+	}
+}
+
+function toPositionItems({revision, era}: StorePosition): unknown[] {
+	return [revision, era ?? noEra];
+}
+
+function parsePosition([revision, era]: readonly unknown[]): StorePosition {
+	const number = parseNumber(era);
+	return {revision: parseNumber(revision), era: number === noEra ? undefined : number};
+}
+
+function parseChanges(value: unknown): StoreChange[] {
+	if (!Array.isArray(value)) {
+		throw new BadFrameError('feed message has no list of changes');
+	}
+
+	return value.map((row: unknown): StoreChange => {
+		const [key, text, revision] = Array.isArray(row) ? row as unknown[] : [];
+		if (typeof key !== 'string' || (typeof text !== 'string' && text !== null)) {
+			throw new BadFrameError('feed message has a malformed change');
+		}
+
+		return {key, value: text ?? undefined, revision: parseNumber(revision)};
+	});
+}
+
+function parseNumber(value: unknown): number {
+	if (typeof value !== 'number' || !Number.isFinite(value)) {
+		throw new BadFrameError('feed message has a field that is not a finite number');
+	}
+
+	return value;
+}
--- a/src/places/test/takeover.test.ts
+++ b/src/places/test/takeover.test.ts
@@ -2,8 +2,7 @@
 import fc from 'fast-check';
 import {engineOutcome, engineStage, Fleet} from '../../dispatch/index.js';
 import type {EngineRecord, PrefixBlock} from '../../dispatch/index.js';
-import {MessageLink, MessageNetwork} from '../../peers/index.js';
-import type {MessageHandlers} from '../../peers/index.js';
+import {DirectNetwork} from '../../peers/test/direct.js';
 import {ManualTimers} from '../../timers/index.js';
 import {
 	FailoverReservations, listAllocators, serveReservations, SlotAllocator,
@@ -19,49 +18,6 @@
 	targetMs: 5000, deadlineMs: 60_000, firstByteTimeoutMs: 60_000, prefixBlocks: [{id: 'shared', tokens: 300}], kvCapacityTokens: 100_000,
 });
 
-/** Delivers messages between entries at once. */
-class DirectNetwork extends MessageNetwork {
-	readonly #servers = new Map<string, (link: MessageLink) => MessageHandlers>();
-
-	override open(address: string, handlers: MessageHandlers): MessageLink {
-		const toCaller = new DirectLink();
-		const toServer = new DirectLink();
-		toCaller.handlers = handlers;
-		toServer.handlers = this.#servers.get(address)!(toCaller);
-		toCaller.other = toServer;
-		toServer.other = toCaller;
-		return toServer;
-	}
-
-	override async serve(address: string, accept: (link: MessageLink) => MessageHandlers): Promise<void> {
-		this.#servers.set(address, accept);
-	}
-
-	override close(): void {
-		this.#servers.clear();
-	}
-}
-
-class DirectLink extends MessageLink {
-	handlers: MessageHandlers | undefined;
-	other: DirectLink | undefined;
-	#isClosed = false;
-
-	override send(items: unknown[]): void {
-		if (!this.#isClosed) {
-			this.handlers?.onMessage(items);
-		}
-	}
-
-	override close(): void {
-		if (!this.#isClosed) {
-			this.#isClosed = true;
-			this.other!.#isClosed = true;
-			this.handlers?.onClose();
-		}
-	}
-}
-
 type TakeoverEvent = {readonly reserveAt: number} | {readonly prefilled: number} | {readonly released: number} | {readonly viewOf: number; readonly missing: number};
 
 /** Entries that reserve slots of the same engines, each with its own view of which entries are live. */
