--- a/bench/model/main.ts
+++ b/bench/model/main.ts
@@ -27,7 +27,7 @@
 for (let seed = 1; seed <= Number(values.seeds); seed++) {
 	const result = await new ModelRun(site, {
 		seed, seconds: Number(values.seconds), load: Number(values.load), takeovers,
-	}).play();
+	}).run();
 	const {worth, prefilledTokens, repeatedTokens, prefillUtilization, rejectedShare} = result;
 	console.log([
 		`${site.name}, seed ${seed}: worth ${format(worth)}`,
--- a/bench/model/run.ts
+++ b/bench/model/run.ts
@@ -85,7 +85,7 @@
 	}
 
 	/** Plays the load and returns what callers got. */
-	async play(): Promise<ModelResult> {
+	async run(): Promise<ModelResult> {
 		const {seconds, load = 1, takeovers = []} = this.#options;
 		const endAt = seconds * millisecondsPerSecond;
 		const pendingTakeovers = [...takeovers];
@@ -101,7 +101,7 @@
 		}
 
 		await this.#timers.advance(Math.max(...this.#site.kinds.map(({deadlineMs}) => deadlineMs)));
-		return this.#summarize(endAt);
+		return this.#computeResult(endAt);
 	}
 
 	#createAllocator(): SlotAllocator {
@@ -200,7 +200,7 @@
 		return Math.max(1, Math.round(Math.min(max, mean * Math.exp((spread * normal) - (spread * spread / 2)))));
 	}
 
-	#summarize(endAt: number): ModelResult {
+	#computeResult(endAt: number): ModelResult {
 		let earned = 0;
 		let owed = 0;
 		for (const {name, worth, lateWorth} of this.#site.kinds) {
--- a/bench/model/test/model.test.ts
+++ b/bench/model/test/model.test.ts
@@ -98,18 +98,18 @@
 	for (const site of [fastSite, slowSite, otherSite]) {
 		describe(site.name, () => {
 			it('are answered on time, nine in ten, at a load that the engines can take', async () => {
-				const result = await new ModelRun(site, {seed: 1, seconds: minute, load: 0.7}).play();
+				const result = await new ModelRun(site, {seed: 1, seconds: minute, load: 0.7}).run();
 				expect(countAll(result, 'onTime') / countAll(result, 'asked')).to.be.above(0.9);
 			});
 
 			it('are hardly ever sent to an engine without memory for them, and prompts are hardly read twice', async () => {
-				const result = await new ModelRun(site, {seed: 2, seconds: minute, load: 1}).play();
+				const result = await new ModelRun(site, {seed: 2, seconds: minute, load: 1}).run();
 				expect(result.rejectedShare).to.be.below(0.01);
 				expect(result.repeatedTokens / result.prefilledTokens).to.be.below(0.2);
 			});
 
 			it('are refused at once rather than kept until their callers leave, at four times that load', async () => {
-				const result = await new ModelRun(site, {seed: 3, seconds: minute, load: 4}).play();
+				const result = await new ModelRun(site, {seed: 3, seconds: minute, load: 4}).run();
 				expect(countAll(result, 'gone') / countAll(result, 'asked')).to.be.below(0.02);
 				expect(countAll(result, 'refused')).to.be.above(0);
 			});
@@ -119,16 +119,16 @@
 	it('are served nearly as well while the allocator changes, as a new one asks the engines what they hold', async () => {
 		const options = {seed: 4, seconds: 40, load: 0.8};
 		const takeovers = [10, 15, 20, 25, 30];
-		const undisturbed = await new ModelRun(slowSite, options).play();
-		const asking = await new ModelRun(slowSite, {...options, takeovers}).play();
-		const forgetful = await new ModelRun(slowSite, {...options, takeovers, isAskingEngines: false}).play();
+		const undisturbed = await new ModelRun(slowSite, options).run();
+		const asking = await new ModelRun(slowSite, {...options, takeovers}).run();
+		const forgetful = await new ModelRun(slowSite, {...options, takeovers, isAskingEngines: false}).run();
 		expect(asking.worth).to.be.above(undisturbed.worth * 0.9);
 		expect(asking.repeatedTokens).to.be.below(forgetful.repeatedTokens / 2);
 	});
 
 	it('of small memory are not sent beyond what the engines hold', async () => {
 		const site: ModelSite = {...slowSite, engines: {...slowEngines, kvTokens: 200_000}};
-		const result = await new ModelRun(site, {seed: 5, seconds: minute, load: 0.6}).play();
+		const result = await new ModelRun(site, {seed: 5, seconds: minute, load: 0.6}).run();
 		expect(result.rejectedShare).to.be.below(0.01);
 	});
 });
