--- a/bench/model/engine.ts
+++ b/bench/model/engine.ts
@@ -22,7 +22,7 @@
 	}
 
 	/** Adds or touches blocks and keeps them until `release`. Returns whether they fit. */
-	hold(blocks: readonly PrefixBlock[]): boolean {
+	add(blocks: readonly PrefixBlock[]): boolean {
 		for (const {id, tokens} of blocks) {
 			const known = this.#blocks.get(id) ?? {tokens, users: 0};
 			this.#tokens += this.#blocks.delete(id) ? 0 : tokens;
@@ -100,7 +100,7 @@
 	}
 
 	/** Prefills a prompt after those before it, with blocks that it lacks fetched from `source`. Returns whether it had the memory. */
-	async prefill(prompt: ModelPrompt, source: ModelEngine | undefined): Promise<boolean> {
+	async runPrefill(prompt: ModelPrompt, source: ModelEngine | undefined): Promise<boolean> {
 		const queuedMs = Math.max(0, this.#freeAt - this.#timers.getNow());
 		this.#freeAt = Math.max(this.#freeAt, this.#timers.getNow());
 		// What the engine holds counts when its turn comes.
@@ -109,7 +109,7 @@
 		const missing = findMissing(blocks, id => this.has(id));
 		const fetched = source ? missing.filter(({id}) => source.has(id)) : [];
 		const read = missing.slice(fetched.length);
-		const isHeld = this.#memory.hold(blocks);
+		const isHeld = this.#memory.add(blocks);
 		if (!isHeld) {
 			this.rejected++;
 			this.#memory.release(blocks);
@@ -138,9 +138,9 @@
 	}
 
 	/** Takes a prompt that another engine prefilled, behind the prompts that it prefills itself. Returns whether it had the memory. */
-	async receive(prompt: ModelPrompt): Promise<boolean> {
+	async takePrompt(prompt: ModelPrompt): Promise<boolean> {
 		await this.#timers.sleep(Math.max(0, this.#freeAt - this.#timers.getNow()) + computeTransferMs(countTokens(prompt.blocks), prompt.needs));
-		if (this.#memory.hold(prompt.blocks)) {
+		if (this.#memory.add(prompt.blocks)) {
 			return true;
 		}
 
--- a/bench/model/run.ts
+++ b/bench/model/run.ts
@@ -136,9 +136,9 @@
 		const reader = this.#engines.get(prefillEngine ?? decodeEngine)!;
 		const decoder = this.#engines.get(decodeEngine)!;
 		await this.#timers.sleep(roundTripMs);
-		const hasRead = await reader.prefill(prompt, prefixSource === undefined ? undefined : this.#engines.get(prefixSource));
+		const hasRead = await reader.runPrefill(prompt, prefixSource === undefined ? undefined : this.#engines.get(prefixSource));
 		reservation.onPrefillEnd(hasRead ? engineOutcome.answered : engineOutcome.refused);
-		const hasReceived = hasRead && (reader === decoder || await decoder.receive(prompt));
+		const hasReceived = hasRead && (reader === decoder || await decoder.takePrompt(prompt));
 		if (hasRead && reader !== decoder) {
 			reader.release(prompt);
 		}
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -66,7 +66,7 @@
 	/** Copies of the store, the oldest first. */
 	readonly #copies: Array<{readonly madeAt: number; readonly copy: StoreCopy}> = [];
 	readonly #copyTimer = setInterval(() => {
-		this.#copies.push({madeAt: performance.now(), copy: this.store.copy()});
+		this.#copies.push({madeAt: performance.now(), copy: this.store.exportCopy()});
 		this.#copies.splice(0, this.#copies.length - maxCopies);
 	}, copyIntervalMs);
 
@@ -167,7 +167,7 @@
 	restoreStore(ageMs: number): void {
 		const before = performance.now() - ageMs;
 		const {copy} = this.#copies.findLast(({madeAt}) => madeAt <= before) ?? this.#copies[0]!;
-		this.store.restore(copy);
+		this.store.replaceContents(copy);
 	}
 
 	/** Writes the latest configuration and the registrations of the running engines again, and removes the others, as their owners do after the store came back from a copy. */
--- a/src/changefeed/follower.ts
+++ b/src/changefeed/follower.ts
@@ -57,11 +57,11 @@
 	}
 
 	/** Waits up to `waitMs` for changes after `position`. Returns `undefined` when the store has to be watched instead. */
-	async follow(position: StorePosition, waitMs: number): Promise<FollowedChanges | undefined> {
+	async watch(position: StorePosition, waitMs: number): Promise<FollowedChanges | undefined> {
 		const {timers, getReader} = this.#dependencies;
 		const address = getReader();
 		if (this.#connection && (this.#connection.address !== address || !isSame(this.#connection.position, position, this.#connection.changes))) {
-			this.#leave('another reader or position');
+			this.#closeConnection('another reader or position');
 		}
 
 		if (address === undefined || timers.getNow() < this.#backoffUntil) {
@@ -75,7 +75,7 @@
 
 		const lostReason = connection.lostReason ?? this.#findFault(connection);
 		if (lostReason !== undefined) {
-			this.#leave(lostReason);
+			this.#closeConnection(lostReason);
 			this.#backoffUntil = timers.getNow() + backoffMs;
 			return undefined;
 		}
@@ -87,7 +87,7 @@
 
 	/** Closes the connection to the reader. */
 	stop(): void {
-		this.#leave('stopped');
+		this.#closeConnection('stopped');
 	}
 
 	async #waitForChanges(connection: Connection, waitMs: number): Promise<void> {
@@ -173,7 +173,7 @@
 		connection.position = {revision: Math.max(position.revision, to.revision), era: position.era};
 	}
 
-	#leave(reason: string): void {
+	#closeConnection(reason: string): void {
 		const connection = this.#connection;
 		if (connection) {
 			this.#connection = undefined;
--- a/src/changefeed/test/changefeed.test.ts
+++ b/src/changefeed/test/changefeed.test.ts
@@ -51,10 +51,10 @@
 	}
 
 	/** Lets the follower learn what is new, from the reader or from the store; returns whether it was the reader. */
-	async follow(waitMs = 50): Promise<boolean> {
+	async watch(waitMs = 50): Promise<boolean> {
 		const ended: Array<FollowedChanges | undefined> = [];
 		const wait = async () => {
-			ended.push(await this.follower.follow(this.position, waitMs));
+			ended.push(await this.follower.watch(this.position, waitMs));
 		};
 
 		void wait();
@@ -97,40 +97,40 @@
 describe('an entry that follows the changes of the store at another', () => {
 	it('learns each change without a call of the store', async () => {
 		const world = new FeedWorld();
-		expect(await world.follow()).to.equal(true);
+		expect(await world.watch()).to.equal(true);
 		world.write('a', '1');
 		world.write('b', '2');
 		world.readStore();
 		world.write('a', undefined);
 		world.readStore();
-		expect(await world.follow()).to.equal(true);
+		expect(await world.watch()).to.equal(true);
 		expect([...world.known]).to.deep.equal([['b', '2']]);
 		expect(world.storeReads).to.equal(0);
 	});
 
 	it('turns to the store within a second and a bit when the reader falls silent, and asks the reader again later', async () => {
 		const world = new FeedWorld();
-		await world.follow();
+		await world.watch();
 		world.network.isSilent = true;
 		const startedAt = world.timers.getNow();
-		while (await world.follow(1000)) {
+		while (await world.watch(1000)) {
 			world.readStore();
 		}
 
 		expect(world.timers.getNow() - startedAt).to.be.below(2200);
 		expect(world.reasons.at(-1)).to.equal('silent');
 		world.network.isSilent = false;
-		expect(await world.follow()).to.equal(false);
+		expect(await world.watch()).to.equal(false);
 		await world.timers.advance(3000);
 		world.readStore();
-		expect(await world.follow()).to.equal(true);
+		expect(await world.watch()).to.equal(true);
 	});
 
 	it('turns to the store when the reader no longer reaches it', async () => {
 		const world = new FeedWorld();
-		await world.follow();
+		await world.watch();
 		const startedAt = world.timers.getNow();
-		while (await world.follow(500)) {
+		while (await world.watch(500)) {
 			// The reader's own watch gets no answer.
 		}
 
@@ -141,40 +141,40 @@
 		const world = new FeedWorld();
 		world.era = 2;
 		world.readStore();
-		expect(await world.follow()).to.equal(false);
+		expect(await world.watch()).to.equal(false);
 		const late = new FeedWorld();
 		for (let index = 0; index < 200; index++) {
 			late.write(`k${index}`, 'v');
 			late.readStore();
 		}
 
-		expect(await late.follow()).to.equal(false);
+		expect(await late.watch()).to.equal(false);
 	});
 
 	it('turns to the store at once when the reader closes the connection or names no reader', async () => {
 		const world = new FeedWorld();
-		await world.follow();
+		await world.watch();
 		world.network.close();
-		expect(await world.follow()).to.equal(false);
+		expect(await world.watch()).to.equal(false);
 		const alone = new FeedWorld();
 		alone.reader = undefined;
-		expect(await alone.follow()).to.equal(false);
+		expect(await alone.watch()).to.equal(false);
 		expect(alone.network.openCount).to.equal(0);
 	});
 
 	it('does not pass on a value that is too large for a message', async () => {
 		const world = new FeedWorld();
-		await world.follow();
+		await world.watch();
 		world.write('config', 'x'.repeat(100_000));
 		world.readStore();
-		expect(await world.follow()).to.equal(false);
+		expect(await world.watch()).to.equal(false);
 		expect(world.known.get('config')).to.have.lengthOf(100_000);
 	});
 
 	it('ends with what the store has, whatever is lost on the way', async () => {
 		const event = fc.oneof(
 			fc.record({write: fc.constantFrom('a', 'b', 'c'), value: fc.option(fc.string({maxLength: 2}), {nil: undefined})}),
-			fc.record({act: fc.constantFrom('read', 'follow', 'follow', 'close', 'silence', 'speak', 'wait', 'change reader')}),
+			fc.record({act: fc.constantFrom('read', 'follow', 'follow', 'close', 'lose messages', 'pass messages', 'wait', 'change reader')}),
 		);
 		await fc.assert(fc.asyncProperty(fc.array(event, {maxLength: 60}), async events => {
 			const world = new FeedWorld();
@@ -182,14 +182,14 @@
 				read() {
 					world.readStore();
 				},
-				follow: async () => world.follow(),
+				follow: async () => world.watch(),
 				close() {
 					world.network.close();
 				},
-				silence() {
+				'lose messages'() {
 					world.network.isSilent = true;
 				},
-				speak() {
+				'pass messages'() {
 					world.network.isSilent = false;
 				},
 				wait: async () => world.timers.advance(1100),
@@ -209,7 +209,7 @@
 			for (let round = 0; round < 4; round++) {
 				world.readStore();
 				await world.timers.advance(400);
-				await world.follow();
+				await world.watch();
 			}
 
 			expect(Object.fromEntries(world.known)).to.deep.equal(Object.fromEntries(world.getState()));
--- a/src/dispatch/prefillmodel.ts
+++ b/src/dispatch/prefillmodel.ts
@@ -66,12 +66,12 @@
 		const countedMs = Math.min(durationMs, maxMs);
 		this.#line.add(backlog.tokens, countedMs);
 		this.#plane.add(backlog.tokens, backlog.pairs, countedMs);
-		this.#model = this.#line.count < minSamples ? undefined : this.#fitModel() ?? this.#model;
+		this.#model = this.#line.count < minSamples ? undefined : this.#computeFittedModel() ?? this.#model;
 		this.#meanWork = addPrefillWork(this.#meanWork ?? work, addPrefillWork(work, this.#meanWork ?? work, -1), meanWeight);
 		this.#parent?.add(work, backlog, durationMs);
 	}
 
-	#fitModel(): PlaneModel | undefined {
+	#computeFittedModel(): PlaneModel | undefined {
 		const plane = this.#plane.computeModel();
 		if (plane) {
 			return plane;
--- a/src/dispatch/usage.ts
+++ b/src/dispatch/usage.ts
@@ -148,7 +148,7 @@
 	}
 
 	/** Adds the KV memory of a request. */
-	holdKv({prefixBlocks, uniqueTokens, outputTokens}: GenerationNeeds): void {
+	addKv({prefixBlocks, uniqueTokens, outputTokens}: GenerationNeeds): void {
 		this.#ownKvTokens += uniqueTokens + outputTokens;
 		for (const {id, tokens} of prefixBlocks) {
 			const active = this.#activeBlocks.get(id);
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -88,7 +88,7 @@
 		const {timers, fleet} = this.#dependencies;
 		const now = timers.getNow();
 		const excluded = new Set(request.excludedEngines);
-		this.#followCaches(request, now);
+		this.#loadCaches(request, now);
 		const allocation = await this.#getQueue(request.service).tryWait({
 			targetAt: now + request.targetMs, deadlineAt: now + request.deadlineMs, firstByteDeadlineAt: now + request.firstByteTimeoutMs, queuedAt: now, serviceMs: request.serviceMs,
 			group: isLong(request) ? 'long' : 'short',
@@ -104,7 +104,7 @@
 	Accounts for a reservation that another allocator granted and that is still held, so that the engines do not look idle
 	after a change of allocator. Returns `undefined` when its engines are not known here.
 	*/
-	adopt(request: ReservationRequest, engines: ReservedEngines, isPrefillPending: boolean): LocalReservation | undefined {
+	registerReservation(request: ReservationRequest, engines: ReservedEngines, isPrefillPending: boolean): LocalReservation | undefined {
 		const {timers, fleet} = this.#dependencies;
 		const decodeEngine = fleet.findServing(engines.decodeEngine);
 		const prefillEngine = engines.prefillEngine === undefined ? undefined : fleet.findServing(engines.prefillEngine);
@@ -114,7 +114,7 @@
 
 		const promptTokens = request.uniqueTokens + countPrefixTokens(request);
 		const work = isPrefillPending ? createPrefillWork(request.uniqueTokens, promptTokens) : noPrefillWork;
-		const reservation = new LocalReservation(this, this.#hold(request, {
+		const reservation = new LocalReservation(this, this.#recordReservation(request, {
 			prefillEngine, decodeEngine, prefixSource: undefined, work, firstTokenMs: engines.firstTokenMs,
 		}, timers.getNow()), request, {timers, isAdopted: true});
 		if (!isPrefillPending) {
@@ -191,11 +191,11 @@
 			this.getUsage(view).health.onSend();
 		}
 
-		return this.#hold(request, placement, now);
+		return this.#recordReservation(request, placement, now);
 	}
 
 	/** Accounts for a reservation. */
-	#hold(request: ReservationRequest, placement: GenerationPlacement, now: number): Allocation {
+	#recordReservation(request: ReservationRequest, placement: GenerationPlacement, now: number): Allocation {
 		const {prefillEngine, decodeEngine} = placement;
 		const prefill = this.getUsage(prefillEngine ?? decodeEngine).startPrefill(placement.work, now);
 		this.getUsage(decodeEngine).startDecode(request, prefillEngine !== undefined);
@@ -203,7 +203,7 @@
 		const blocks = [...request.prefixBlocks, {id: `unique ${this.#allocationCount++}`, tokens: request.uniqueTokens}];
 		// After the prefill both engines hold the blocks: one computed or fetched them, the other received them with the KV cache.
 		for (const view of prefillEngine ? [prefillEngine, decodeEngine] : [decodeEngine]) {
-			this.getUsage(view).holdKv(request);
+			this.getUsage(view).addKv(request);
 			this.#prefixCaches.startRead(view, blocks, request.kvCapacityTokens);
 		}
 
@@ -215,7 +215,7 @@
 	there: after a start, and after a time in which others allocated. An allocator that grants a share only does not ask, since
 	all entries do so then.
 	*/
-	#followCaches(request: ReservationRequest, now: number): void {
+	#loadCaches(request: ReservationRequest, now: number): void {
 		const {fleet, getSlotShare, listHeldBlocks} = this.#dependencies;
 		if (now - this.#lastRequestAt > maxUnfollowedMs) {
 			this.#followedViews = new WeakSet();
--- a/src/places/remoteallocator.ts
+++ b/src/places/remoteallocator.ts
@@ -110,7 +110,7 @@
 	}
 
 	/** Tells the allocator of a reservation that another one granted. Returns it as a reservation of this allocator too. */
-	adopt(request: ReservationRequest, engines: ReservedEngines, isPrefillPending: boolean): RemoteReservation {
+	registerReservation(request: ReservationRequest, engines: ReservedEngines, isPrefillPending: boolean): RemoteReservation {
 		const id = this.#nextId++;
 		this.#send({
 			kind: allocatorMessageKind.adopt, id, request, engines, isPrefillPending,
--- a/src/places/serve.ts
+++ b/src/places/serve.ts
@@ -62,7 +62,7 @@
 		}
 
 		if (message.kind === allocatorMessageKind.adopt) {
-			const reservation = allocator.adopt(message.request, message.engines, message.isPrefillPending);
+			const reservation = allocator.registerReservation(message.request, message.engines, message.isPrefillPending);
 			if (reservation) {
 				requests.set(message.id, {controller: new AbortController(), reservation});
 			}
--- a/src/places/test/takeover.test.ts
+++ b/src/places/test/takeover.test.ts
@@ -62,7 +62,7 @@
 		}
 	}
 
-	async reserve(entryIndex: number): Promise<void> {
+	async requestReservation(entryIndex: number): Promise<void> {
 		const controller = new AbortController();
 		const acquire = async () => {
 			try {
@@ -77,9 +77,9 @@
 	}
 
 	/** Plays one event: a request, the end of a prefill or of a request, or a change of an entry's view of which entries are live. */
-	async play(event: TakeoverEvent): Promise<void> {
+	async runEvent(event: TakeoverEvent): Promise<void> {
 		if ('reserveAt' in event) {
-			await this.reserve(event.reserveAt);
+			await this.requestReservation(event.reserveAt);
 		} else if ('viewOf' in event) {
 			this.entries[event.viewOf]!.live = this.candidates.filter((_, index) => index !== event.missing);
 		} else if ('prefilled' in event) {
@@ -115,7 +115,7 @@
 		await fc.assert(fc.asyncProperty(eventLists, fc.nat(entryCount - 1), async (events, leaving) => {
 			const world = new TakeoverWorld();
 			for (const event of events) {
-				await world.play(event);
+				await world.runEvent(event);
 			}
 
 			const live = world.candidates.filter((_, index) => index !== leaving);
@@ -124,7 +124,7 @@
 			}
 
 			for (let entry = 0; entry < entryCount; entry++) {
-				await world.reserve(entry);
+				await world.requestReservation(entry);
 			}
 
 			const [address] = listAllocators('llm', live, 1);
@@ -148,8 +148,8 @@
 	it('makes the new one ask each engine once for the blocks that it holds, and place prompts there', async () => {
 		const world = new TakeoverWorld();
 		const [first, second] = listAllocators('llm', world.candidates, 2);
-		await world.reserve(0);
-		await world.reserve(0);
+		await world.requestReservation(0);
+		await world.requestReservation(0);
 		expect(world.asked).to.deep.equal(engineIds.map(id => `${first} ${id}`));
 		for (const entry of world.entries) {
 			entry.live = world.candidates.filter(({address}) => address !== first);
@@ -159,8 +159,8 @@
 			reservation.release(engineOutcome.answered);
 		}
 
-		await world.reserve(1);
-		await world.reserve(1);
+		await world.requestReservation(1);
+		await world.requestReservation(1);
 		expect(world.asked.slice(engineIds.length)).to.deep.equal(engineIds.map(id => `${second} ${id}`));
 		expect(world.held.at(-1)?.engines.decodeEngine).to.equal('d2');
 		world.stop();
--- a/src/places/tracked.ts
+++ b/src/places/tracked.ts
@@ -5,7 +5,7 @@
 
 /** An allocator that can be told of a reservation that another one granted; `undefined` when it does not account for it. */
 export type Adopter = {
-	readonly adopt: (request: ReservationRequest, engines: ReservedEngines, isPrefillPending: boolean) => Reservation | undefined;
+	readonly registerReservation: (request: ReservationRequest, engines: ReservedEngines, isPrefillPending: boolean) => Reservation | undefined;
 };
 
 /** The request of a reservation, and the monotonic time at which its times were computed, in milliseconds. */
@@ -42,12 +42,12 @@
 	}
 
 	/** Tells an allocator of this reservation unless it knows it. */
-	tell(adopter: Adopter, now: number): void {
+	notify(adopter: Adopter, now: number): void {
 		if (this.#holders.has(adopter)) {
 			return;
 		}
 
-		const adopted = adopter.adopt(computeRemainingRequest(this.#requestAtTime, now), this.engines, this.#isPrefillPending);
+		const adopted = adopter.registerReservation(computeRemainingRequest(this.#requestAtTime, now), this.engines, this.#isPrefillPending);
 		if (adopted) {
 			this.#holders.set(adopter, adopted);
 		}
@@ -91,7 +91,7 @@
 		const now = this.#timers.getNow();
 		const held = [...this.#held].filter(reservation => reservation.service === service);
 		for (const reservation of held) {
-			reservation.tell(allocator, now);
+			reservation.notify(allocator, now);
 		}
 
 		return held.length;
--- a/standins/fleet/store.ts
+++ b/standins/fleet/store.ts
@@ -118,7 +118,7 @@
 	}
 
 	/** Copies the contents, for a later `restore`. */
-	copy(): StoreCopy {
+	exportCopy(): StoreCopy {
 		return {
 			revision: this.#revision,
 			nextLeaseId: this.#nextLeaseId,
@@ -129,7 +129,7 @@
 	}
 
 	/** Goes back to an earlier copy, as a store that was away does: revisions and lease ids are given out again, and the era rises by one. Cuts waiting watches. */
-	restore(copy: StoreCopy): void {
+	replaceContents(copy: StoreCopy): void {
 		this.#era++;
 		this.#revision = copy.revision;
 		this.#nextLeaseId = copy.nextLeaseId;
