--- a/src/errors/errors.ts
+++ b/src/errors/errors.ts
@@ -16,7 +16,8 @@
 	const custom = class extends CrocusError {
 		constructor(message: string, options?: ErrorOptions<Props>) {
 			super(message, options);
-			Object.defineProperty(this, 'summary', {value: message});
+			// An error whose cause is of the same class is the cause itself, with its message extended.
+			Object.defineProperty(this, 'summary', {value: message, configurable: true});
 		}
 	};
 	return CrocusError.subclass(name, {props, custom}) as unknown as ErrorClass<Props>;
--- a/src/errors/test/errors.test.ts
+++ b/src/errors/test/errors.test.ts
@@ -11,6 +11,11 @@
 		expect(error.summary).to.equal('no connection to the service');
 	});
 
+	it('can have a cause of its own class, and then tells its own text', () => {
+		const error = new NotRunError('outer', {cause: new NotRunError(internalText)});
+		expect(error.summary).to.equal('outer');
+	});
+
 	for (const [name, error] of [
 		['NotRunError', new NotRunError('not run', {cause: new RangeError(internalText)})],
 		['UnknownOutcomeError', new UnknownOutcomeError('unknown', {cause: new RangeError(internalText)})],
