--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -82,11 +82,9 @@
 }
 
 /**
-Chooses the engines that serve a generation; `undefined` when none have room. A short generation is prefilled where that
-is expected to end first: on an engine that only prefills, or on one that also decodes. Prefix blocks that this engine
-lacks are fetched from one that holds them. Each prompt's prefix blocks have a home among the decode engines, chosen by
-rendezvous hashing, so that they are not cached everywhere. A long generation runs on the least loaded decode engine,
-which also prefills its whole prompt.
+Chooses the engines that serve a generation; `undefined` when none have room. A short generation is prefilled where that is
+cheapest by `planPrefills`: on an engine that only prefills, or on one that also decodes. A long generation runs on the least
+loaded decode engine, which also prefills its whole prompt.
 */
 export function chooseGenerationPlacement(
 	views: readonly EngineView[],
--- a/src/dispatch/queue.ts
+++ b/src/dispatch/queue.ts
@@ -162,7 +162,7 @@
 	}
 
 	/**
-	Waits until `tryReserve` returns a reservation, and returns it. Throws `NotRunError` when the request is refused
+	Waits until `tryReserve` returns a reservation, and returns it; a refusal that it returns ends the wait. Throws `NotRunError` when the request is refused
 	instead, or when `signal` is aborted.
 	*/
 	async wait(request: QueuedRequest, tryReserve: TryReserve<Reservation>, signal: AbortSignal): Promise<Reservation> {
