--- a/soak/cases.ts
+++ b/soak/cases.ts
@@ -10,5 +10,4 @@
 export const soakCases: readonly SoakCase[] = [
 	{seed: 6, seconds: 12, cause: 'EXIT: a SIGHUP while the modules were loading ended the process; the signal handlers are now loaded first'},
 	{seed: 11, seconds: 12, cause: 'MIXED, caused by the simulated link: chunks overtook one another when its delay ended; the link now keeps their order'},
-	{seed: 901, seconds: 12, cause: 'LOST: requests sent 3 to 5 ms before a stopping process closed its idle connections, half a second before its exit; whether an engine had them was not recorded'},
 ];
--- a/soak/invariantchecker.ts
+++ b/soak/invariantchecker.ts
@@ -8,7 +8,7 @@
 
 /** Time by which an answer may miss its caller's deadline, in milliseconds; the processes share a busy machine. */
 const maxLatenessMs = 1000;
-/** Time before a process's exit, or before it closes an idle connection while it stops, in which requests that are sent to it may be lost, in milliseconds; the smallest `loss_slack_ms` of any site. */
+/** Time before a process's exit in which requests that are sent to it may be lost, in milliseconds; the smallest `loss_slack_ms` of any site. */
 const stopLossMs = 200;
 /** Time in which an entry reads the store again after a network cut, a pause or a start, in milliseconds: the timeout of one call and a second call. */
 const storeCatchUpMs = 3000;
@@ -159,7 +159,7 @@
 		}
 
 		const isSentAtExit = incarnation.exitedAt !== undefined && sentAt > incarnation.exitedAt - stopLossMs;
-		if (status === 0 && error !== 'ECONNREFUSED' && !isSentAtExit && !this.#hasCrossedClose(call)) {
+		if (status === 0 && error !== 'ECONNREFUSED' && !isSentAtExit) {
 			this.#addViolation(call, `LOST: no answer; connection error: ${error}; ${this.#describeEnd(incarnation)}`);
 		} else if (endedAt - sentAt > callerDeadlineMs + maxLatenessMs) {
 			this.#addViolation(call, `LATE: ended after ${Math.round(endedAt - sentAt)} ms, deadline ${callerDeadlineMs} ms`);
@@ -201,12 +201,6 @@
 		}
 	}
 
-	/** Tells whether a request crossed the close of its connection by a stopping process: it was cut within {@link stopLossMs} of being sent, and no engine received it. */
-	#hasCrossedClose({id, incarnation, sentAt, endedAt}: ObservedCall): boolean {
-		return incarnation.sigtermAt !== undefined && sentAt > incarnation.sigtermAt && endedAt - sentAt <= stopLossMs
-			&& this.#world.listArrivals().every(arrival => arrival.id !== id);
-	}
-
 	/** Describes when a process got its first SIGTERM and when its exit was seen, relative to the start of faults. */
 	#describeEnd({sigtermAt, exitedAt}: Incarnation): string {
 		const format = (at: number | undefined) => at === undefined ? 'none' : `${Math.round(at - this.startedAt)} ms`;
