Log how an engine's answer was framed and how much of it arrived

The log line of an attempt said only `answered`, which does not tell a stream that was closed inside an event from one that was reset or one that the engine ended itself. Each attempt now has framing, bodyBytes and, where a stream ended inside an event, incompleteBytes. The stand-in engine sends streams without a length, closed whole, closed inside an event and reset. No decision changed.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -142,6 +142,7 @@
 
 		for await (const chunk of this.reply.generateBody()) {
 			this.#watchdog.reset();
+			this.trace.bodyBytes = (this.trace.bodyBytes ?? 0) + chunk.length;
 			yield chunk;
 		}
 	}
@@ -161,6 +162,7 @@
 
 	#onReply(reply: EngineReply): void {
 		this.reply = reply;
+		this.trace.framing = reply.framing;
 		this.#watchdog.reset();
 		if (reply.load) {
 			this.view.onLoad(reply.load, this.#dependencies.timers.getNow());
--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -16,6 +16,11 @@
 export class EventSplitter {
 	#incomplete: Uint8Array = new Uint8Array(0);
 
+	/** Number of bytes after the last complete event. */
+	get incompleteBytes(): number {
+		return this.#incomplete.length;
+	}
+
 	/** Adds a chunk of the stream and returns the events that are now complete, if any. */
 	add(chunk: Uint8Array): CompleteEvents | undefined {
 		const bytes = this.#incomplete.length === 0 ? chunk : Buffer.concat([this.#incomplete, chunk]);
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -262,6 +262,8 @@
 				await writeEvents(dependencies, served, relay, events.bytes);
 				progress.lastEventId = events.lastId ?? progress.lastEventId;
 			}
+
+			attempt.trace.incompleteBytes = splitter.incompleteBytes || undefined;
 		}
 
 		await writeEvents(dependencies, served, relay, splitter.takeIncomplete());
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -2,8 +2,12 @@
 export {Attempt, callEngine} from './attempt.js';
 export {EventSplitter} from './events.js';
 export {Gateway} from './gateway.js';
-export {CallerAnswer, EngineLink, EngineReply} from './ports.js';
-export type {EngineCall, EngineTarget, KvCacheHandle} from './ports.js';
+export {
+	answerFraming, CallerAnswer, EngineLink, EngineReply,
+} from './ports.js';
+export type {
+	AnswerFraming, EngineCall, EngineTarget, KvCacheHandle,
+} from './ports.js';
 export {LogReporter} from './reporter.js';
 export {chooseService, RouteTable} from './routes.js';
 export type {GatewayDependencies} from './served.js';
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -36,9 +36,22 @@
 	readonly signal: AbortSignal;
 };
 
+/** What marks the end of an answer's body (RFC 9112, section 6.3). */
+export const answerFraming = {
+	none: 'none',
+	length: 'length',
+	chunked: 'chunked',
+	/** The close of the connection, which an engine that breaks off causes as well. */
+	connectionEnd: 'connection_end',
+} as const;
+
+/** See {@link answerFraming}. */
+export type AnswerFraming = (typeof answerFraming)[keyof typeof answerFraming];
+
 /** An engine's answer whose body has not been read. */
 export abstract class EngineReply {
 	abstract readonly status: number;
+	abstract readonly framing: AnswerFraming;
 	/** Header fields that are relayed to the caller. */
 	abstract readonly headers: HeaderList;
 	/** The engine says that it did not run the request and never will. */
--- a/src/gateway/trace.ts
+++ b/src/gateway/trace.ts
@@ -1,5 +1,6 @@
 import type {EngineOutcome, EngineView} from '../dispatch/index.js';
 import type {TimerService} from '../timers/index.js';
+import type {AnswerFraming} from './ports.js';
 import type {GatewayRequest, Route} from './types.js';
 
 /** How a request ended from the caller's point of view. */
@@ -28,6 +29,12 @@
 	/** How the send ended; absent while it is in progress, and when the caller or the deadline ended it, which says nothing about the engine. */
 	sign?: EngineOutcome;
 	detail?: string;
+	/** How the end of the answer's body is marked; absent without an answer. */
+	framing?: AnswerFraming;
+	/** Bytes of the answer's body that arrived; absent where the body was not read. */
+	bodyBytes?: number;
+	/** Bytes that a stream sent after its last complete event; absent unless there were any when it ended. */
+	incompleteBytes?: number;
 	/** Time from the send to its end, in milliseconds; absent until then. */
 	tookMs?: number;
 };
--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -29,8 +29,12 @@
 	answerTwice: 'answerTwice',
 	/** Sends a complete answer without a length, ended by the close of the connection. */
 	unframed: 'unframed',
-	/** Sends the first bytes of an answer without a length, and then resets the connection. */
+	/** Sends the first bytes of an answer without a length, and then resets the connection; a stream is reset inside its second event. */
 	resetUnframed: 'resetUnframed',
+	/** Sends a stream without a length, and closes the connection without a reset inside its second event. */
+	closeInEvent: 'closeInEvent',
+	/** Ends a stream in chunks properly, but inside its second event. */
+	endInEvent: 'endInEvent',
 	/** Answers 204 without a body. */
 	noContent: 'noContent',
 } as const;
@@ -245,10 +249,17 @@
 	async #runStream(arrival: Arrival, response: ServerResponse, headers: Record<string, string>, fault: EngineFault | undefined): Promise<void> {
 		const {eventCount = 3, eventIntervalMs = 1} = this.#options;
 		const firstId = Number(arrival.headers['last-event-id'] ?? 0) + 1;
+		if (fault === engineFault.unframed || fault === engineFault.resetUnframed || fault === engineFault.closeInEvent) {
+			const events = Array.from({length: Math.max(0, eventCount - firstId + 1)}, (_, index) => formatEvent(firstId + index, arrival.id));
+			const text = fault === engineFault.unframed ? events.join('') : events[0] + events[1]!.slice(0, 9);
+			await sendWithoutLength(response.socket ?? undefined, {...headers, 'Content-Type': 'text/event-stream'}, text, fault !== engineFault.resetUnframed);
+			return;
+		}
+
 		response.writeHead(200, {...headers, 'Content-Type': 'text/event-stream'});
 		for (let id = firstId; id <= eventCount; id++) {
 			await sleep(eventIntervalMs);
-			const event = `id: ${id}\ndata: piece ${id} of ${arrival.id}\n\n`;
+			const event = formatEvent(id, arrival.id);
 			if (fault === engineFault.pauseStream && id === firstId + 1) {
 				return;
 			}
@@ -260,6 +271,11 @@
 				return;
 			}
 
+			if (fault === engineFault.endInEvent && id === firstId + 1) {
+				response.end(event.slice(0, 9));
+				return;
+			}
+
 			response.write(event);
 		}
 
@@ -267,6 +283,10 @@
 	}
 }
 
+function formatEvent(id: number, requestId: string): string {
+	return `id: ${id}\ndata: piece ${id} of ${requestId}\n\n`;
+}
+
 /** Sends an answer without a length; its end is the end of the connection: a close when `isComplete`, otherwise a reset. */
 async function sendWithoutLength(socket: Socket | undefined, headers: Record<string, string>, text: string, isComplete: boolean): Promise<void> {
 	const fields = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('');
