A stream that ends inside an event is broken off, not complete

Cause: the relay held back bytes after the last complete event, and when the body ended without an error it passed them on as the rest of a complete answer. An engine that breaks off an answer without length or chunks by an ordinary close gives no error at the HTTP level, so only the event tells. The end of the transport was taken for the end of the message. Fix: EventSplitter.finish throws BrokenAnswerError when other than empty lines are left, so the stream is resumed where its route allows that, and otherwise the caller's connection is closed without the last chunk. Streams of services without models, which are buffered, are checked the same way and answered 502.

--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
+import {BrokenAnswerError} from '../errors/index.js';
 
 const lineFeed = 10;
+const carriageReturn = 13;
 const idField = 'id:';
 
 /** Complete events of a stream, and the last id among them. */
@@ -35,18 +37,27 @@
 		return {bytes: complete, lastId: findLastId(complete)};
 	}
 
-	/** Removes and returns the bytes after the last complete event; a stream that ended normally may have some. */
-	takeIncomplete(): Uint8Array {
-		const incomplete = this.#incomplete;
-		this.#incomplete = new Uint8Array(0);
-		return incomplete;
+	/** Ends the stream and returns what is left to send, which is at most empty lines. Throws `BrokenAnswerError` when the stream ended inside an event. */
+	finish(): Uint8Array {
+		if (this.#incomplete.some(byte => byte !== lineFeed && byte !== carriageReturn)) {
+			throw new BrokenAnswerError(`Stream ended inside an event, ${this.#incomplete.length} bytes after the last complete one.`);
+		}
+
+		return this.#incomplete;
 	}
 }
 
+/** Checks that a buffered stream ends after an event. Throws `BrokenAnswerError` when it ends inside one. */
+export function checkEvents(body: Uint8Array): void {
+	const splitter = new EventSplitter();
+	splitter.add(body);
+	splitter.finish();
+}
+
 function findLastEventEnd(bytes: Uint8Array): number {
 	for (let index = bytes.length - 1; index > 0; index--) {
 		const isEnd = bytes[index] === lineFeed
-			&& (bytes[index - 1] === lineFeed || (index > 1 && bytes[index - 1] === 13 && bytes[index - 2] === lineFeed));
+			&& (bytes[index - 1] === lineFeed || (index > 1 && bytes[index - 1] === carriageReturn && bytes[index - 2] === lineFeed));
 		if (isEnd) {
 			return index + 1;
 		}
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -266,7 +266,7 @@
 			attempt.trace.incompleteBytes = splitter.incompleteBytes || undefined;
 		}
 
-		await writeEvents(dependencies, served, relay, splitter.takeIncomplete());
+		await writeEvents(dependencies, served, relay, splitter.finish());
 	} catch (error) {
 		attempt.abort(error);
 		return false;
--- a/src/gateway/plain.ts
+++ b/src/gateway/plain.ts
@@ -6,6 +6,7 @@
 import {callEngine} from './attempt.js';
 import type {Attempt} from './attempt.js';
 import {finishUnanswered, refuseNotRun, waitForEngine} from './ending.js';
+import {checkEvents} from './events.js';
 import {selectRetryReason, RequestProgress} from './progress.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
 import {requestKind} from './types.js';
@@ -48,7 +49,7 @@
 			silenceTimeoutMs: mayRepeat ? served.route.targetMs * silenceTimeoutShare : undefined,
 			mayReuseIdle: served.route.kind === requestKind.idempotent,
 		}));
-		const body = attempt.isNotRun ? undefined : yield * callStep('read the answer', async () => attempt.readBody());
+		const body = attempt.isNotRun ? undefined : yield * callStep('read the answer', async () => readAnswer(served, attempt));
 		if (body) {
 			attempt.finish();
 		}
@@ -68,6 +69,21 @@
 	}
 }
 
+/** Reads the whole answer; returns `undefined` when it broke off. */
+async function readAnswer(served: ServedRequest, attempt: Attempt): Promise<Uint8Array | undefined> {
+	const body = await attempt.readBody();
+	if (body && attempt.isSuccess && served.route.kind === requestKind.stream) {
+		try {
+			checkEvents(body);
+		} catch (error) {
+			attempt.abort(error);
+			return undefined;
+		}
+	}
+
+	return body;
+}
+
 /** Returns whether to try another engine after an attempt that did not succeed. */
 function decideNext(dependencies: GatewayDependencies, served: ServedRequest, progress: PlainProgress, attempt: Attempt): boolean {
 	const mayRepeat = progress.isRepeatable(served);
