--- a/src/upstreams/test/httpservice.test.ts
+++ b/src/upstreams/test/httpservice.test.ts
@@ -79,8 +79,8 @@
 			let error: unknown;
 			try {
 				await readText(answer);
-			} catch (thrown) {
-				error = thrown;
+			} catch (error_) {
+				error = error_;
 			}
 
 			expect(error).to.be.an('error');
