Engines say in their answers that they leave, or for how long they want nothing

DRAIN: an answer with Server-Leaving: 1 takes its engine out at this process at once, for the rest of the incarnation, whatever its registration says; the flag holds over a removal and a later registration of the same incarnation. Requests that wait, or whose prompt is being prefilled, go elsewhere, and the slot allocator is told with each request which engines are out of use here. BUDGET: a 503 with Retry-After holds every request of this process back from that engine for that time, prefills and listings of its blocks included. Where all engines of a service hold back for longer than a caller waits it is refused at once, with a time to come back. Each is logged once with engine and request, and counted (crocus_registrations_total, crocus_engine_pauses_total).

--- a/src/dispatch/engine.ts
+++ b/src/dispatch/engine.ts
@@ -45,9 +45,36 @@
 	averageDurationMs: number | undefined;
 	#remoteRequestsAtReport = 0;
 	#reportedAt = Number.NEGATIVE_INFINITY;
+	#hasSaidLeaving = false;
+	#pausedUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(public record: EngineRecord) {}
 
+	/** Whether the engine finishes its requests and takes no new ones, by its registration or by an answer. */
+	get isLeaving(): boolean {
+		return this.record.isLeaving || this.#hasSaidLeaving;
+	}
+
+	/** Records that an answer of the engine said that it leaves. Holds for the rest of its incarnation: its registration may be older, or never say so. */
+	onLeaving(): void {
+		this.#hasSaidLeaving = true;
+	}
+
+	/** Records that the engine wants no request of this process for `durationMs` from `now`. An earlier wish that ends later holds. */
+	onRetryAfter(durationMs: number, now: number): void {
+		this.#pausedUntil = Math.max(this.#pausedUntil, now + durationMs);
+	}
+
+	/** Computes for how much longer the engine wants no request of this process, in milliseconds. */
+	computePauseMs(now: number): number {
+		return Math.max(0, this.#pausedUntil - now);
+	}
+
+	/** Tells whether the engine may get a request of this process at `now`: it is not leaving, holds nothing back and is not suspect. */
+	isAvailable(now: number): boolean {
+		return !this.isLeaving && now >= this.#pausedUntil && this.health.isAvailable(now);
+	}
+
 	/** Records the load that the engine reported with an answer. */
 	onLoad(load: EngineLoad, now: number): void {
 		this.#remoteRequestsAtReport = Math.max(0, load.running + load.waiting - this.localRequests);
--- a/src/dispatch/fleet.ts
+++ b/src/dispatch/fleet.ts
@@ -8,8 +8,8 @@
 export class Fleet {
 	readonly #views = new Map<string, EngineView>();
 	readonly #viewsByService = new Map<string, EngineView[]>();
-	/** Last registrations of removed engines, by id, the earliest removed first. */
-	readonly #removed = new Map<string, EngineRecord>();
+	/** Removed engines by id, the earliest removed first: the same incarnation may register again. */
+	readonly #removed = new Map<string, EngineView>();
 
 	/**
 	Adds or updates an engine; a new incarnation under the same id starts with a new view. A registration that is older than
@@ -19,7 +19,7 @@
 	onRegistration(record: EngineRecord): boolean {
 		const known = this.#views.get(record.id);
 		const removed = this.#removed.get(record.id);
-		const isOutdated = known ? isEarlierWrite(record, known.record) : removed !== undefined && !isLaterWrite(record, removed);
+		const isOutdated = known ? isEarlierWrite(record, known.record) : removed !== undefined && !isLaterWrite(record, removed.record);
 		if (isOutdated) {
 			return false;
 		}
@@ -35,7 +35,9 @@
 			this.remove(record.id);
 		}
 
-		const view = new EngineView(record);
+		// What an incarnation has said of itself holds although its registration was missing for a while.
+		const view = removed && isSameIncarnation(removed.record, record) ? removed : new EngineView(record);
+		view.record = record;
 		this.#views.set(record.id, view);
 		const views = this.#viewsByService.get(record.service) ?? [];
 		views.push(view);
@@ -51,7 +53,7 @@
 		}
 
 		this.#views.delete(id);
-		this.#removed.set(id, known.record);
+		this.#removed.set(id, known);
 		const [oldestId] = this.#removed.keys();
 		if (this.#removed.size > maxRemoved && oldestId !== undefined) {
 			this.#removed.delete(oldestId);
@@ -69,13 +71,24 @@
 
 	/** Lists the engines of a service that are not leaving. */
 	listServing(service: string): EngineView[] {
-		return (this.#viewsByService.get(service) ?? []).filter(view => !view.record.isLeaving);
+		return (this.#viewsByService.get(service) ?? []).filter(view => !view.isLeaving);
+	}
+
+	/** Lists the ids of the engines of a service that may get no request of this process at `now`. */
+	listUnavailable(service: string, now: number): string[] {
+		return (this.#viewsByService.get(service) ?? []).filter(view => !view.isAvailable(now)).map(view => view.record.id);
 	}
 
 	/** Finds an engine by its id; `undefined` when it is unknown or leaving. */
 	findServing(id: string): EngineView | undefined {
 		const view = this.#views.get(id);
-		return view && !view.record.isLeaving ? view : undefined;
+		return view && !view.isLeaving ? view : undefined;
+	}
+
+	/** Finds an engine by its id; `undefined` when it is unknown or leaving, or wants no request of this process at `now`. */
+	findAccepting(id: string, now: number): EngineView | undefined {
+		const view = this.findServing(id);
+		return view?.computePauseMs(now) === 0 ? view : undefined;
 	}
 }
 
--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -66,7 +66,7 @@
 	let bestCost = Number.POSITIVE_INFINITY;
 	for (const view of views) {
 		const load = view.computeLoad(now);
-		if (!view.health.isAvailable(now) || tried.has(view) || load >= view.record.slots * maxLoadPerSlot) {
+		if (!view.isAvailable(now) || tried.has(view) || load >= view.record.slots * maxLoadPerSlot) {
 			continue;
 		}
 
--- a/src/dispatch/test/fleet.test.ts
+++ b/src/dispatch/test/fleet.test.ts
@@ -39,4 +39,26 @@
 		fleet.onRegistration({...record, startedAt: 2, sequence: undefined});
 		expect(isServing()).to.equal(true);
 	});
+
+	it('keeps an engine that said that it leaves out until another incarnation registers', () => {
+		fleet.findServing('e1')!.onLeaving();
+		fleet.onRegistration({...record, sequence: 9});
+		expect(isServing()).to.equal(false);
+		fleet.remove('e1');
+		fleet.onRegistration({...record, sequence: 10});
+		expect(isServing()).to.equal(false);
+		fleet.onRegistration({...record, startedAt: 2, sequence: 1});
+		expect(isServing()).to.equal(true);
+	});
+
+	it('holds back requests for the longest time that an engine asked for, also over a removal', () => {
+		const view = fleet.findServing('e1')!;
+		view.onRetryAfter(2000, 100);
+		view.onRetryAfter(500, 200);
+		expect([view.isAvailable(2099), view.isAvailable(2100)]).to.deep.equal([false, true]);
+		fleet.remove('e1');
+		fleet.onRegistration({...record, sequence: 6});
+		expect(fleet.findServing('e1')!.isAvailable(2099)).to.equal(false);
+		expect(fleet.listUnavailable('app', 2099)).to.deep.equal(['e1']);
+	});
 });
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -77,10 +77,12 @@
 	readonly #watchdog: SendWatchdog;
 	readonly #stopTracking: () => void;
 	readonly #startedAt: number;
+	readonly #requestId: string;
 
 	constructor(dependencies: GatewayDependencies, served: ServedRequest, view: EngineView, options: AttemptOptions) {
 		this.#dependencies = dependencies;
 		this.view = view;
+		this.#requestId = served.request.id;
 		this.trace = served.trace.onSend(view, options.purpose);
 		this.#stopTracking = trackSend(view);
 		this.#startedAt = dependencies.timers.getNow();
@@ -162,6 +164,7 @@
 
 	#onReply(reply: EngineReply): void {
 		this.reply = reply;
+		this.#recordWishes(reply);
 		this.trace.framing = reply.framing;
 		this.#watchdog.reset();
 		if (reply.load) {
@@ -175,6 +178,31 @@
 		}
 	}
 
+	/** Records what the engine says of further requests. Another process at its address says nothing about it. */
+	#recordWishes({isLeaving, isOtherEngine, retryAfterMs}: EngineReply): void {
+		const {timers, reporter} = this.#dependencies;
+		const now = timers.getNow();
+		if (isOtherEngine) {
+			return;
+		}
+
+		if (isLeaving && !this.view.isLeaving) {
+			reporter.onLeaving(this.view, this.#requestId);
+		}
+
+		if (isLeaving) {
+			this.view.onLeaving();
+		}
+
+		if (retryAfterMs !== undefined) {
+			const isPaused = this.view.computePauseMs(now) > 0;
+			this.view.onRetryAfter(retryAfterMs, now);
+			if (!isPaused) {
+				reporter.onPause(this.view, this.#requestId, retryAfterMs);
+			}
+		}
+	}
+
 	#onFailure(error: unknown): void {
 		this.error = error;
 		const detail = error instanceof Error ? `${error.name}: ${error.message}` : String(error);
--- a/src/gateway/ending.ts
+++ b/src/gateway/ending.ts
@@ -54,6 +54,12 @@
 	}
 }
 
+/** Ends a request whose engines want nothing from this process for longer than its caller waits: another process may still serve it. */
+export function refusePaused(dependencies: GatewayDependencies, served: ServedRequest, mayHaveRun: boolean): void {
+	const retryAfterMs = computeRetryAfterMs(served.deadlineAt - dependencies.timers.getNow(), dependencies.getRandom());
+	refuseUnadmitted(served, new NotRunError('All engines of the service asked for a pause.', {props: {reason: refusalReason.overload, retryAfterMs}}), mayHaveRun);
+}
+
 /** Refuses a request that has not run and never will, and tells the caller when to retry. */
 export function refuseNotRun(dependencies: GatewayDependencies, served: ServedRequest, reason: RefusalReason): void {
 	const remainingMs = served.deadlineAt - dependencies.timers.getNow();
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -1,3 +1,4 @@
+import {computeSharedPauseMs, engineStage} from '../dispatch/index.js';
 import type {EngineOutcome, EngineView, GenerationNeeds} from '../dispatch/index.js';
 import {refusalReason, retryReason} from '../errors/index.js';
 import type {Reservation} from '../places/index.js';
@@ -5,7 +6,9 @@
 import type {Procedure} from '../procedures/index.js';
 import {callEngine} from './attempt.js';
 import type {Attempt} from './attempt.js';
-import {finishUnanswered, refuseUnadmitted, refuseNotRun} from './ending.js';
+import {
+	finishUnanswered, refuseNotRun, refusePaused, refuseUnadmitted,
+} from './ending.js';
 import {EventSplitter} from './events.js';
 import type {KvCacheHandle} from './ports.js';
 import {selectRetryReason, RequestProgress} from './progress.js';
@@ -50,14 +53,14 @@
 	const progress = new GenerationProgress(served.request.prompt, served.model);
 	for (;;) {
 		const reservation = yield * callStep('wait for a place', async () => acquireReservation(dependencies, served, progress));
-		const decodeEngine = reservation && served.fleet.findServing(reservation.engines.decodeEngine);
+		const decodeEngine = reservation && served.fleet.findAccepting(reservation.engines.decodeEngine, dependencies.timers.getNow());
 		if (!reservation) {
 			releaseHeldKvCache(dependencies, progress);
 			return;
 		}
 
 		if (!decodeEngine) {
-			// The slot allocator knows an engine that this process doesn't know yet or has removed.
+			// The slot allocator knows an engine that this process doesn't know yet or has removed, or does not know that it wants no requests.
 			reservation.release(undefined);
 			progress.triedIds.add(reservation.engines.decodeEngine);
 			continue;
@@ -90,8 +93,9 @@
 		}
 
 		const kvCacheHandle = typeof prefillResult === 'object' ? prefillResult : undefined;
-		if (!served.fleet.findServing(decodeEngine.record.id)) {
-			// The engine began to leave, or left, during the prefill: another one continues from the KV cache.
+		if (!served.fleet.findAccepting(decodeEngine.record.id, dependencies.timers.getNow())) {
+			// The engine began to leave, or left, or asked for a pause during the prefill: another one continues from the KV cache.
+			progress.triedIds.add(decodeEngine.record.id);
 			progress.heldKvCache = kvCacheHandle;
 			return 'again';
 		}
@@ -142,7 +146,12 @@
 
 async function acquireReservation(dependencies: GatewayDependencies, served: ServedRequest, progress: GenerationProgress): Promise<Reservation | undefined> {
 	const now = dependencies.timers.getNow();
-	const unavailableIds = served.fleet.listServing(served.service).filter(view => !view.health.isAvailable(now)).map(view => view.record.id);
+	const decodeEngines = served.fleet.listServing(served.service).filter(view => view.record.stage !== engineStage.prefill);
+	if (now + computeSharedPauseMs(decodeEngines, now) >= served.deadlineAt) {
+		refusePaused(dependencies, served, progress.runs > 0);
+		return undefined;
+	}
+
 	try {
 		const reservation = await dependencies.reservations.acquire({
 			...progress.needs,
@@ -151,7 +160,7 @@
 			deadlineMs: served.deadlineAt - now,
 			firstByteTimeoutMs: served.request.arrivedAt + served.route.firstByteTimeoutMs - now,
 			serviceMs: dependencies.serviceTimes.estimateMs(served.route.name),
-			excludedEngines: [...progress.triedIds, ...unavailableIds],
+			excludedEngines: [...progress.triedIds, ...served.fleet.listUnavailable(served.service, now)],
 		}, served.signal);
 		served.trace.onAdmitted(reservation.engines.firstTokenMs);
 		return reservation;
@@ -179,7 +188,7 @@
 		return heldKvCache;
 	}
 
-	const prefillEngine = reservation.engines.prefillEngine === undefined ? undefined : served.fleet.findServing(reservation.engines.prefillEngine);
+	const prefillEngine = reservation.engines.prefillEngine === undefined ? undefined : served.fleet.findAccepting(reservation.engines.prefillEngine, dependencies.timers.getNow());
 	if (!prefillEngine || progress.prefillAttempts > 0) {
 		// A second prefill would count as a retry.
 		if (reservation.engines.prefillEngine !== undefined) {
--- a/src/gateway/plain.ts
+++ b/src/gateway/plain.ts
@@ -1,11 +1,13 @@
-import {choosePlainEngine} from '../dispatch/index.js';
+import {choosePlainEngine, computeSharedPauseMs} from '../dispatch/index.js';
 import type {EngineView, AdmissionQueue} from '../dispatch/index.js';
 import {refusalReason, retryReason} from '../errors/index.js';
 import {callStep} from '../procedures/index.js';
 import type {Procedure} from '../procedures/index.js';
 import {callEngine} from './attempt.js';
 import type {Attempt} from './attempt.js';
-import {finishUnanswered, refuseNotRun, waitForEngine} from './ending.js';
+import {
+	finishUnanswered, refuseNotRun, refusePaused, waitForEngine,
+} from './ending.js';
 import {checkEvents} from './events.js';
 import {selectRetryReason, RequestProgress} from './progress.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
@@ -36,6 +38,12 @@
 export function * servePlain(dependencies: GatewayDependencies, served: ServedRequest, queue: AdmissionQueue<EngineView>): Procedure<void> {
 	const progress = new PlainProgress();
 	for (;;) {
+		const now = dependencies.timers.getNow();
+		if (now + computeSharedPauseMs(served.fleet.listServing(served.service), now) >= served.deadlineAt) {
+			refusePaused(dependencies, served, progress.runs > 0);
+			return;
+		}
+
 		const view = yield * callStep('wait for a place', async () => waitForEngine(dependencies, served, queue, {
 			serviceMs: minServiceMs, mayHaveRun: progress.runs > 0, tryChoose: now => progress.chooseEngine(served, now),
 		}));
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -58,6 +58,10 @@
 	abstract readonly isNotRun: boolean;
 	/** The answer comes from another process that has the engine's address now. */
 	abstract readonly isOtherEngine: boolean;
+	/** The engine finishes its requests and takes no new ones. */
+	abstract readonly isLeaving: boolean;
+	/** Time for which the engine, as it refuses, wants no request of this process, in milliseconds; `undefined` when it names none. */
+	abstract readonly retryAfterMs: number | undefined;
 	/** The answer carries the engine's receipt; a success without one does not come from an engine. */
 	abstract readonly hasReceipt: boolean;
 	abstract readonly load: EngineLoad | undefined;
--- a/src/gateway/reporter.ts
+++ b/src/gateway/reporter.ts
@@ -1,4 +1,5 @@
 import type {Histogram} from 'prom-client';
+import type {EngineView} from '../dispatch/index.js';
 import type {StructuredLogs} from '../logs/index.js';
 import type {Metrics} from '../metrics/index.js';
 import {RequestReporter} from './trace.js';
@@ -47,6 +48,18 @@
 	onRetry(reason: string): void {
 		this.#metrics.count('retries', reason);
 	}
+
+	onLeaving({record: {id, service}}: EngineView, requestId: string): void {
+		this.#metrics.count('registrations', 'leaving_by_answer');
+		this.#logs.write('engine', {engine: id, service, request: requestId}, 'answer says that the engine leaves; it gets no more requests, whatever its registration says');
+	}
+
+	onPause({record: {id, service}}: EngineView, requestId: string, durationMs: number): void {
+		this.#metrics.count('pauses', service);
+		this.#logs.write('engine', {
+			engine: id, service, request: requestId, durationMs: Math.round(durationMs),
+		}, 'engine refused and named a time to come back; it gets no requests until then');
+	}
 }
 
 function createLogFields(trace: RequestTrace): Record<string, unknown> {
--- a/src/gateway/trace.ts
+++ b/src/gateway/trace.ts
@@ -43,6 +43,12 @@
 export abstract class RequestReporter {
 	abstract onEnd(trace: RequestTrace): void;
 	abstract onRetry(reason: string): void;
+
+	/** Called when an answer was the first to say that its engine leaves. */
+	abstract onLeaving(view: EngineView, requestId: string): void;
+
+	/** Called when a refusal asks for no request of this process for `durationMs`, and the engine held nothing back before. */
+	abstract onPause(view: EngineView, requestId: string, durationMs: number): void;
 }
 
 /** Record of one request: its route, its attempts, its times since arrival, and how it ended. */
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -17,6 +17,8 @@
 	configurations: {name: 'crocus_configurations_total', help: 'Configurations read, by outcome', label: 'outcome'},
 	/** Changes of engines' registrations. */
 	registrations: {name: 'crocus_registrations_total', help: 'Changes of registrations, by kind', label: 'kind'},
+	/** Refusals of engines that named a time in which they want no request of this process. */
+	pauses: {name: 'crocus_engine_pauses_total', help: 'Pauses that engines asked for, by service', label: 'service'},
 	peerBytes: {name: 'crocus_peer_bytes_total', help: 'Bytes sent to and received from other entries', label: 'direction'},
 } as const;
 
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -227,7 +227,7 @@
 		}
 
 		for (const view of fleet.listServing(request.service)) {
-			if (!this.#followedViews.has(view)) {
+			if (!this.#followedViews.has(view) && view.computePauseMs(now) === 0) {
 				this.#followedViews.add(view);
 				void this.#addHeldBlocks(view, request.kvCapacityTokens, listHeldBlocks);
 			}
--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -37,6 +37,10 @@
 	endInEvent: 'endInEvent',
 	/** Answers 204 without a body. */
 	noContent: 'noContent',
+	/** Says in this answer and in all later ones that the engine leaves; its registration does not change. */
+	leave: 'leave',
+	/** Answers 503 without running the request, and asks for nothing more from this sender for {@link FleetEngine.retryAfterMs}. */
+	retryAfter: 'retryAfter',
 } as const;
 
 /** See {@link engineFault}. */
@@ -55,6 +59,10 @@
 	isCut: boolean;
 	/** Whether the engine began to run it; never set for a prefill. */
 	hasRun: boolean;
+	/** Whether the answer says that the engine leaves. */
+	isLeavingTold: boolean;
+	/** Time for which the answer, a 503, asks for no further requests of its sender, in milliseconds; 0 when it does not. */
+	retryAfterMs: number;
 };
 
 /** Options of a {@link FleetEngine}; an engine without a stage serves application calls. */
@@ -81,6 +89,10 @@
 	readonly deletedPaths: string[] = [];
 	/** Blocks that the engine says it holds. */
 	readonly heldBlocks: Array<{readonly id: string; readonly tokens: number}> = [];
+	/** Whether answers say that the engine leaves. */
+	isLeaving = false;
+	/** Time of the fault `retryAfter`, in milliseconds. */
+	retryAfterMs = 1500;
 	/** Requests that run now. */
 	running = 0;
 	/** Largest number of requests that ran at once. */
@@ -149,21 +161,30 @@
 
 		const {headers} = request;
 		const arrival: Arrival = {
-			id: String(headers['crocusworks-request-id']), method: request.method ?? '', path: request.url ?? '', headers, body, at: performance.now(), isCut: false, hasRun: false,
+			id: String(headers['crocusworks-request-id']), method: request.method ?? '', path: request.url ?? '', headers, body, at: performance.now(), isCut: false, hasRun: false, isLeavingTold: false, retryAfterMs: 0,
 		};
 		this.arrivals.push(arrival);
-		const commonHeaders = {'Crocusworks-Request-Id': arrival.id, 'Crocusworks-Server-Load': `${this.running},0,${this.#options.slots ?? 6}`};
-		if (headers['crocusworks-expect-instance'] !== this.#options.id) {
+		const isForThis = headers['crocusworks-expect-instance'] === this.#options.id;
+		const fault = isForThis ? this.faults.shift() : undefined;
+		this.isLeaving ||= fault === engineFault.leave;
+		arrival.isLeavingTold = this.isLeaving && isForThis;
+		const commonHeaders: Record<string, string> = {'Crocusworks-Request-Id': arrival.id, 'Crocusworks-Server-Load': `${this.running},0,${this.#options.slots ?? 6}`, ...(this.isLeaving ? {'Server-Leaving': '1'} : {})};
+		if (!isForThis) {
 			sendJson(response, 421, {error: 'other instance'}, {...commonHeaders, 'Crocusworks-Instance-Id': this.#options.id});
 			return;
 		}
 
-		const fault = this.faults.shift();
 		if (fault === engineFault.refuse) {
 			sendJson(response, 503, {error: 'full'}, {...commonHeaders, 'Crocusworks-Not-Run': '1'});
 			return;
 		}
 
+		if (fault === engineFault.retryAfter) {
+			arrival.retryAfterMs = this.retryAfterMs;
+			sendJson(response, 503, {error: 'full'}, {...commonHeaders, 'Crocusworks-Not-Run': '1', 'Retry-After': String(this.retryAfterMs / 1000)});
+			return;
+		}
+
 		response.on('close', () => {
 			arrival.isCut = !response.writableFinished;
 		});
