--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -39,17 +39,20 @@
 	isComplete: boolean;
 	/** Code or message of a connection error; empty if there was none. */
 	error: string;
+	/** Whether it was sent on a connection that had carried a call before. */
+	isConnectionReused: boolean;
 };
 
 /** Sends one request over the keep-alive connections to a VM; resolves when the call has ended, also if it failed. */
 export async function sendCall(vm: SoakVm, path: string, isStream: boolean): Promise<ObservedCall> {
 	const call: ObservedCall = {
-		id: randomUUID(), path, isStream, vm, incarnation: vm.incarnation!, sentAt: performance.now(), endedAt: 0, status: 0, hasReceipt: false, body: '', isComplete: false, error: '',
+		id: randomUUID(), path, isStream, vm, incarnation: vm.incarnation!, sentAt: performance.now(), endedAt: 0, status: 0, hasReceipt: false, body: '', isComplete: false, error: '', isConnectionReused: false,
 	};
 	return new Promise(resolve => {
 		const finish = (error: string) => {
 			if (call.endedAt === 0) {
 				call.endedAt = performance.now();
+				call.isConnectionReused = request.reusedSocket;
 				call.error = error;
 				resolve(call);
 			}
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {linkState} from '../rigs/link.js';
 import {engineFault, storeMode} from '../standins/fleet/index.js';
+import type {EngineFault} from '../standins/fleet/index.js';
 import type {RandomSource} from '../src/rates/index.js';
 import type {Link, LinkState} from '../rigs/link.js';
 import type {EngineHost, SoakWorld} from './world.js';
@@ -16,6 +17,11 @@
 		return false;
 	}
 
+	/** Whether a VM may be unable to reach an engine during the fault. */
+	isCuttingEngine(_vm: SoakVm, _engineName: string): boolean {
+		return false;
+	}
+
 	/** Injects the fault. */
 	abstract start(world: SoakWorld): Promise<void> | void;
 
@@ -112,6 +118,10 @@
 		return this.#from === vm.name && this.#to === 'store';
 	}
 
+	override isCuttingEngine(vm: SoakVm, engineName: string): boolean {
+		return this.#from === vm.name && this.#to === engineName;
+	}
+
 	start(world: SoakWorld): void {
 		const link = this.#findLink(world);
 		const {slow, reset, forgotten} = linkFaultKind;
@@ -232,6 +242,25 @@
 	}
 }
 
+/** An engine leaves and says so in its answers alone: its registration stays. It ends, and its next incarnation starts, when the fault ends. */
+class LeavingEngine extends SoakFault {
+	readonly #engineHost: EngineHost;
+
+	constructor(engineHost: EngineHost, durationMs: number) {
+		super(`${engineHost.name} leaves`, durationMs);
+		this.#engineHost = engineHost;
+	}
+
+	start(): void {
+		this.#engineHost.engine.isLeaving = true;
+	}
+
+	async close(world: SoakWorld): Promise<void> {
+		await world.stopEngine(this.#engineHost);
+		await world.startEngine(this.#engineHost);
+	}
+}
+
 /** The next answers of an engine are faulty, one for each of the given faults. */
 class BadAnswers extends SoakFault {
 	readonly #engineHost: EngineHost;
@@ -267,6 +296,12 @@
 	}
 }
 
+/** Faults of answers that {@link pickEngineFault} picks. */
+const framingFaults = [engineFault.unframed, engineFault.resetUnframed, engineFault.closeInEvent, engineFault.endInEvent] as const;
+const engineWishes = new Set<EngineFault>([engineFault.leave, engineFault.retryAfter]);
+/** Faults of answers that {@link pickFault} picks; they stay as they are, so that a seed keeps its faults. */
+const answerFaults = Object.values(engineFault).filter(fault => !engineWishes.has(fault) && fault !== engineFault.closeInEvent && fault !== engineFault.endInEvent);
+
 /** Picks the next fault at random, with its target and duration. */
 export function pickFault(world: SoakWorld, random: RandomSource): SoakFault {
 	const pick = <Value>(values: readonly Value[]): Value => values[random.pickIndex(values.length)]!;
@@ -284,7 +319,7 @@
 		() => new LinkFault(vm.name, target, pick(Object.values(linkFaultKinds)), durationMs),
 		() => new StoreFault(pick(['refusing', 'silent', 'resetting', 'forgets', 'loses answers']), durationMs),
 		() => new CrashedEngine(engineHost, durationMs),
-		() => new BadAnswers(engineHost, Array.from({length: 1 + random.pickIndex(4)}, () => pick(Object.values(engineFault)))),
+		() => new BadAnswers(engineHost, Array.from({length: 1 + random.pickIndex(4)}, () => pick(answerFaults))),
 		() => new WrittenConfiguration(),
 	];
 	return pick(faultFactories)();
@@ -297,3 +332,24 @@
 export function pickReplacedStore(random: RandomSource): SoakFault | undefined {
 	return random.getRandom() < replacedStoreShare ? new ReplacedStore(random, random.pickBetween(200, 3000)) : undefined;
 }
+
+/** Share of the picked faults with which an engine also leaves, asks for a pause, or frames its answers otherwise. */
+const engineFaultShare = 0.4;
+/** Bounds of the time for which a leaving engine still answers, in milliseconds: longer than entries may go on sending to it. */
+const minLeavingMs = 2500;
+const maxLeavingMs = 5000;
+
+/** Picks whether an engine also leaves by its answers, asks for a pause or frames answers otherwise, with a source of its own: the faults that a seed picks stay the same. */
+export function pickEngineFault(world: SoakWorld, random: RandomSource): SoakFault | undefined {
+	if (random.getRandom() >= engineFaultShare) {
+		return undefined;
+	}
+
+	const engineHost = world.engineHosts[random.pickIndex(world.engineHosts.length)]!;
+	const faultFactories: ReadonlyArray<() => SoakFault> = [
+		() => new LeavingEngine(engineHost, random.pickBetween(minLeavingMs, maxLeavingMs)),
+		() => new BadAnswers(engineHost, [engineFault.retryAfter, engineFault.retryAfter]),
+		() => new BadAnswers(engineHost, [framingFaults[random.pickIndex(framingFaults.length)]!, framingFaults[random.pickIndex(framingFaults.length)]!]),
+	];
+	return faultFactories[random.pickIndex(faultFactories.length)]!();
+}
--- a/soak/invariantchecker.ts
+++ b/soak/invariantchecker.ts
@@ -27,6 +27,12 @@
 /** Statuses that promise that no engine ran the request. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
+/** Time after an answer which says that its engine leaves in which requests may still be sent to it, in milliseconds; the `drain_ms` of the sites. */
+const leavingMs = 2000;
+/** Time after a 503 with a time to come back in which requests may still arrive, in milliseconds, and how many may arrive later. */
+const pauseGraceMs = 500;
+const maxArrivalsInPause = 2;
+
 /** An injected fault; times are monotonic, in milliseconds; `endedAt` is infinite while it lasts. */
 export type StartedFault = {readonly fault: SoakFault; readonly startedAt: number; endedAt: number};
 
@@ -122,6 +128,7 @@
 
 		this.#checkRuns();
 		this.#checkFurtherSends();
+		this.#checkWishes();
 		for (const vm of this.#world.vms) {
 			if (vm.stderr !== '') {
 				this.violations.push(`STDERR: ${vm.name}: ${vm.stderr.slice(0, 400)}`);
@@ -160,7 +167,7 @@
 
 		const isSentAtExit = incarnation.exitedAt !== undefined && sentAt > incarnation.exitedAt - stopLossMs;
 		if (status === 0 && error !== 'ECONNREFUSED' && !isSentAtExit) {
-			this.#addViolation(call, `LOST: no answer; connection error: ${error}; ${this.#describeEnd(incarnation)}`);
+			this.#addViolation(call, `LOST: no answer; connection error: ${error}; ${this.#describeSend(call)}; ${this.#describeEnd(incarnation)}`);
 		} else if (endedAt - sentAt > callerDeadlineMs + maxLatenessMs) {
 			this.#addViolation(call, `LATE: ended after ${Math.round(endedAt - sentAt)} ms, deadline ${callerDeadlineMs} ms`);
 		}
@@ -201,6 +208,44 @@
 		}
 	}
 
+	/** Checks that engines got nothing from VMs that they had told to send nothing more, for good or for a time. */
+	#checkWishes(): void {
+		const callsById = new Map(this.calls.map(call => [call.id, call]));
+		for (const {engine, name} of this.#world.startedEngines) {
+			for (const told of engine.arrivals) {
+				const call = callsById.get(told.id);
+				if (call && call.status !== 0 && told.isLeavingTold) {
+					const late = engine.arrivals.filter(({id}) => isSameIncarnation(callsById.get(id), call) && callsById.get(id)!.sentAt > call.endedAt + leavingMs);
+					this.#checkLateArrivals('DRAIN', late.length, {
+						name, call, until: Number.POSITIVE_INFINITY, maxCount: 0,
+					});
+				}
+
+				if (call && told.retryAfterMs > 0) {
+					const until = told.at + told.retryAfterMs;
+					const early = engine.arrivals.filter(({id, at}) => isSameIncarnation(callsById.get(id), call) && at > told.at + pauseGraceMs && at < until);
+					this.#checkLateArrivals('BUDGET', early.length, {
+						name, call, until, maxCount: maxArrivalsInPause,
+					});
+				}
+			}
+		}
+	}
+
+	#checkLateArrivals(rule: string, count: number, {name, call, until, maxCount}: {readonly name: string; readonly call: ObservedCall; readonly until: number; readonly maxCount: number}): void {
+		const isExcused = call.vm.hasPauseBetween(call.sentAt, until)
+			|| this.faults.some(({fault, startedAt, endedAt}) => fault.isCuttingEngine(call.vm, name) && startedAt < until && endedAt > call.sentAt);
+		if (count > maxCount && !isExcused) {
+			this.#addViolation(call, `${rule}: ${count} requests reached ${name} after it had told this VM to send nothing more`);
+		}
+	}
+
+	/** Describes which connection carried a call and how many engines it reached. */
+	#describeSend({id, isConnectionReused}: ObservedCall): string {
+		const engineCount = this.#world.listArrivals().filter(arrival => arrival.id === id).length;
+		return `on a ${isConnectionReused ? 'reused' : 'new'} connection, reached ${engineCount} engines`;
+	}
+
 	/** Describes when a process got its first SIGTERM and when its exit was seen, relative to the start of faults. */
 	#describeEnd({sigtermAt, exitedAt}: Incarnation): string {
 		const format = (at: number | undefined) => at === undefined ? 'none' : `${Math.round(at - this.startedAt)} ms`;
@@ -217,6 +262,10 @@
 	}
 }
 
+function isSameIncarnation(call: ObservedCall | undefined, other: ObservedCall): boolean {
+	return call?.incarnation === other.incarnation;
+}
+
 /** Creates the body of the complete answer that engines give to a call. */
 function createBody({id, isStream}: ObservedCall): string {
 	return isStream
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -2,7 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {RandomSource} from '../src/rates/index.js';
 import {runCaller, runProbes} from './callers.js';
-import {pickFault, pickReplacedStore} from './faults.js';
+import {pickEngineFault, pickFault, pickReplacedStore} from './faults.js';
 import type {SoakFault} from './faults.js';
 import {InvariantChecker} from './invariantchecker.js';
 import type {StartedFault} from './invariantchecker.js';
@@ -22,6 +22,8 @@
 const checkIntervalMs = 250;
 /** Distance of the seed that decides when the store comes back from a copy from the seed of the other faults. */
 const storeSeedOffset = 1_000_000;
+/** The same for the seed that decides when engines leave, ask for a pause or frame answers otherwise. */
+const engineSeedOffset = 2_000_000;
 /** Longest time from the close of a process's connections until its `exit` event arrives here, in milliseconds. */
 const exitReportDelayMs = 1000;
 
@@ -66,7 +68,9 @@
 				checker.onProbe(version, call);
 			}, hasEnded),
 		];
-		await startFaults(world, checker, {random, storeRandom: new RandomSource(seed + storeSeedOffset)}, seconds * 1000);
+		await startFaults(world, checker, {
+			random, storeRandom: new RandomSource(seed + storeSeedOffset), engineRandom: new RandomSource(seed + engineSeedOffset),
+		}, seconds * 1000);
 		await sleep(recoveryMs);
 		const recoveredAt = performance.now();
 		await sleep(recoveryCheckMs);
@@ -88,10 +92,10 @@
 	}
 }
 
-type FaultSources = {readonly random: RandomSource; readonly storeRandom: RandomSource};
+type FaultSources = {readonly random: RandomSource; readonly storeRandom: RandomSource; readonly engineRandom: RandomSource};
 
 /** Injects faults for `durationMs` and ends each when its time is up; returns when all have ended. */
-async function startFaults(world: SoakWorld, checker: InvariantChecker, {random, storeRandom}: FaultSources, durationMs: number): Promise<void> {
+async function startFaults(world: SoakWorld, checker: InvariantChecker, {random, storeRandom, engineRandom}: FaultSources, durationMs: number): Promise<void> {
 	const startedAt = performance.now();
 	const endings: Array<Promise<void>> = [];
 	const startFault = async (fault: SoakFault) => {
@@ -104,9 +108,10 @@
 	while (performance.now() - startedAt < durationMs) {
 		await sleep(random.pickBetween(minPauseMs, maxPauseMs));
 		await startFault(pickFault(world, random));
-		const replacedStore = pickReplacedStore(storeRandom);
-		if (replacedStore) {
-			await startFault(replacedStore);
+		for (const further of [pickReplacedStore(storeRandom), pickEngineFault(world, engineRandom)]) {
+			if (further) {
+				await startFault(further);
+			}
 		}
 	}
 
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -61,7 +61,7 @@
 	readonly vms: SoakVm[] = [];
 	readonly engineHosts: EngineHost[] = [];
 	/** All incarnations of engines so far, those that have ended included. */
-	readonly startedEngines: FleetEngine[] = [];
+	readonly startedEngines: Array<{readonly name: string; readonly engine: FleetEngine}> = [];
 	readonly versions: WrittenVersion[] = [];
 	/** Copies of the store, the oldest first. */
 	readonly #copies: Array<{readonly madeAt: number; readonly copy: StoreCopy}> = [];
@@ -136,7 +136,7 @@
 		engineHost.engine = new FleetEngine({...engineHost.options, id});
 		await engineHost.engine.start(engineHost.address === '' ? 0 : Number(engineHost.address.split(':')[1]));
 		engineHost.address = engineHost.engine.address;
-		this.startedEngines.push(engineHost.engine);
+		this.startedEngines.push({name: engineHost.name, engine: engineHost.engine});
 		if (engineHost.id !== '') {
 			this.store.remove(`servers/${engineHost.id}`);
 		}
@@ -193,7 +193,7 @@
 
 	/** Lists all requests that arrived at engines, ended incarnations included. */
 	listArrivals(): Arrival[] {
-		return this.startedEngines.flatMap(engine => engine.arrivals);
+		return this.startedEngines.flatMap(({engine}) => engine.arrivals);
 	}
 
 	/** Whether an entry answers its readiness check with status 200. */
