--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -1,5 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import http from 'node:http';
+import type {Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {header} from '../platform/wire.js';
@@ -39,20 +40,26 @@
 	isComplete: boolean;
 	/** Code or message of a connection error; empty if there was none. */
 	error: string;
-	/** Whether it was sent on a connection that had carried a call before. */
-	isConnectionReused: boolean;
+	/** How long its connection had been idle, in milliseconds; `undefined` on a new connection. */
+	connectionIdleMs: number | undefined;
 };
 
+/** When each connection carried its last call. */
+const lastUsedAt = new WeakMap<Socket, number>();
+
 /** Sends one request over the keep-alive connections to a VM; resolves when the call has ended, also if it failed. */
 export async function sendCall(vm: SoakVm, path: string, isStream: boolean): Promise<ObservedCall> {
 	const call: ObservedCall = {
-		id: randomUUID(), path, isStream, vm, incarnation: vm.incarnation!, sentAt: performance.now(), endedAt: 0, status: 0, hasReceipt: false, body: '', isComplete: false, error: '', isConnectionReused: false,
+		id: randomUUID(), path, isStream, vm, incarnation: vm.incarnation!, sentAt: performance.now(), endedAt: 0, status: 0, hasReceipt: false, body: '', isComplete: false, error: '', connectionIdleMs: undefined,
 	};
 	return new Promise(resolve => {
 		const finish = (error: string) => {
 			if (call.endedAt === 0) {
 				call.endedAt = performance.now();
-				call.isConnectionReused = request.reusedSocket;
+				if (request.socket) {
+					lastUsedAt.set(request.socket, call.endedAt);
+				}
+
 				call.error = error;
 				resolve(call);
 			}
@@ -86,6 +93,10 @@
 				// The `close` event follows and ends the call.
 			});
 		});
+		request.on('socket', socket => {
+			const usedAt = lastUsedAt.get(socket);
+			call.connectionIdleMs = usedAt === undefined ? undefined : performance.now() - usedAt;
+		});
 		request.on('error', error => {
 			finish(String((error as NodeJS.ErrnoException).code ?? error.message));
 		});
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -9,7 +9,7 @@
 
 const {values} = parseArgs({
 	options: {
-		seeds: {type: 'string', default: '1'}, seed: {type: 'string'}, seconds: {type: 'string', default: defaultSeconds}, cases: {type: 'boolean', default: false},
+		seeds: {type: 'string', default: '1'}, seed: {type: 'string'}, seconds: {type: 'string', default: defaultSeconds}, cases: {type: 'boolean', default: false}, vms: {type: 'string'},
 	},
 });
 const firstSeed = values.seed === undefined ? Math.floor(Math.random() * 1_000_000) : Number(values.seed);
@@ -18,7 +18,7 @@
 	: Array.from({length: Number(values.seeds)}, (_, index) => ({seed: firstSeed + index, seconds: Number(values.seconds)}));
 let failed = 0;
 for (const {seed, seconds} of runs) {
-	const report = await runSoak(seed, seconds);
+	const report = await runSoak(seed, seconds, values.vms === undefined ? undefined : Number(values.vms));
 	console.log(`seed ${seed}, ${seconds} s: ${report.violations.length === 0 ? 'kept' : 'BROKEN'}, ${report.calls} calls, ${report.answered} answered well, ${report.faults.length} faults`);
 	if (report.violations.length > 0) {
 		failed++;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -6,7 +6,7 @@
 import type {SoakFault} from './faults.js';
 import {InvariantChecker} from './invariantchecker.js';
 import type {StartedFault} from './invariantchecker.js';
-import {SoakWorld} from './world.js';
+import {defaultVmCount, SoakWorld} from './world.js';
 
 /** Concurrent callers; together they send a few hundred requests a second. */
 const callerCount = 10;
@@ -41,14 +41,14 @@
 
 /**
 Runs real entry processes against stand-ins of the store and the engines, injects faults for `seconds`, and checks the guarantees
-to callers and operators meanwhile and afterwards. The seed decides which faults come and when.
+to callers and operators meanwhile and afterwards. The seed decides which faults come and when, for the same number of VMs.
 */
-export async function runSoak(seed: number, seconds: number): Promise<SoakReport> {
+export async function runSoak(seed: number, seconds: number, vmCount = defaultVmCount): Promise<SoakReport> {
 	const random = new RandomSource(seed);
 	const exitHook: {checker?: InvariantChecker} = {};
 	const world = new SoakWorld((vm, incarnation) => {
 		exitHook.checker?.onExit(vm, incarnation);
-	});
+	}, vmCount);
 	const checker = new InvariantChecker(world);
 	exitHook.checker = checker;
 	try {
--- a/soak/vm.ts
+++ b/soak/vm.ts
@@ -19,6 +19,9 @@
 /** Time within which an entry has to apply a new configuration, in milliseconds; set in its settings. */
 export const configurationApplyMs = 2000;
 
+/** Time after which callers no longer reuse an idle connection, in milliseconds: four fifths of the configuration's idle timeout, as the users' callers do. */
+const maxIdleMs = 4000;
+
 /** One start of an entry's process; times are monotonic, in milliseconds. */
 export type Incarnation = {
 	readonly child: ChildProcess;
@@ -39,7 +42,7 @@
 export class SoakVm {
 	readonly incarnations: Incarnation[] = [];
 	/** Callers' keep-alive connections; replaced when the process is started again. */
-	agent = new http.Agent({keepAlive: true, maxSockets: 16});
+	agent = createCallersAgent();
 	/** Times at which the process was paused; `to` is infinite while a pause lasts. */
 	readonly pauses: Array<{readonly from: number; to: number}> = [];
 	/** Everything that its processes wrote to standard error. */
@@ -91,7 +94,7 @@
 		const incarnation: Incarnation = {child, startedAt: performance.now(), highestSeenVersion: 0};
 		this.incarnations.push(incarnation);
 		this.agent.destroy();
-		this.agent = new http.Agent({keepAlive: true, maxSockets: 16});
+		this.agent = createCallersAgent();
 		child.stdout.resume();
 		child.stderr.on('data', (data: Uint8Array) => {
 			this.stderr += new TextDecoder().decode(data);
@@ -160,3 +163,7 @@
 		return path.join(this.#folder, `${this.name}.toml`);
 	}
 }
+
+function createCallersAgent(): http.Agent {
+	return new http.Agent({keepAlive: true, maxSockets: 16, timeout: maxIdleMs});
+}
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -13,7 +13,8 @@
 import {SoakVm, ports} from './vm.js';
 import type {Incarnation} from './vm.js';
 
-const vmCount = 3;
+/** Number of VMs unless a run names another. */
+export const defaultVmCount = 3;
 const engineShapes: ReadonlyArray<Omit<FleetEngineOptions, 'id'> & {readonly name: string}> = [
 	{name: 'app1', service: 'app', workMs: 12},
 	{name: 'app2', service: 'app', workMs: 12},
@@ -78,7 +79,7 @@
 	readonly #folder = mkdtempSync(path.join(tmpdir(), 'crocus-soak-'));
 	readonly #addressPrefix = `127.${64 + (process.pid % 128)}.${Math.floor(process.pid / 128) % 256}`;
 
-	constructor(onExit: (vm: SoakVm, incarnation: Incarnation) => void) {
+	constructor(onExit: (vm: SoakVm, incarnation: Incarnation) => void, vmCount = defaultVmCount) {
 		for (let index = 0; index < vmCount; index++) {
 			this.vms.push(new SoakVm(`vm${index + 1}`, `${this.#addressPrefix}.${index + 1}`, this.#folder, onExit));
 		}
