--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -12,7 +12,7 @@
 } from './queue.js';
 export type {QueuedRequest} from './queue.js';
 export {chooseGenerationPlacement, choosePlainEngine, estimateFirstTokenMs} from './placement.js';
-export {computeSharedPauseMs} from './pause.js';
+export {isPausedUntil} from './pause.js';
 export type {GenerationNeeds} from './needs.js';
 export type {GenerationPlacement, PlacementContext} from './placement.js';
 export {AdaptiveThrottle} from './throttle.js';
--- a/src/dispatch/test/fleet.test.ts
+++ b/src/dispatch/test/fleet.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {engineStage, Fleet} from '../index.js';
+import {engineStage, Fleet, isPausedUntil} from '../index.js';
 import type {EngineRecord} from '../index.js';
 
 const record: EngineRecord = {
@@ -51,6 +51,17 @@
 		expect(isServing()).to.equal(true);
 	});
 
+	it('counts a service as paused only while all its engines hold back until the deadline', () => {
+		fleet.onRegistration({...record, id: 'e2', address: '10.0.0.2:80'});
+		const views = fleet.listServing('app');
+		const isPaused = (now: number, deadlineAt: number) => isPausedUntil(deadlineAt, views, now);
+		expect([isPaused(100, 50), isPausedUntil(50, [], 100)]).to.deep.equal([false, false]);
+		views[0]!.onRetryAfter(2000, 100);
+		expect(isPaused(100, 500)).to.equal(false);
+		views[1]!.onRetryAfter(1000, 100);
+		expect([isPaused(100, 1100), isPaused(100, 1101)]).to.deep.equal([true, false]);
+	});
+
 	it('holds back requests for the longest time that an engine asked for, also over a removal', () => {
 		const view = fleet.findServing('e1')!;
 		view.onRetryAfter(2000, 100);
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -1,4 +1,4 @@
-import {computeSharedPauseMs, engineStage} from '../dispatch/index.js';
+import {engineStage, isPausedUntil} from '../dispatch/index.js';
 import type {EngineOutcome, EngineView, GenerationNeeds} from '../dispatch/index.js';
 import {refusalReason, retryReason} from '../errors/index.js';
 import type {Reservation} from '../places/index.js';
@@ -147,7 +147,7 @@
 async function acquireReservation(dependencies: GatewayDependencies, served: ServedRequest, progress: GenerationProgress): Promise<Reservation | undefined> {
 	const now = dependencies.timers.getNow();
 	const decodeEngines = served.fleet.listServing(served.service).filter(view => view.record.stage !== engineStage.prefill);
-	if (now + computeSharedPauseMs(decodeEngines, now) >= served.deadlineAt) {
+	if (isPausedUntil(served.deadlineAt, decodeEngines, now)) {
 		refusePaused(dependencies, served, progress.runs > 0);
 		return undefined;
 	}
--- a/src/gateway/plain.ts
+++ b/src/gateway/plain.ts
@@ -1,4 +1,4 @@
-import {choosePlainEngine, computeSharedPauseMs} from '../dispatch/index.js';
+import {choosePlainEngine, isPausedUntil} from '../dispatch/index.js';
 import type {EngineView, AdmissionQueue} from '../dispatch/index.js';
 import {refusalReason, retryReason} from '../errors/index.js';
 import {callStep} from '../procedures/index.js';
@@ -38,8 +38,7 @@
 export function * servePlain(dependencies: GatewayDependencies, served: ServedRequest, queue: AdmissionQueue<EngineView>): Procedure<void> {
 	const progress = new PlainProgress();
 	for (;;) {
-		const now = dependencies.timers.getNow();
-		if (now + computeSharedPauseMs(served.fleet.listServing(served.service), now) >= served.deadlineAt) {
+		if (isPausedUntil(served.deadlineAt, served.fleet.listServing(served.service), dependencies.timers.getNow())) {
 			refusePaused(dependencies, served, progress.runs > 0);
 			return;
 		}
