Log the shared blocks of a prompt, and whether an engine whose answer broke off is still there

Test: 'logs the shared blocks of a prompt, and that an engine whose answer broke off is gone' (failed before: no such fields).

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -162,6 +162,13 @@
 		this.#onFailure(error);
 	}
 
+	/** After an answer that broke off, finds out whether the engine's process is still there. Never throws. */
+	async checkEngine(): Promise<void> {
+		if (this.trace.sign === engineOutcome.broken) {
+			this.trace.isEngineListening = await this.#dependencies.link.isListening(this.view.record);
+		}
+	}
+
 	#onReply(reply: EngineReply): void {
 		this.reply = reply;
 		this.#recordWishes(reply);
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -112,6 +112,7 @@
 		const isDone = yield * callStep('pass the stream on', async () => relayStream(dependencies, served, {
 			progress, attempt, reservation, mayResume,
 		}));
+		yield * callStep('check the engine', async () => attempt.checkEngine());
 		outcome = attempt.trace.sign;
 		if (attempt.isNotRun && kvCacheHandle) {
 			dependencies.link.releaseKvCache(kvCacheHandle, kvCacheHandle.engineId);
@@ -206,6 +207,7 @@
 		mayReuseIdle: true,
 	}));
 	const handle = yield * callStep('read the handle', async () => readHandle(dependencies, attempt));
+	yield * callStep('check the engine', async () => attempt.checkEngine());
 	reservation.onPrefillEnd(attempt.trace.sign);
 	if (handle !== undefined) {
 		return {address: prefillEngine.record.address, handle, engineId: prefillEngine.record.id};
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -85,6 +85,12 @@
 	/** Tells the engine to free a KV cache that no engine will use; returns at once. */
 	abstract releaseKvCache(handle: KvCacheHandle, engineId: string): void;
 
+	/**
+	Tells whether the engine's process still accepts connections at its address: `false` when a connection is refused, `undefined` when
+	that can't be told in time. Never throws.
+	*/
+	abstract isListening(engine: EngineTarget): Promise<boolean | undefined>;
+
 	/** Asks an engine which prefix blocks its KV memory holds; `undefined` when it can't be asked or does not say. */
 	abstract listHeldBlocks(engine: EngineTarget): Promise<readonly PrefixBlock[] | undefined>;
 
--- a/src/gateway/reporter.ts
+++ b/src/gateway/reporter.ts
@@ -4,10 +4,14 @@
 import type {Metrics} from '../metrics/index.js';
 import {RequestReporter} from './trace.js';
 import type {RequestTrace} from './trace.js';
+import type {Prompt} from './types.js';
 
 /** Upper bounds of the histograms' buckets, in seconds: they lie around the targets of the shortest and the longest kinds of request. */
 const bucketBoundsSeconds = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 15];
 const millisecondsPerSecond = 1000;
+/** Maximum number of a prompt's shared blocks that a log line names, and maximum length of a block's id there: callers choose both. */
+const maxLoggedBlocks = 8;
+const maxLoggedIdLength = 32;
 
 /** Writes a log line for each ended request, and records requests and retries in the metrics. */
 export class LogReporter extends RequestReporter {
@@ -72,7 +76,7 @@
 		...(trace.reason === undefined ? {} : {reason: trace.reason}),
 		status: trace.status,
 		deadlineMs: trace.request.callerDeadlineMs,
-		...(trace.request.prompt ? {promptTokens: trace.request.prompt.promptTokens, outputTokens: trace.request.prompt.outputTokens} : {}),
+		...(trace.request.prompt ? createPromptFields(trace.request.prompt) : {}),
 		waitedMs: formatNumber(trace.waitedMs),
 		expectedMs: formatNumber(trace.expectedMs),
 		firstByteMs: formatNumber(trace.firstByteMs),
@@ -87,6 +91,12 @@
 	};
 }
 
+/** Names the blocks that a prompt shares with others, which tell what requests that end together have in common. */
+function createPromptFields({promptTokens, outputTokens, prefixBlocks}: Prompt): Record<string, unknown> {
+	const sharedBlocks = prefixBlocks.slice(0, -1).slice(0, maxLoggedBlocks).map(({id}) => id.slice(0, maxLoggedIdLength));
+	return {promptTokens, outputTokens, ...(sharedBlocks.length === 0 ? {} : {prefixBlocks: sharedBlocks})};
+}
+
 /** Rounds to a tenth; returns `undefined`, which leaves the field out of the log line, for a value that was not measured. */
 function formatNumber(value: number | undefined): number | undefined {
 	return value === undefined || !Number.isFinite(value) ? undefined : Math.round(value * 10) / 10;
--- a/src/gateway/trace.ts
+++ b/src/gateway/trace.ts
@@ -29,6 +29,8 @@
 	/** How the send ended; absent while it is in progress, and when the caller or the deadline ended it, which says nothing about the engine. */
 	sign?: EngineOutcome;
 	detail?: string;
+	/** Whether the engine still accepted connections after its answer broke off; absent when it did not break off, and when that could not be told. */
+	isEngineListening?: boolean;
 	/** How the end of the answer's body is marked; absent without an answer. */
 	framing?: AnswerFraming;
 	/** Bytes of the answer's body that arrived; absent where the body was not read. */
--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -67,6 +67,9 @@
 	retryAfterMs: number;
 };
 
+/** Time for which an engine generates an answer that it crashes on, in milliseconds. */
+const crashDelayMs = 10;
+
 /** Options of a {@link FleetEngine}; an engine without a stage serves application calls. */
 export type FleetEngineOptions = {
 	readonly id: string;
@@ -79,6 +82,10 @@
 	readonly eventCount?: number;
 	/** Time before each event of a stream, in milliseconds. */
 	readonly eventIntervalMs?: number;
+	/** Blocks of prompts on which the engine crashes as soon as it begins to generate an answer. */
+	readonly crashingBlocks?: ReadonlySet<string>;
+	/** Called when the engine has crashed, with the id of the request that it crashed on. */
+	readonly onCrash?: (requestId: string) => void;
 };
 
 /** Stand-in for the engines of the users' platform: serves application calls, prefills and event streams, with faults that a test asks for. */
@@ -95,6 +102,8 @@
 	isLeaving = false;
 	/** Time of the fault `retryAfter`, in milliseconds. */
 	retryAfterMs = 1500;
+	/** Whether the engine has crashed. */
+	hasCrashed = false;
 	/** Requests that run now. */
 	running = 0;
 	/** Largest number of requests that ran at once. */
@@ -143,6 +152,14 @@
 		});
 	}
 
+	/** Ends as a crashed process does: closes every connection and no longer accepts any. */
+	async abort(requestId: string): Promise<void> {
+		this.hasCrashed = true;
+		const stopped = this.stop();
+		this.#options.onCrash?.(requestId);
+		await stopped;
+	}
+
 	/** Lists the received requests that ran. */
 	listRuns(): Arrival[] {
 		return this.arrivals.filter(({hasRun}) => hasRun);
@@ -205,6 +222,12 @@
 		}
 
 		arrival.hasRun = true;
+		if (listBlocks(arrival).some(id => this.#options.crashingBlocks?.has(id))) {
+			await sleep(crashDelayMs);
+			await this.abort(arrival.id);
+			return;
+		}
+
 		if (fault === engineFault.reset) {
 			response.socket?.destroy();
 			return;
@@ -278,6 +301,10 @@
 			return;
 		}
 
+		if (response.destroyed) {
+			return;
+		}
+
 		response.writeHead(200, {...headers, 'Content-Type': 'text/event-stream'});
 		for (let id = firstId; id <= eventCount; id++) {
 			await sleep(eventIntervalMs);
@@ -305,6 +332,11 @@
 	}
 }
 
+/** Lists the ids of a request's prompt blocks, without the last one, which belongs to the request alone. */
+export function listBlocks({headers}: Arrival): string[] {
+	return String(headers['crocusworks-prompt-prefix'] ?? '').split(',').slice(0, -1).map(item => item.trim().split(':')[0]!);
+}
+
 function formatEvent(id: number, requestId: string): string {
 	return `id: ${id}\ndata: piece ${id} of ${requestId}\n\n`;
 }
