Refuse requests with prompt blocks that crash engines

Callers lost the answers that were on an engine whenever it crashed, and every decode engine crashed again as soon as it was back: a crash was taken for a fact about the engine alone, so the next request with the same block went to the next engine. Class of fault: a failure attributed to where it happened, never to what the request holds.

The slot allocator now attributes crashes: an answer that breaks off while the engine refuses connections is a crash; all shared blocks on the engine become suspect; a complete answer to any prompt with a block clears it; until then one request with it runs at a time, on an engine without other suspects, which makes the next crash unambiguous. Quarantines travel over the connections between entries and their allocators, so that a new allocator and a restarted entry learn them. Held-back requests no longer block those behind them in the admission queue.

--- a/src/dispatch/health.ts
+++ b/src/dispatch/health.ts
@@ -10,6 +10,8 @@
 	silent: 'silent',
 	/** The answer broke off, or was for another request. */
 	broken: 'broken',
+	/** The answer broke off, and the engine no longer accepts connections. */
+	crashed: 'crashed',
 	/** The request could not be sent. */
 	unreachable: 'unreachable',
 	/** Another engine answered at the address. */
--- a/src/dispatch/queue.ts
+++ b/src/dispatch/queue.ts
@@ -32,8 +32,11 @@
 	}
 }
 
+/** Result for a request that has to wait for a reason of its own, whatever capacity there is: the requests behind it are tried. */
+export const heldBack = Symbol('held back');
+
 /** Makes a reservation at a monotonic time, in milliseconds. Returns `undefined` when there is no capacity, and a refusal when waiting for it is of no use. */
-export type TryReserve<Reservation> = (now: number) => Reservation | QueueRefusal | undefined;
+export type TryReserve<Reservation> = (now: number) => Reservation | QueueRefusal | typeof heldBack | undefined;
 
 /** A queued request, how to make its reservation, and how to settle its wait. */
 type Waiter<Reservation> = {
@@ -95,13 +98,13 @@
 		return false;
 	}
 
-	/** Finds the request to serve next, after moving those that can no longer be on time to the late ones. */
-	findNext(now: number): Waiter<Reservation> | undefined {
+	/** Finds the request to serve next after the first `skipped` ones, after moving those that can no longer be on time to the late ones. */
+	findNext(now: number, skipped: number): Waiter<Reservation> | undefined {
 		while (this.onTime.length > 0 && !isOnTimeAt(this.onTime[0]!.request, now)) {
 			this.add(this.onTime.shift()!, false, now);
 		}
 
-		return this.onTime[0] ?? this.late[0];
+		return this.onTime[skipped] ?? this.late[skipped - this.onTime.length];
 	}
 
 	/** Counts the queued requests that would be served before `request`. */
@@ -185,7 +188,7 @@
 		const aheadCount = group.countAhead(request, now);
 		if (aheadCount === 0) {
 			const reservation = tryReserve(now);
-			if (reservation !== undefined) {
+			if (reservation !== undefined && reservation !== heldBack) {
 				return reservation;
 			}
 		}
@@ -223,12 +226,18 @@
 	}
 
 	#dispatchGroup(group: QueueGroup<Reservation>, now: number): void {
-		for (let waiter = group.findNext(now); waiter; waiter = group.findNext(now)) {
+		let heldBackCount = 0;
+		for (let waiter = group.findNext(now, 0); waiter; waiter = group.findNext(now, heldBackCount)) {
 			const reservation = waiter.tryReserve(now);
 			if (reservation === undefined) {
 				return;
 			}
 
+			if (reservation === heldBack) {
+				heldBackCount++;
+				continue;
+			}
+
 			group.remove(waiter);
 			if (!(reservation instanceof QueueRefusal)) {
 				group.onGrant(now);
--- a/src/errors/reasons.ts
+++ b/src/errors/reasons.ts
@@ -19,6 +19,8 @@
 	noConfiguration: 'no_configuration',
 	noRoute: 'no_route',
 	upstreamFailed: 'upstream_failed',
+	/** The request's prompt has blocks that crash engines. */
+	quarantined: 'quarantined',
 } as const;
 
 /** See {@link refusalReason}. */
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -162,10 +162,15 @@
 		this.#onFailure(error);
 	}
 
-	/** After an answer that broke off, finds out whether the engine's process is still there. Never throws. */
+	/** After an answer that broke off, finds out whether the engine's process is still there; if not, the engine has crashed. Never throws. */
 	async checkEngine(): Promise<void> {
-		if (this.trace.sign === engineOutcome.broken) {
-			this.trace.isEngineListening = await this.#dependencies.link.isListening(this.view.record);
+		if (this.trace.sign !== engineOutcome.broken) {
+			return;
+		}
+
+		this.trace.isEngineListening = await this.#dependencies.link.isListening(this.view.record);
+		if (this.trace.isEngineListening === false) {
+			this.trace.sign = engineOutcome.crashed;
 		}
 	}
 
--- a/src/gateway/ending.ts
+++ b/src/gateway/ending.ts
@@ -60,6 +60,11 @@
 	refuseUnadmitted(served, new NotRunError('All engines of the service asked for a pause.', {props: {reason: refusalReason.overload, retryAfterMs}}), mayHaveRun);
 }
 
+/** Ends a request whose prompt has blocks that crash engines; it is of no use to send it again before `quarantineMs` have passed. */
+export function refuseQuarantined(served: ServedRequest, quarantineMs: number, mayHaveRun: boolean): void {
+	refuseUnadmitted(served, new NotRunError('The prompt has blocks that crash engines.', {props: {reason: refusalReason.quarantined, retryAfterMs: quarantineMs}}), mayHaveRun);
+}
+
 /** Refuses a request that has not run and never will, and tells the caller when to retry. */
 export function refuseNotRun(dependencies: GatewayDependencies, served: ServedRequest, reason: RefusalReason): void {
 	const remainingMs = served.deadlineAt - dependencies.timers.getNow();
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -7,7 +7,7 @@
 import {callEngine} from './attempt.js';
 import type {Attempt} from './attempt.js';
 import {
-	finishUnanswered, refuseNotRun, refusePaused, refuseUnadmitted,
+	finishUnanswered, refuseNotRun, refusePaused, refuseQuarantined, refuseUnadmitted,
 } from './ending.js';
 import {EventSplitter} from './events.js';
 import type {KvCacheHandle} from './ports.js';
@@ -93,9 +93,13 @@
 		}
 
 		const kvCacheHandle = typeof prefillResult === 'object' ? prefillResult : undefined;
-		if (!served.fleet.findAccepting(decodeEngine.record.id, dependencies.timers.getNow())) {
+		const isAccepting = served.fleet.findAccepting(decodeEngine.record.id, dependencies.timers.getNow()) !== undefined;
+		if (!isAccepting) {
 			// The engine began to leave, or left, or asked for a pause during the prefill: another one continues from the KV cache.
 			progress.triedIds.add(decodeEngine.record.id);
+		}
+
+		if (!isAccepting || computeQuarantineMs(dependencies, progress) > 0) {
 			progress.heldKvCache = kvCacheHandle;
 			return 'again';
 		}
@@ -145,8 +149,19 @@
 	return false;
 }
 
+/** Computes for how much longer a generation is refused because its prompt has blocks that crash engines, in milliseconds. */
+function computeQuarantineMs({quarantine, timers}: GatewayDependencies, {needs}: GenerationProgress): number {
+	return quarantine.computeRemainingMs(needs.prefixBlocks, timers.getNow());
+}
+
 async function acquireReservation(dependencies: GatewayDependencies, served: ServedRequest, progress: GenerationProgress): Promise<Reservation | undefined> {
 	const now = dependencies.timers.getNow();
+	const quarantineMs = computeQuarantineMs(dependencies, progress);
+	if (quarantineMs > 0) {
+		refuseQuarantined(served, quarantineMs, progress.runs > 0);
+		return undefined;
+	}
+
 	const decodeEngines = served.fleet.listServing(served.service).filter(view => view.record.stage !== engineStage.prefill);
 	if (isPausedUntil(served.deadlineAt, decodeEngines, now)) {
 		refusePaused(dependencies, served, progress.runs > 0);
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -1,6 +1,7 @@
 import type {EngineView, Fleet} from '../dispatch/index.js';
 import type {WindowRetryBudget} from '../retries/index.js';
 import type {ReservationProvider} from '../places/index.js';
+import type {BlockQuarantine} from '../quarantine/index.js';
 import type {TimerService} from '../timers/index.js';
 import type {CallerAnswer, EngineLink} from './ports.js';
 import type {ServiceTimes} from './servicetimes.js';
@@ -13,6 +14,8 @@
 	readonly link: EngineLink;
 	/** Grants reservations on the engines of generation services. */
 	readonly reservations: ReservationProvider;
+	/** Blocks of prompts that crash engines; requests with them are refused. */
+	readonly quarantine: BlockQuarantine;
 	readonly serviceTimes: ServiceTimes;
 	readonly retryBudget: WindowRetryBudget;
 	readonly reporter: RequestReporter;
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -19,6 +19,10 @@
 	registrations: {name: 'crocus_registrations_total', help: 'Changes of registrations, by kind', label: 'kind'},
 	/** Refusals of engines that named a time in which they want no request of this process. */
 	pauses: {name: 'crocus_engine_pauses_total', help: 'Pauses that engines asked for, by service', label: 'service'},
+	/** Crashes of engines with requests on them, as the slot allocator sees them. */
+	engineCrashes: {name: 'crocus_engine_crashes_total', help: 'Engines that crashed with requests on them, by service', label: 'service'},
+	/** Changes of what is known of blocks that crash engines. */
+	quarantines: {name: 'crocus_quarantine_changes_total', help: 'Changes of the quarantined blocks of prompts, by cause', label: 'cause'},
 	peerBytes: {name: 'crocus_peer_bytes_total', help: 'Bytes sent to and received from other entries', label: 'direction'},
 } as const;
 
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -9,6 +9,7 @@
 	EngineUsage,
 	estimateFirstTokenMs,
 	GrantRate,
+	heldBack,
 	isLong,
 	noPrefillWork,
 	PrefillModel,
@@ -19,6 +20,8 @@
 	EngineOutcome, EngineRecord, EngineView, Fleet, GenerationPlacement, PlacementContext, Prefill, PrefixBlock,
 } from '../dispatch/index.js';
 import {refusalReason} from '../errors/index.js';
+import {BlockQuarantine, CrashAttribution} from '../quarantine/index.js';
+import type {CrashReport, Run} from '../quarantine/index.js';
 import type {Timer, TimerService} from '../timers/index.js';
 import {formatRequestKind, Reservation} from './types.js';
 import type {ReservedEngines, ReservationRequest} from './types.js';
@@ -38,6 +41,10 @@
 	readonly getRandom: () => number;
 	/** Returns the share of each engine's capacity that this allocator may grant, above 0 up to 1. */
 	readonly getSlotShare: () => number;
+	/** Blocks that crash engines; requests with them are refused. Default: only those found out by this allocator. */
+	readonly quarantine?: BlockQuarantine;
+	/** Called when an engine crashed while it had reserved requests. */
+	readonly onCrash?: (report: CrashReport) => void;
 	/** Asks an engine which blocks it holds; `undefined` when it does not say. */
 	readonly listHeldBlocks?: (engine: EngineRecord) => Promise<readonly PrefixBlock[] | undefined>;
 };
@@ -48,12 +55,16 @@
 this VM and on others use it through a `ReservationProvider`.
 */
 export class SlotAllocator {
+	/** Blocks that crash engines. */
+	readonly quarantine: BlockQuarantine;
+	readonly timers: TimerService;
 	readonly #dependencies: SlotAllocatorDependencies;
 	readonly #queues = new Map<string, AdmissionQueue<Allocation>>();
 	readonly #grantRates = new Map<string, GrantRate>();
 	readonly #usages = new WeakMap<EngineView, EngineUsage>();
 	readonly #kindModels = new Map<string, PrefillModel>();
 	readonly #prefixCaches = new PrefixCacheIndex();
+	readonly #attribution: CrashAttribution;
 	#allocationCount = 0;
 	/** Engines whose caches are followed; those of others are asked for. */
 	#followedViews = new WeakSet<EngineView>();
@@ -61,6 +72,11 @@
 
 	constructor(dependencies: SlotAllocatorDependencies) {
 		this.#dependencies = dependencies;
+		this.timers = dependencies.timers;
+		this.quarantine = dependencies.quarantine ?? new BlockQuarantine();
+		this.#attribution = new CrashAttribution(dependencies.timers, this.quarantine, report => {
+			dependencies.onCrash?.(report);
+		});
 	}
 
 	/** Number of requests that wait for a reservation, of all services. */
@@ -96,7 +112,11 @@
 			now: at, targetAt: now + request.targetMs, callerLeavesAt: now + Math.min(request.deadlineMs, request.firstByteTimeoutMs),
 		}), signal);
 		const isGranted = !(allocation instanceof QueueRefusal);
-		this.#getGrantRate(request).onEnd(isGranted, timers.getNow());
+		// What is wrong with one prompt says nothing about the requests of its kind.
+		if (isGranted || allocation.reason !== refusalReason.quarantined) {
+			this.#getGrantRate(request).onEnd(isGranted, timers.getNow());
+		}
+
 		return isGranted ? new LocalReservation(this, allocation, request, {timers, isAdopted: false}) : allocation;
 	}
 
@@ -152,6 +172,16 @@
 		this.#prefixCaches.finishRead(view, blocks, hasRead);
 	}
 
+	/** Records how the prefill of a reservation ended. */
+	onRunPrefilled(run: Run, outcome: EngineOutcome | undefined): void {
+		this.#attribution.onPrefillEnd(run, outcome);
+	}
+
+	/** Records how the request of a reservation ended. */
+	onRunEnd(run: Run, outcome: EngineOutcome | undefined): void {
+		this.#attribution.onEnd(run, outcome);
+	}
+
 	/** Tries to grant the queued requests of a service after capacity was released. */
 	onCapacityFreed(service: string): void {
 		this.#queues.get(service)?.dispatch();
@@ -165,7 +195,20 @@
 		return model;
 	}
 
-	#tryAllocate(request: ReservationRequest, views: readonly EngineView[], {now, targetAt, callerLeavesAt}: AllocationTimes): Allocation | QueueRefusal | undefined {
+	/** Allocates engines to a request unless its prompt has blocks that crash engines; one with suspect blocks gets engines of its own among those. */
+	#tryAllocate(request: ReservationRequest, views: readonly EngineView[], times: AllocationTimes): Allocation | QueueRefusal | typeof heldBack | undefined {
+		const quarantineMs = this.quarantine.computeRemainingMs(request.prefixBlocks, times.now);
+		if (quarantineMs > 0) {
+			return new QueueRefusal(refusalReason.quarantined, quarantineMs);
+		}
+
+		const suspects = this.#attribution.listSuspects(request.prefixBlocks);
+		return suspects.length === 0
+			? this.#tryPlace(request, views, times)
+			: this.#tryPlace(request, this.#attribution.selectEngines(views, suspects), times) ?? heldBack;
+	}
+
+	#tryPlace(request: ReservationRequest, views: readonly EngineView[], {now, targetAt, callerLeavesAt}: AllocationTimes): Allocation | QueueRefusal | undefined {
 		const slotShare = this.#dependencies.getSlotShare();
 		const context: PlacementContext = {
 			now,
@@ -207,7 +250,9 @@
 			this.#prefixCaches.startRead(view, blocks, request.kvCapacityTokens);
 		}
 
-		return {placement, prefill, blocks};
+		return {
+			placement, prefill, blocks, run: this.#attribution.start(request.prefixBlocks, placement),
+		};
 	}
 
 	/**
@@ -263,7 +308,7 @@
 /** Monotonic times of an attempt to allocate, in milliseconds. */
 type AllocationTimes = {readonly now: number; readonly targetAt: number; readonly callerLeavesAt: number};
 
-type Allocation = {readonly placement: GenerationPlacement; readonly prefill: Prefill; readonly blocks: readonly PrefixBlock[]};
+type Allocation = {readonly placement: GenerationPlacement; readonly prefill: Prefill; readonly blocks: readonly PrefixBlock[]; readonly run: Run};
 
 /** A reservation granted by the allocator of this process. */
 export class LocalReservation extends Reservation {
@@ -272,6 +317,7 @@
 	readonly #placement: GenerationPlacement;
 	readonly #prefill: Prefill;
 	readonly #blocks: readonly PrefixBlock[];
+	readonly #run: Run;
 	readonly #request: ReservationRequest;
 	readonly #timers: TimerService;
 	readonly #expiryTimer: Timer;
@@ -280,13 +326,14 @@
 	#isHeld = true;
 
 	/** Takes whether another allocator granted the reservation; its prefill then tells nothing of the engine's speed. */
-	constructor(allocator: SlotAllocator, {placement, prefill, blocks}: Allocation, request: ReservationRequest, {timers, isAdopted}: {readonly timers: TimerService; readonly isAdopted: boolean}) {
+	constructor(allocator: SlotAllocator, {placement, prefill, blocks, run}: Allocation, request: ReservationRequest, {timers, isAdopted}: {readonly timers: TimerService; readonly isAdopted: boolean}) {
 		super();
 		this.#isAdopted = isAdopted;
 		this.#allocator = allocator;
 		this.#placement = placement;
 		this.#prefill = prefill;
 		this.#blocks = blocks;
+		this.#run = run;
 		this.#request = request;
 		this.#timers = timers;
 		this.engines = {
@@ -304,6 +351,7 @@
 
 		this.#isPrefillPending = false;
 		const {prefillEngine, decodeEngine} = this.#placement;
+		this.#allocator.onRunPrefilled(this.#run, outcome);
 		this.#allocator.onBlocksRead(prefillEngine ?? decodeEngine, this.#blocks, outcome === engineOutcome.answered);
 		this.#allocator.getUsage(prefillEngine ?? decodeEngine).finishPrefill(this.#prefill, this.#timers.getNow(), outcome === engineOutcome.answered && !this.#isAdopted);
 		if (prefillEngine) {
@@ -323,6 +371,7 @@
 		this.onPrefillEnd(undefined);
 		this.#isHeld = false;
 		this.#expiryTimer.cancel();
+		this.#allocator.onRunEnd(this.#run, outcome);
 		const {prefillEngine, decodeEngine} = this.#placement;
 		if (prefillEngine) {
 			this.#allocator.onBlocksRead(decodeEngine, this.#blocks, outcome === engineOutcome.answered);
--- a/src/places/failover.ts
+++ b/src/places/failover.ts
@@ -120,6 +120,7 @@
 		if (!allocator) {
 			this.#dependencies.onAllocatorChange(address, 'asked');
 			allocator = new RemoteAllocator(this.#dependencies.timers, this.#dependencies.network, address, {
+				quarantine: this.#dependencies.localAllocator.quarantine,
 				onLost: reason => {
 					this.#remoteAllocators.delete(address);
 					this.#skippedUntil.set(address, this.#dependencies.timers.getNow() + lostAllocatorBackoffMs);
--- a/src/places/messages.ts
+++ b/src/places/messages.ts
@@ -2,11 +2,12 @@
 import type {EngineOutcome, PrefixBlock} from '../dispatch/index.js';
 import {BadFrameError, refusalReason} from '../errors/index.js';
 import type {RefusalReason} from '../errors/index.js';
+import type {Quarantine} from '../quarantine/index.js';
 import type {ReservedEngines, ReservationRequest} from './types.js';
 
 /** Number of each kind of message on the wire, where it is the first item. Add new kinds at the end. */
 export const allocatorMessageKind = {
-	request: 1, grant: 2, refuse: 3, prefillEnd: 4, release: 5, cancel: 6, ping: 7, pong: 8, adopt: 9,
+	request: 1, grant: 2, refuse: 3, prefillEnd: 4, release: 5, cancel: 6, ping: 7, pong: 8, adopt: 9, quarantine: 10,
 } as const;
 
 /** A message between an entry and a slot allocator. `id` identifies the reservation request, or the ping, on its connection. */
@@ -17,6 +18,8 @@
 	| {readonly kind: typeof allocatorMessageKind.prefillEnd; readonly id: number; readonly outcome: EngineOutcome | undefined}
 	| {readonly kind: typeof allocatorMessageKind.release; readonly id: number; readonly outcome: EngineOutcome | undefined}
 	| {readonly kind: typeof allocatorMessageKind.adopt; readonly id: number; readonly request: ReservationRequest; readonly engines: ReservedEngines; readonly isPrefillPending: boolean}
+	/** What the sender knows of blocks that crash engines; sent in both directions, with the id 0. */
+	| {readonly kind: typeof allocatorMessageKind.quarantine; readonly id: number; readonly quarantines: readonly Quarantine[]}
 	| {readonly kind: typeof allocatorMessageKind.cancel; readonly id: number}
 	| {readonly kind: typeof allocatorMessageKind.ping; readonly id: number}
 	| {readonly kind: typeof allocatorMessageKind.pong; readonly id: number};
@@ -45,6 +48,10 @@
 			return [message.kind, message.id, message.reason, Math.round(message.retryAfterMs), Math.round(message.grantRate * 100)];
 		}
 
+		case allocatorMessageKind.quarantine: {
+			return [message.kind, message.id, message.quarantines.map(({blocks, remainingMs, count}) => [Math.round(remainingMs), count, ...blocks])];
+		}
+
 		case allocatorMessageKind.prefillEnd:
 		case allocatorMessageKind.release: {
 			return [message.kind, message.id, message.outcome ?? ''];
@@ -116,6 +123,10 @@
 			};
 		}
 
+		case allocatorMessageKind.quarantine: {
+			return {kind, id, quarantines: parseQuarantines(rest[0])};
+		}
+
 		case allocatorMessageKind.prefillEnd:
 		case allocatorMessageKind.release: {
 			return {kind, id, outcome: outcomes.find(known => known === rest[0])};
@@ -150,6 +161,17 @@
 	};
 }
 
+function parseQuarantines(value: unknown): Quarantine[] {
+	if (!Array.isArray(value)) {
+		throw new BadFrameError('allocator message has no list of quarantines');
+	}
+
+	return value.map((row: unknown) => {
+		const [remainingMs, count, ...blocks] = Array.isArray(row) ? row as unknown[] : [];
+		return {remainingMs: parseNumber(remainingMs), count: parseNumber(count), blocks: blocks.map(id => parseString(id))};
+	});
+}
+
 function parsePrefixBlocks(value: unknown): PrefixBlock[] {
 	const items = Array.isArray(value) ? value : [];
 	const blocks: PrefixBlock[] = [];
--- a/src/places/remoteallocator.ts
+++ b/src/places/remoteallocator.ts
@@ -2,9 +2,11 @@
 import type {EngineOutcome} from '../dispatch/index.js';
 import {NotRunError, refusalReason} from '../errors/index.js';
 import type {MessageLink, MessageNetwork} from '../peers/index.js';
+import type {BlockQuarantine} from '../quarantine/index.js';
 import type {Timer, TimerService} from '../timers/index.js';
 import {parseItems, allocatorMessageKind, toItems} from './messages.js';
 import type {AllocatorMessage} from './messages.js';
+import {QuarantineLink} from './quarantinelink.js';
 import {Reservation} from './types.js';
 import type {ReservedEngines, ReservationRequest} from './types.js';
 
@@ -46,6 +48,7 @@
 	readonly #link: MessageLink;
 	readonly #onLost: (reason: string) => void;
 	readonly #onAnswer: AllocatorEvents['onAnswer'];
+	readonly #quarantineLink: QuarantineLink;
 	readonly #pending = new Map<number, PendingRequest>();
 	readonly #checkTimer: Timer;
 	#nextId = 0;
@@ -57,7 +60,8 @@
 	#isLagging = false;
 	#isLost = false;
 
-	constructor(timers: TimerService, network: MessageNetwork, address: string, {onLost, onAnswer}: AllocatorEvents) {
+	/** Takes the quarantines of this process, which are kept like those of the allocator's. */
+	constructor(timers: TimerService, network: MessageNetwork, address: string, {onLost, onAnswer, quarantine}: AllocatorEvents & {readonly quarantine: BlockQuarantine}) {
 		this.#timers = timers;
 		this.#onLost = onLost;
 		this.#onAnswer = onAnswer;
@@ -71,6 +75,7 @@
 				this.#markLost('connection closed');
 			},
 		});
+		this.#quarantineLink = new QuarantineLink(timers, quarantine, this.#link);
 		this.#sendPing();
 		this.#checkTimer = timers.startInterval(checkIntervalMs, () => {
 			this.#checkAllocator();
@@ -160,6 +165,11 @@
 	/** Handles a message from the allocator; ignores kinds that are only sent to an allocator. */
 	#onMessage(message: AllocatorMessage): void {
 		this.#lastReceivedAt = this.#timers.getNow();
+		if (message.kind === allocatorMessageKind.quarantine) {
+			this.#quarantineLink.onMessage(message.quarantines);
+			return;
+		}
+
 		if (message.kind === allocatorMessageKind.pong) {
 			this.#onPong(message.id);
 			return;
@@ -175,7 +185,11 @@
 		} else if (message.kind === allocatorMessageKind.refuse) {
 			this.#pending.delete(message.id);
 			if (pending) {
-				this.#onAnswer(pending.request, false, message.grantRate);
+				// What is wrong with one prompt says nothing about the requests of its kind.
+				if (message.reason !== refusalReason.quarantined) {
+					this.#onAnswer(pending.request, false, message.grantRate);
+				}
+
 				pending.reject(new QueueRefusal(message.reason, message.retryAfterMs).toError());
 			}
 		}
@@ -201,6 +215,7 @@
 
 		this.#isLost = true;
 		this.#checkTimer.cancel();
+		this.#quarantineLink.close();
 		this.#link.close();
 		const pending = [...this.#pending.values()];
 		this.#pending.clear();
--- a/src/places/serve.ts
+++ b/src/places/serve.ts
@@ -4,6 +4,7 @@
 import type {SlotAllocator} from './allocator.js';
 import {parseItems, allocatorMessageKind, toItems} from './messages.js';
 import type {AllocatorMessage} from './messages.js';
+import {QuarantineLink} from './quarantinelink.js';
 import type {Reservation, ReservationRequest} from './types.js';
 
 /** Passed to `abort`, which otherwise creates an error with a stack trace each time. */
@@ -22,6 +23,8 @@
 		link.send(toItems(message));
 	};
 
+	const quarantineLink = new QuarantineLink(allocator.timers, allocator.quarantine, link);
+
 	const onRequest = async (id: number, request: ReservationRequest) => {
 		const state: RequestState = {controller: new AbortController(), reservation: undefined};
 		requests.set(id, state);
@@ -70,6 +73,11 @@
 			return;
 		}
 
+		if (message.kind === allocatorMessageKind.quarantine) {
+			quarantineLink.onMessage(message.quarantines);
+			return;
+		}
+
 		if (message.kind === allocatorMessageKind.ping) {
 			send({kind: allocatorMessageKind.pong, id: message.id});
 			return;
@@ -90,6 +98,7 @@
 			onMessage(parseItems(items));
 		},
 		onClose() {
+			quarantineLink.close();
 			for (const state of requests.values()) {
 				state.controller.abort(cancelReason);
 				state.reservation?.release(undefined);
--- a/src/places/test/failover.test.ts
+++ b/src/places/test/failover.test.ts
@@ -6,6 +6,7 @@
 import {RemoteAllocator} from '../remoteallocator.js';
 import {listAllocators, SlotAllocator, FailoverReservations} from '../index.js';
 import type {ReservationRequest, AllocatorCandidate} from '../index.js';
+import {BlockQuarantine} from '../../quarantine/index.js';
 import {createReservationRequest} from './requests.js';
 
 const request = createReservationRequest();
@@ -80,7 +81,7 @@
 			}
 		}
 
-		const allocator = new RemoteAllocator(new ManualTimers(), new CountingNetwork(), 'a:1', {onLost: () => undefined, onAnswer: () => undefined});
+		const allocator = new RemoteAllocator(new ManualTimers(), new CountingNetwork(), 'a:1', {onLost: () => undefined, onAnswer: () => undefined, quarantine: new BlockQuarantine()});
 		const sentBefore = sent.length;
 		let error: unknown;
 		try {
--- /dev/null
+++ b/src/quarantine/attribution.ts
@@ -0,0 +1,283 @@
+import {engineOutcome} from '../dispatch/index.js';
+import type {EngineOutcome, EngineView, PrefixBlock} from '../dispatch/index.js';
+import type {TimerService} from '../timers/index.js';
+import {listIds} from './quarantine.js';
+import type {BlockQuarantine} from './quarantine.js';
+
+/** Time for which further reports of a crash are about the same one, in milliseconds: the requests on the engine end one by one. */
+const sameCrashMs = 1000;
+/** Time between the end of a request without an answer and a crash for which it may be the cause, in milliseconds: its caller may have left. */
+const recentMs = 500;
+/** Maximum number of requests that are kept for this time. */
+const maxRecentRuns = 512;
+/** Time after which a request that is still being answered has shown that its blocks crash no engine, in milliseconds. */
+const survivalMs = 2000;
+/** Time for which an answer shows that blocks are sound, in milliseconds: a single crash then doesn't make them suspect. */
+const provenMs = 30_000;
+/** Crashes that make a block suspect, and those that do so for one that is proven. */
+const crashesToSuspect = 1;
+const crashesToSuspectIfProven = 2;
+/** Maximum numbers of suspect blocks and of proven ones that are remembered. */
+const maxSuspects = 8192;
+const maxProven = 4096;
+
+/** A generation from its reservation to its end. */
+export type Run = {
+	readonly blocks: readonly string[];
+	readonly prefillEngine: EngineView | undefined;
+	readonly decodeEngine: EngineView;
+	/** Whether it had suspect blocks when it was placed; no other run at its engines had any. */
+	readonly isTrial: boolean;
+	/** Monotonic time from which the decode engine may be at work on it, in milliseconds; `undefined` while another engine prefills it. */
+	decodesFrom: number | undefined;
+};
+
+/** What is known of a crash when it is noticed. */
+export type CrashReport = {
+	readonly engine: EngineView;
+	/** Number of generations that were on the engine. */
+	readonly runs: number;
+	/** Blocks that are suspect now, or still are. */
+	readonly suspects: readonly string[];
+	/** Blocks that were put under quarantine. */
+	readonly quarantined: readonly string[];
+};
+
+/** Crashes of engines that had prompts with a block, since the last complete answer to one. */
+type Suspicion = {
+	crashes: number;
+	readonly wasProven: boolean;
+	/** Runs that have the block. */
+	readonly runs: Set<Run>;
+};
+
+/**
+Finds out which prompt blocks crash engines, from which generations were on an engine when it crashed and which were answered. All blocks
+of the former become suspect; a complete answer to any prompt with a block clears it. Until then at most one generation with it runs
+at a time, on an engine without other suspects, so that the next crash shows which one causes it. Engines that crash for another reason leave
+suspects that are cleared by their next answers.
+*/
+export class CrashAttribution {
+	readonly #timers: TimerService;
+	readonly #quarantine: BlockQuarantine;
+	readonly #onCrash: (report: CrashReport) => void;
+	readonly #runs = new Map<EngineView, Set<Run>>();
+	readonly #crashedAt = new WeakMap<EngineView, number>();
+	/** By block; the one in the order of the last crash. */
+	readonly #suspicions = new Map<string, Suspicion>();
+	/** Monotonic time of the last answer by block, in milliseconds; the earliest answered first. */
+	readonly #answeredAt = new Map<string, number>();
+	#recent: Array<{readonly run: Run; readonly endedAt: number}> = [];
+
+	constructor(timers: TimerService, quarantine: BlockQuarantine, onCrash: (report: CrashReport) => void) {
+		this.#timers = timers;
+		this.#quarantine = quarantine;
+		this.#onCrash = onCrash;
+	}
+
+	/** Lists the suspect blocks of a prompt. */
+	listSuspects(blocks: readonly PrefixBlock[]): readonly string[] {
+		return this.#listSuspectIds(listIds(blocks));
+	}
+
+	/**
+	Filters the engines that a prompt with suspect blocks may run on: none while another run with one of them is not answered yet, and else
+	those without another suspect.
+	*/
+	selectEngines(views: readonly EngineView[], suspects: readonly string[]): readonly EngineView[] {
+		if (suspects.some(id => (this.#suspicions.get(id)?.runs.size ?? 0) > 0)) {
+			return [];
+		}
+
+		const busy = new Set([...this.#suspicions.values()]
+			.flatMap(suspicion => [...suspicion.runs].filter(({isTrial}) => isTrial || isSuspect(suspicion)))
+			.flatMap(run => listEngines(run)));
+		return views.filter(view => !busy.has(view));
+	}
+
+	/** Records that a generation was placed. */
+	start(blocks: readonly PrefixBlock[], {prefillEngine, decodeEngine}: Pick<Run, 'prefillEngine' | 'decodeEngine'>): Run {
+		const ids = listIds(blocks);
+		const suspects = this.#listSuspectIds(ids);
+		const run: Run = {
+			blocks: ids, prefillEngine, decodeEngine, isTrial: suspects.length > 0, decodesFrom: prefillEngine ? undefined : this.#timers.getNow(),
+		};
+		for (const view of listEngines(run)) {
+			const runs = this.#runs.get(view) ?? new Set();
+			this.#runs.set(view, runs.add(run));
+		}
+
+		for (const id of suspects) {
+			// A block whose quarantine has ended need not be known here otherwise.
+			this.#getSuspicion(id);
+		}
+
+		for (const id of ids) {
+			this.#suspicions.get(id)?.runs.add(run);
+		}
+
+		return run;
+	}
+
+	/** Records how the prefill of a generation on another engine ended; `undefined` when that says nothing about the engine. */
+	onPrefillEnd(run: Run, outcome: EngineOutcome | undefined): void {
+		const {prefillEngine} = run;
+		if (!prefillEngine || run.decodesFrom !== undefined) {
+			return;
+		}
+
+		if (outcome === engineOutcome.crashed) {
+			this.#handleCrash(prefillEngine);
+		}
+
+		run.decodesFrom = this.#timers.getNow();
+		this.#removeRun(prefillEngine, run);
+	}
+
+	/** Records how a generation ended; `undefined` when that says nothing about the decode engine. */
+	onEnd(run: Run, outcome: EngineOutcome | undefined): void {
+		const now = this.#timers.getNow();
+		if (outcome === engineOutcome.crashed) {
+			this.#handleCrash(run.decodeEngine);
+		}
+
+		for (const view of listEngines(run)) {
+			this.#removeRun(view, run);
+		}
+
+		for (const id of run.blocks) {
+			this.#suspicions.get(id)?.runs.delete(run);
+		}
+
+		if (outcome === engineOutcome.answered) {
+			this.#onAnswered(run.blocks, now);
+		} else if (run.decodesFrom !== undefined) {
+			this.#recent = [...this.#recent.filter(({endedAt}) => endedAt >= now - recentMs), {run, endedAt: now}].slice(-maxRecentRuns);
+		}
+	}
+
+	#handleCrash(engine: EngineView): void {
+		const now = this.#timers.getNow();
+		if (now - (this.#crashedAt.get(engine) ?? Number.NEGATIVE_INFINITY) < sameCrashMs) {
+			return;
+		}
+
+		this.#crashedAt.set(engine, now);
+		const runs = this.#listRunsAt(engine, now);
+		const blocks = new Set(runs.flatMap(run => run.blocks));
+		for (const id of blocks) {
+			this.#countCrash(id, now);
+		}
+
+		const trials = runs.filter(({isTrial}) => isTrial);
+		const quarantined = trials.length === 1 ? this.#addTrial(trials[0]!, now) : [];
+		this.#evictSuspicions();
+		this.#onCrash({
+			engine, runs: runs.length, suspects: this.#listSuspectIds([...blocks]), quarantined,
+		});
+	}
+
+	/** Lists the generations that an engine may have been at work on when it crashed. */
+	#listRunsAt(engine: EngineView, now: number): Run[] {
+		const recent = this.#recent.filter(({run, endedAt}) => run.decodeEngine === engine && endedAt >= now - recentMs).map(({run}) => run);
+		const current = [...this.#runs.get(engine) ?? []].filter(run => run.prefillEngine === engine ? run.decodesFrom === undefined : run.decodesFrom !== undefined);
+		return [...recent, ...current];
+	}
+
+	#countCrash(id: string, now: number): void {
+		const suspicion = this.#getSuspicion(id, now);
+		suspicion.crashes++;
+		// Kept in the order of the last crash, for the eviction.
+		this.#suspicions.delete(id);
+		this.#suspicions.set(id, suspicion);
+	}
+
+	/** Puts the blocks of a trial run under quarantine that more than one crash speaks against. Returns them. */
+	#addTrial(run: Run, now: number): readonly string[] {
+		const isEarly = run.decodesFrom === undefined || now - run.decodesFrom < survivalMs;
+		const unproven = new Set(this.#quarantine.listUnproven(run.blocks, now));
+		const blocks = run.blocks.filter(id => {
+			const suspicion = this.#suspicions.get(id);
+			const needed = (suspicion?.wasProven ? crashesToSuspectIfProven : crashesToSuspect) + (isEarly ? 1 : 2);
+			return unproven.has(id) || (suspicion?.crashes ?? 0) >= needed;
+		});
+		if (blocks.length > 0) {
+			this.#quarantine.add(blocks, now);
+		}
+
+		return blocks;
+	}
+
+	#onAnswered(blocks: readonly string[], now: number): void {
+		for (const id of blocks) {
+			this.#suspicions.delete(id);
+			this.#answeredAt.delete(id);
+			this.#answeredAt.set(id, now);
+		}
+
+		this.#quarantine.onAnswered(blocks, now);
+		for (const [id] of this.#answeredAt) {
+			if (this.#answeredAt.size <= maxProven) {
+				break;
+			}
+
+			this.#answeredAt.delete(id);
+		}
+	}
+
+	#listSuspectIds(ids: readonly string[]): readonly string[] {
+		const now = this.#timers.getNow();
+		const unproven = this.#quarantine.listUnproven(ids, now);
+		return this.#suspicions.size === 0 && unproven.length === 0
+			? []
+			: ids.filter(id => unproven.includes(id) || isSuspect(this.#findSuspicion(id, now)));
+	}
+
+	/** Finds the suspicion of a block unless a run that has it has outlived every crash that it could have caused. */
+	#findSuspicion(id: string, now: number): Suspicion | undefined {
+		const suspicion = this.#suspicions.get(id);
+		if (suspicion && [...suspicion.runs].some(({decodesFrom}) => decodesFrom !== undefined && now - decodesFrom >= survivalMs)) {
+			this.#suspicions.delete(id);
+			return undefined;
+		}
+
+		return suspicion;
+	}
+
+	#getSuspicion(id: string, now = this.#timers.getNow()): Suspicion {
+		let suspicion = this.#suspicions.get(id);
+		if (!suspicion) {
+			const runs = [...this.#runs.values()].flatMap(set => [...set]).filter(({blocks}) => blocks.includes(id));
+			suspicion = {crashes: 0, wasProven: now - (this.#answeredAt.get(id) ?? Number.NEGATIVE_INFINITY) < provenMs, runs: new Set(runs)};
+			this.#suspicions.set(id, suspicion);
+		}
+
+		return suspicion;
+	}
+
+	/** Drops suspicions beyond the bound: those of fewest crashes first, and of these the earliest. */
+	#evictSuspicions(): void {
+		if (this.#suspicions.size > maxSuspects) {
+			const excess = [...this.#suspicions].toSorted(([, left], [, right]) => left.crashes - right.crashes).slice(0, this.#suspicions.size - maxSuspects);
+			for (const [id] of excess) {
+				this.#suspicions.delete(id);
+			}
+		}
+	}
+
+	#removeRun(view: EngineView, run: Run): void {
+		const runs = this.#runs.get(view);
+		runs?.delete(run);
+		if (runs?.size === 0) {
+			this.#runs.delete(view);
+		}
+	}
+}
+
+function listEngines({prefillEngine, decodeEngine}: Run): readonly EngineView[] {
+	return prefillEngine ? [prefillEngine, decodeEngine] : [decodeEngine];
+}
+
+function isSuspect(suspicion: Suspicion | undefined): boolean {
+	return suspicion !== undefined && suspicion.crashes >= (suspicion.wasProven ? crashesToSuspectIfProven : crashesToSuspect);
+}
