Quarantine a block only when its crashes can't be chance; test placement under crashing engines

A load in virtual time through the slot allocator showed sound blocks under quarantine when engines crash often for other reasons (0.6 crashes a second on four engines): two crashes in a row hit a block that runs for long. The trial is now judged by its own end: one more crash is needed where its answer had begun, and where engines crashed without the block.

--- a/src/dispatch/health.ts
+++ b/src/dispatch/health.ts
@@ -10,8 +10,10 @@
 	silent: 'silent',
 	/** The answer broke off, or was for another request. */
 	broken: 'broken',
-	/** The answer broke off, and the engine no longer accepts connections. */
+	/** The answer broke off before its body, and the engine no longer accepts connections. */
 	crashed: 'crashed',
+	/** The same within the body. */
+	crashedInAnswer: 'crashed_in_answer',
 	/** The request could not be sent. */
 	unreachable: 'unreachable',
 	/** Another engine answered at the address. */
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -170,7 +170,7 @@
 
 		this.trace.isEngineListening = await this.#dependencies.link.isListening(this.view.record);
 		if (this.trace.isEngineListening === false) {
-			this.trace.sign = engineOutcome.crashed;
+			this.trace.sign = this.trace.bodyBytes === undefined ? engineOutcome.crashed : engineOutcome.crashedInAnswer;
 		}
 	}
 
--- /dev/null
+++ b/src/places/test/crashing.test.ts
@@ -0,0 +1,263 @@
+import {expect} from 'chai';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {engineOutcome, engineStage, Fleet} from '../../dispatch/index.js';
+import type {EngineOutcome, PrefixBlock} from '../../dispatch/index.js';
+import {BlockQuarantine} from '../../quarantine/index.js';
+import {ManualTimers} from '../../timers/index.js';
+import {SlotAllocator} from '../index.js';
+import type {LocalReservation} from '../index.js';
+import {createReservationRequest} from './requests.js';
+
+const addresses = ['10.0.0.1:80', '10.0.0.2:80', '10.0.0.3:80', '10.0.0.4:80'];
+const stepMs = 5;
+/** Time for which an engine generates before it crashes on a block, and until it is back under a new id, in milliseconds. */
+const crashDelayMs = 60;
+const restartMs = 3000;
+
+/** Time to the first event of an answer, in milliseconds. */
+const firstEventMs = 15;
+
+type Generation = {readonly reservation: LocalReservation; readonly blocks: readonly string[]; readonly startedAt: number; readonly endsAt: number};
+
+type LoadOptions = {
+	readonly seed: number;
+	readonly crashingBlocks: readonly string[];
+	/** Whether requests with the crashing blocks come at all. */
+	readonly hasCrashing?: boolean;
+	/** Crashes for other reasons, in a thousand steps. */
+	readonly otherCrashes?: number;
+	/** Allocator to start with; a new one by default. */
+	readonly quarantine?: BlockQuarantine;
+	/** Blocks of the sound requests; by default four first blocks and fifty second ones. */
+	readonly createSoundBlocks?: (random: (max: number) => number) => readonly string[];
+	readonly createCrashingBlocks?: (random: (max: number) => number) => readonly string[];
+};
+
+/** Generations on engines of which some crash, placed by a slot allocator in virtual time. */
+class CrashingLoad {
+	readonly timers = new ManualTimers();
+	readonly quarantine: BlockQuarantine;
+	readonly sound = {sent: 0, granted: 0, answered: 0};
+	/** Numbers of requests with crashing blocks that were placed, and of engines that crashed on them. */
+	crashingPlaced = 0;
+	crashes = 0;
+	readonly #allocator: SlotAllocator;
+	readonly #fleet = new Fleet();
+	readonly #options: LoadOptions;
+	readonly #running = new Set<Generation>();
+	readonly #addressById = new Map<string, string>();
+	readonly #returnAt = new Map<string, {readonly id: string; readonly at: number}>();
+	readonly #random: (max: number) => number;
+	#number = 0;
+
+	constructor(options: LoadOptions) {
+		this.#options = options;
+		this.quarantine = options.quarantine ?? new BlockQuarantine();
+		const generator = xoroshiro128plus(options.seed);
+		this.#random = max => uniformInt(generator, 0, max - 1);
+		this.#allocator = new SlotAllocator({
+			timers: this.timers, fleet: this.#fleet, getRandom: () => this.#random(1000) / 1000, getSlotShare: () => 1, quarantine: this.quarantine,
+		});
+		for (const address of addresses) {
+			this.#startEngine(address);
+		}
+	}
+
+	async run(durationMs: number): Promise<void> {
+		for (const endsAt = this.timers.getNow() + durationMs; this.timers.getNow() < endsAt;) {
+			this.#send(this.#options.createSoundBlocks?.(this.#random) ?? [`first${this.#random(4)}`, `part${this.#random(50)}`]);
+			if (this.#options.hasCrashing !== false && this.#random(20) === 0) {
+				this.#send(this.#options.createCrashingBlocks?.(this.#random) ?? [`first${this.#random(4)}`, this.#options.crashingBlocks[this.#random(this.#options.crashingBlocks.length)]!]);
+			}
+
+			if (this.#random(1000) < (this.#options.otherCrashes ?? 0)) {
+				this.#crashEngine([...this.#addressById.keys()][this.#random(addresses.length)]);
+			}
+
+			await this.timers.advance(stepMs);
+			this.#endGenerations();
+			for (const [address, {id, at}] of this.#returnAt) {
+				if (at <= this.timers.getNow()) {
+					this.#fleet.remove(id);
+					this.#returnAt.delete(address);
+					this.#startEngine(address);
+				}
+			}
+		}
+	}
+
+	#startEngine(address: string): void {
+		const id = `e${this.#number++}`;
+		this.#addressById.set(id, address);
+		this.#fleet.onRegistration({
+			id, address, service: 'llm', stage: engineStage.any, slots: 8, isLeaving: false, startedAt: this.#number,
+		});
+		this.#allocator.serveWaiting();
+	}
+
+	#send(blocks: readonly string[]): void {
+		const isCrashing = this.#isCrashing(blocks);
+		this.sound.sent += isCrashing ? 0 : 1;
+		void this.#place(blocks, isCrashing);
+	}
+
+	async #place(blocks: readonly string[], isCrashing: boolean): Promise<void> {
+		const prefixBlocks: PrefixBlock[] = blocks.map(id => ({id, tokens: 50}));
+		const excludedEngines: string[] = [];
+		try {
+			let reservation = await this.#acquire(prefixBlocks, excludedEngines);
+			while (!this.#addressById.has(reservation.engines.decodeEngine)) {
+				// A crashed engine stays registered for a while; it refuses connections.
+				excludedEngines.push(reservation.engines.decodeEngine);
+				reservation.release(engineOutcome.unreachable);
+				reservation = await this.#acquire(prefixBlocks, excludedEngines);
+			}
+
+			const now = this.timers.getNow();
+			this.sound.granted += isCrashing ? 0 : 1;
+			this.crashingPlaced += isCrashing ? 1 : 0;
+			// Some streams are long: they are on the engines at several crashes.
+			const durationMs = isCrashing ? crashDelayMs : (this.#random(50) === 0 ? 1500 : 20 + this.#random(40));
+			this.#running.add({
+				reservation, blocks, startedAt: now, endsAt: now + durationMs,
+			});
+		} catch {}
+	}
+
+	async #acquire(prefixBlocks: readonly PrefixBlock[], excludedEngines: readonly string[]): Promise<LocalReservation> {
+		return this.#allocator.acquire(createReservationRequest({prefixBlocks, kvCapacityTokens: 1_000_000, excludedEngines: [...excludedEngines]}), new AbortController().signal);
+	}
+
+	#endGenerations(): void {
+		for (const generation of this.#running) {
+			if (!this.#isCrashing(generation.blocks) && this.timers.getNow() - generation.startedAt >= firstEventMs) {
+				generation.reservation.onPrefillEnd(engineOutcome.answered);
+			}
+
+			if (generation.endsAt > this.timers.getNow() || !this.#running.has(generation)) {
+				continue;
+			}
+
+			if (this.#isCrashing(generation.blocks)) {
+				this.crashes++;
+				this.#crashEngine(generation.reservation.engines.decodeEngine);
+			} else {
+				this.#end(generation, engineOutcome.answered);
+				this.sound.answered++;
+			}
+		}
+	}
+
+	#crashEngine(id: string | undefined): void {
+		const address = id === undefined ? undefined : this.#addressById.get(id);
+		if (id === undefined || address === undefined) {
+			return;
+		}
+
+		this.#addressById.delete(id);
+		this.#returnAt.set(address, {id, at: this.timers.getNow() + restartMs});
+		for (const generation of this.#running) {
+			if (generation.reservation.engines.decodeEngine === id) {
+				const hasBegun = !this.#isCrashing(generation.blocks) && this.timers.getNow() - generation.startedAt >= firstEventMs;
+				this.#end(generation, hasBegun ? engineOutcome.crashedInAnswer : engineOutcome.crashed);
+			}
+		}
+	}
+
+	#end(generation: Generation, outcome: EngineOutcome): void {
+		this.#running.delete(generation);
+		generation.reservation.release(outcome);
+	}
+
+	#isCrashing(blocks: readonly string[]): boolean {
+		return blocks.some(id => this.#options.crashingBlocks.includes(id));
+	}
+}
+
+const seeds = Array.from({length: 8}, (_, index) => index + 1);
+const list = (load: CrashingLoad) => load.quarantine.list(load.timers.getNow()).map(({blocks}) => blocks);
+
+describe('a slot allocator and engines that crash', () => {
+	it('finds the one block that crashes engines after a few crashes, and serves all else', async () => {
+		for (const seed of seeds) {
+			const load = new CrashingLoad({seed, crashingBlocks: ['bad']});
+			await load.run(12_000);
+			expect(load.crashes, `crashes, seed ${seed}`).to.be.within(2, 4);
+			expect(list(load), `seed ${seed}`).to.deep.equal([['bad']]);
+			const placed = load.crashingPlaced;
+			Object.assign(load.sound, {sent: 0, granted: 0});
+			await load.run(10_000);
+			expect(load.crashingPlaced - placed, `placed, seed ${seed}`).to.equal(0);
+			expect(load.sound.granted / load.sound.sent, `seed ${seed}`).to.be.above(0.97);
+		}
+	}).timeout(60_000);
+
+	it('quarantines nothing when engines crash for other reasons', async () => {
+		for (const seed of seeds) {
+			const load = new CrashingLoad({
+				seed, crashingBlocks: [], hasCrashing: false, otherCrashes: 3,
+			});
+			await load.run(30_000);
+			expect(list(load), `seed ${seed}`).to.deep.equal([]);
+		}
+	}).timeout(60_000);
+
+	it('finds a crashing block among crashes for other reasons, and quarantines no sound one', async () => {
+		for (const seed of seeds) {
+			const load = new CrashingLoad({seed, crashingBlocks: ['bad'], otherCrashes: 2});
+			await load.run(25_000);
+			expect(list(load), `seed ${seed}`).to.deep.equal([['bad']]);
+			expect(load.crashes, `crashes, seed ${seed}`).to.be.at.most(5);
+		}
+	}).timeout(60_000);
+
+	it('finds several crashing blocks', async () => {
+		for (const seed of seeds) {
+			const load = new CrashingLoad({seed, crashingBlocks: ['bad1', 'bad2']});
+			await load.run(40_000);
+			expect(list(load).flat().toSorted(), `seed ${seed}`).to.deep.equal(['bad1', 'bad2']);
+			expect(load.crashes, `crashes, seed ${seed}`).to.be.at.most(7);
+		}
+	}).timeout(60_000);
+
+	it('finds a first block that crashes engines, whatever follows it', async () => {
+		for (const seed of seeds) {
+			const load = new CrashingLoad({seed, crashingBlocks: ['bad'], createCrashingBlocks: random => ['bad', `part${random(50)}`, `more${random(5)}`]});
+			await load.run(25_000);
+			expect(list(load), `seed ${seed}`).to.deep.equal([['bad']]);
+			expect(load.crashes, `crashes, seed ${seed}`).to.be.at.most(5);
+		}
+	}).timeout(60_000);
+
+	it('does not refuse blocks that come mostly, but not only, beside the crashing one', async () => {
+		for (const seed of seeds) {
+			const load = new CrashingLoad({
+				seed,
+				crashingBlocks: ['bad'],
+				createCrashingBlocks: () => ['first', 'bad', 'tail'],
+				createSoundBlocks: random => random(40) === 0 ? ['first', 'other', 'tail'] : [`first${random(4)}`, `part${random(50)}`],
+			});
+			await load.run(25_000);
+			expect(list(load), `seed ${seed}`).to.deep.equal([['bad']]);
+		}
+	}).timeout(60_000);
+
+	it('tests a block once its time is over, one request at a time, and serves it when it is answered', async () => {
+		const first = new CrashingLoad({seed: 1, crashingBlocks: ['bad']});
+		await first.run(12_000);
+		const {crashes} = first;
+		await first.run(121_000);
+		expect(first.crashes).to.equal(crashes + 1);
+		expect(first.quarantine.list(first.timers.getNow())[0]?.count).to.equal(2);
+		const repaired = new CrashingLoad({
+			seed: 1, crashingBlocks: ['bad'], hasCrashing: false, createSoundBlocks: () => ['first1', 'good'],
+		});
+		repaired.quarantine.merge([{blocks: ['good'], remainingMs: 2000, count: 3}], repaired.timers.getNow());
+		await repaired.run(1900);
+		expect(repaired.sound.granted).to.equal(0);
+		await repaired.run(1000);
+		expect(repaired.sound.answered).to.be.above(50);
+		expect(list(repaired)).to.deep.equal([]);
+	}).timeout(60_000);
+});
--- a/src/quarantine/attribution.ts
+++ b/src/quarantine/attribution.ts
@@ -17,6 +17,10 @@
 /** Crashes that make a block suspect, and those that do so for one that is proven. */
 const crashesToSuspect = 1;
 const crashesToSuspectIfProven = 2;
+/** Time for which crashes that did not involve a block show that engines crash for other reasons too, in milliseconds. */
+const otherCrashesMs = 300_000;
+/** Maximum number of crashes that are remembered for this time. */
+const maxCrashes = 64;
 /** Maximum numbers of suspect blocks and of proven ones that are remembered. */
 const maxSuspects = 8192;
 const maxProven = 4096;
@@ -30,6 +34,8 @@
 	readonly isTrial: boolean;
 	/** Monotonic time from which the decode engine may be at work on it, in milliseconds; `undefined` while another engine prefills it. */
 	decodesFrom: number | undefined;
+	/** Whether it was the only trial on an engine that has crashed. */
+	isAtFault?: boolean;
 };
 
 /** What is known of a crash when it is noticed. */
@@ -39,8 +45,6 @@
 	readonly runs: number;
 	/** Blocks that are suspect now, or still are. */
 	readonly suspects: readonly string[];
-	/** Blocks that were put under quarantine. */
-	readonly quarantined: readonly string[];
 };
 
 /** Crashes of engines that had prompts with a block, since the last complete answer to one. */
@@ -67,6 +71,8 @@
 	readonly #suspicions = new Map<string, Suspicion>();
 	/** Monotonic time of the last answer by block, in milliseconds; the earliest answered first. */
 	readonly #answeredAt = new Map<string, number>();
+	/** Monotonic times of the latest crashes, in milliseconds. */
+	#crashTimes: readonly number[] = [];
 	#recent: Array<{readonly run: Run; readonly endedAt: number}> = [];
 
 	constructor(timers: TimerService, quarantine: BlockQuarantine, onCrash: (report: CrashReport) => void) {
@@ -126,8 +132,9 @@
 			return;
 		}
 
-		if (outcome === engineOutcome.crashed) {
+		if (isCrash(outcome)) {
 			this.#handleCrash(prefillEngine);
+			this.#judgeTrial(run, outcome);
 		}
 
 		run.decodesFrom = this.#timers.getNow();
@@ -137,10 +144,12 @@
 	/** Records how a generation ended; `undefined` when that says nothing about the decode engine. */
 	onEnd(run: Run, outcome: EngineOutcome | undefined): void {
 		const now = this.#timers.getNow();
-		if (outcome === engineOutcome.crashed) {
+		if (isCrash(outcome)) {
 			this.#handleCrash(run.decodeEngine);
 		}
 
+		this.#judgeTrial(run, outcome);
+
 		for (const view of listEngines(run)) {
 			this.#removeRun(view, run);
 		}
@@ -170,11 +179,13 @@
 		}
 
 		const trials = runs.filter(({isTrial}) => isTrial);
-		const quarantined = trials.length === 1 ? this.#addTrial(trials[0]!, now) : [];
+		if (trials.length === 1) {
+			trials[0]!.isAtFault = true;
+		}
+
+		this.#crashTimes = [...this.#crashTimes.filter(at => at > now - otherCrashesMs), now].slice(-maxCrashes);
 		this.#evictSuspicions();
-		this.#onCrash({
-			engine, runs: runs.length, suspects: this.#listSuspectIds([...blocks]), quarantined,
-		});
+		this.#onCrash({engine, runs: runs.length, suspects: this.#listSuspectIds([...blocks])});
 	}
 
 	/** Lists the generations that an engine may have been at work on when it crashed. */
@@ -192,20 +203,31 @@
 		this.#suspicions.set(id, suspicion);
 	}
 
-	/** Puts the blocks of a trial run under quarantine that more than one crash speaks against. Returns them. */
-	#addTrial(run: Run, now: number): readonly string[] {
-		const isEarly = run.decodesFrom === undefined || now - run.decodesFrom < survivalMs;
+	/**
+	Puts blocks of a trial under quarantine whose engine crashed. More crashes are needed for blocks that were answered shortly before, where
+	the answer had begun, and where engines crash without the blocks too.
+	*/
+	#judgeTrial(run: Run, outcome: EngineOutcome | undefined): void {
+		if (!run.isAtFault) {
+			return;
+		}
+
+		run.isAtFault = false;
+		const now = this.#timers.getNow();
 		const unproven = new Set(this.#quarantine.listUnproven(run.blocks, now));
 		const blocks = run.blocks.filter(id => {
 			const suspicion = this.#suspicions.get(id);
-			const needed = (suspicion?.wasProven ? crashesToSuspectIfProven : crashesToSuspect) + (isEarly ? 1 : 2);
-			return unproven.has(id) || (suspicion?.crashes ?? 0) >= needed;
+			if (!suspicion || unproven.has(id)) {
+				return unproven.has(id);
+			}
+
+			const hasOtherCrashes = this.#crashTimes.length > suspicion.crashes;
+			const needed = (suspicion.wasProven ? crashesToSuspectIfProven : crashesToSuspect) + 1 + (outcome === engineOutcome.crashed ? 0 : 1) + (hasOtherCrashes ? 1 : 0);
+			return suspicion.crashes >= needed;
 		});
 		if (blocks.length > 0) {
 			this.#quarantine.add(blocks, now);
 		}
-
-		return blocks;
 	}
 
 	#onAnswered(blocks: readonly string[], now: number): void {
@@ -274,6 +296,10 @@
 	}
 }
 
+function isCrash(outcome: EngineOutcome | undefined): boolean {
+	return outcome === engineOutcome.crashed || outcome === engineOutcome.crashedInAnswer;
+}
+
 function listEngines({prefillEngine, decodeEngine}: Run): readonly EngineView[] {
 	return prefillEngine ? [prefillEngine, decodeEngine] : [decodeEngine];
 }
