--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -11,39 +11,72 @@
 	readonly lastId: string | undefined;
 };
 
+/** Maximum size of one event; what is larger is no event, and may never end. */
+const maxEventBytes = 1_048_576;
+/** Maximum number of chunks of an incomplete event that are held apart. */
+const maxHeldChunks = 256;
+/** Bytes before a chunk in which an event's end may begin. */
+const maxEndPrefix = 2;
+
 /**
 Splits a stream of server-sent events at the ends of events (empty lines), without changing a byte. An incomplete event
 is held back: if the stream breaks there and is resumed at another engine, the caller has received only complete events.
 */
 export class EventSplitter {
-	#incomplete: Uint8Array = new Uint8Array(0);
+	#incomplete: Uint8Array[] = [];
+	#incompleteBytes = 0;
 
 	/** Number of bytes after the last complete event. */
 	get incompleteBytes(): number {
-		return this.#incomplete.length;
+		return this.#incompleteBytes;
 	}
 
-	/** Adds a chunk of the stream and returns the events that are now complete, if any. */
+	/** Adds a chunk of the stream and returns the events that are now complete, if any. Throws `BrokenAnswerError` when an event exceeds its limit. */
 	add(chunk: Uint8Array): CompleteEvents | undefined {
-		const bytes = this.#incomplete.length === 0 ? chunk : Buffer.concat([this.#incomplete, chunk]);
-		const end = findLastEventEnd(bytes);
-		if (end === 0) {
-			this.#incomplete = bytes;
+		// Only the last bytes of what is held back are looked at again, however many chunks an event has.
+		const prefix = this.#getLastBytes();
+		const end = findLastEventEnd(prefix.length === 0 ? chunk : Buffer.concat([prefix, chunk])) - prefix.length;
+		if (end <= 0) {
+			this.#hold(chunk);
 			return undefined;
 		}
 
-		const complete = bytes.subarray(0, end);
-		this.#incomplete = bytes.subarray(end);
+		const complete = this.#incomplete.length === 0 ? chunk.subarray(0, end) : Buffer.concat([...this.#incomplete, chunk.subarray(0, end)]);
+		this.#incomplete = [];
+		this.#incompleteBytes = 0;
+		this.#hold(chunk.subarray(end));
 		return {bytes: complete, lastId: findLastId(complete)};
 	}
 
 	/** Ends the stream and returns what is left to send, which is at most empty lines. Throws `BrokenAnswerError` when the stream ended inside an event. */
 	finish(): Uint8Array {
-		if (this.#incomplete.some(byte => byte !== lineFeed && byte !== carriageReturn)) {
-			throw new BrokenAnswerError(`Stream ended inside an event, ${this.#incomplete.length} bytes after the last complete one.`);
+		const incomplete = Buffer.concat(this.#incomplete);
+		if (incomplete.some(byte => byte !== lineFeed && byte !== carriageReturn)) {
+			throw new BrokenAnswerError(`Stream ended inside an event, ${incomplete.length} bytes after the last complete one.`);
+		}
+
+		return incomplete;
+	}
+
+	#hold(bytes: Uint8Array): void {
+		if (bytes.length === 0) {
+			return;
 		}
 
-		return this.#incomplete;
+		this.#incomplete.push(bytes);
+		if (this.#incomplete.length > maxHeldChunks) {
+			this.#incomplete = [Buffer.concat(this.#incomplete)];
+		}
+
+		this.#incompleteBytes += bytes.length;
+		if (this.#incompleteBytes > maxEventBytes) {
+			throw new BrokenAnswerError(`An event exceeds the limit of ${maxEventBytes} bytes.`);
+		}
+	}
+
+	#getLastBytes(): Uint8Array {
+		const last = this.#incomplete.slice(-maxEndPrefix).map(bytes => bytes.subarray(-maxEndPrefix));
+		return last.length === 0 ? new Uint8Array(0) : Buffer.concat(last).subarray(-maxEndPrefix);
 	}
 }
 
--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
@@ -39,6 +40,18 @@
 	noContent: 'noContent',
 	/** Says in this answer and in all later ones that the engine leaves; its registration does not change. */
 	leave: 'leave',
+	/** Sends header fields without end. */
+	endlessHead: 'endlessHead',
+	/** Sends informational answers without end. */
+	endlessInformation: 'endlessInformation',
+	/** Sends bytes of a body without end, without a length; to a stream they are one event. */
+	endlessBody: 'endlessBody',
+	/** Sends trailer fields without end after a body in chunks. */
+	endlessTrailer: 'endlessTrailer',
+	/** Sends one event of a stream, and then a byte now and then that completes none. */
+	trickle: 'trickle',
+	/** Sends a stream with one long pause, before its second event. */
+	slowStream: 'slowStream',
 	/** Answers 503 without running the request, and asks for nothing more from this sender for {@link FleetEngine.retryAfterMs}. */
 	retryAfter: 'retryAfter',
 } as const;
@@ -67,6 +80,9 @@
 	retryAfterMs: number;
 };
 
+/** Interval between the bytes of a stalled stream, and the pause of a slow one, in milliseconds. */
+const trickleIntervalMs = 100;
+const slowIntervalMs = 1000;
 /** Time for which an engine generates an answer that it crashes on, in milliseconds. */
 const crashDelayMs = 10;
 
@@ -237,6 +253,11 @@
 			return;
 		}
 
+		if (isEndless(fault)) {
+			await sendEndless(response.socket ?? undefined, commonHeaders, fault);
+			return;
+		}
+
 		const {'Crocusworks-Server-Stamp': stamp, ...headersWithoutStamp} = commonHeaders;
 		const headers = fault === engineFault.noReceipt ? headersWithoutStamp : {...headersWithoutStamp, 'Crocusworks-Server-Stamp': stamp!};
 		if (fault === engineFault.foreign) {
@@ -287,6 +308,11 @@
 			return;
 		}
 
+		if (isEndless(fault)) {
+			await sendEndless(response.socket ?? undefined, commonHeaders, fault);
+			return;
+		}
+
 		await sleep(this.#options.workMs ?? 1);
 		sendJson(response, 200, {kv_handle: `h${this.#nextHandleNumber++}`, tokens: 10, version: 1}, commonHeaders);
 	}
@@ -307,8 +333,13 @@
 
 		response.writeHead(200, {...headers, 'Content-Type': 'text/event-stream'});
 		for (let id = firstId; id <= eventCount; id++) {
-			await sleep(eventIntervalMs);
+			await sleep(fault === engineFault.slowStream && id === firstId + 1 ? slowIntervalMs : eventIntervalMs);
 			const event = formatEvent(id, arrival.id);
+			if (fault === engineFault.trickle && id === firstId + 1) {
+				await sendTrickle(response, event);
+				return;
+			}
+
 			if (fault === engineFault.pauseStream && id === firstId + 1) {
 				return;
 			}
@@ -341,6 +372,42 @@
 	return `id: ${id}\ndata: piece ${id} of ${requestId}\n\n`;
 }
 
+const endlessFaults = [engineFault.endlessHead, engineFault.endlessInformation, engineFault.endlessBody, engineFault.endlessTrailer] as const;
+
+function isEndless(fault: EngineFault | undefined): fault is (typeof endlessFaults)[number] {
+	return endlessFaults.includes(fault);
+}
+
+/** Sends what `fault` says until the connection is closed. */
+async function sendEndless(socket: Socket | undefined, headers: Record<string, string>, fault: (typeof endlessFaults)[number]): Promise<void> {
+	const fields = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('');
+	const start = {
+		endlessHead: `HTTP/1.1 200 OK\r\n${fields}`,
+		endlessInformation: '',
+		endlessBody: `HTTP/1.1 200 OK\r\n${fields}Connection: close\r\n\r\ndata: `,
+		endlessTrailer: `HTTP/1.1 200 OK\r\n${fields}Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n`,
+	}[fault];
+	const repeated = {
+		endlessHead: 'X-More: more\r\n'.repeat(100), endlessInformation: 'HTTP/1.1 100 Continue\r\n\r\n', endlessBody: 'x'.repeat(65_536), endlessTrailer: 'X-More: more\r\n'.repeat(100),
+	}[fault];
+	socket?.write(start);
+	while (socket && !socket.destroyed) {
+		if (!socket.write(repeated)) {
+			await Promise.race([once(socket, 'drain'), once(socket, 'close')]);
+		}
+
+		await sleep(1);
+	}
+}
+
+/** Sends a byte of an event at an interval until the connection is closed; the event is never complete. */
+async function sendTrickle(response: ServerResponse, event: string): Promise<void> {
+	for (let index = 0; index < event.length - 2 && !response.destroyed; index++) {
+		response.write(event.slice(index, index + 1));
+		await sleep(trickleIntervalMs);
+	}
+}
+
 /** Sends an answer without a length; its end is the end of the connection: a close when `isComplete`, otherwise a reset. */
 async function sendWithoutLength(socket: Socket | undefined, headers: Record<string, string>, text: string, isComplete: boolean): Promise<void> {
 	const fields = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('');
