A stalled stream is resumed although bytes arrive; a slow one is not cut for want of a permit

Operators of similar systems saw slow but sound streams cut, and stalled ones that sent a byte now and then last for ever. Both could happen here: any byte reset the watchdog of silence, and the send was aborted before it was known whether the retry budget and another engine allow a resume; if not, the caller's stream was closed. Now complete events (or 256 bytes of a buffered body) count as progress, and a silent send is aborted only with the permit for the next one in hand and another engine to get it.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -13,26 +13,32 @@
 	readonly purpose: AttemptTrace['purpose'];
 	/** Time without a byte from the engine after which the send is aborted, in milliseconds; `undefined` where only the caller or the deadline ends it. */
 	readonly silenceTimeoutMs: number | undefined;
+	/** Called at such a silence; returns whether another engine may get the request, which takes the permit for it. Until then the send goes on: it may only be slow. */
+	readonly tryTakeRetry?: () => boolean;
 	readonly mayReuseIdle: boolean;
 };
 
 /** Largest body that is buffered. A buffered body reaches the caller only when complete, so that the request can be sent again if it breaks off. */
 const maxBufferedBodyBytes = 1_048_576;
+/** Bytes of a buffered body that count as progress. */
+const minProgressBytes = 256;
 
 /** Aborts a send when its engine stays silent, its caller disconnects or its deadline passes. */
 class SendWatchdog {
 	readonly controller = new AbortController();
 	isSilent = false;
+	/** Whether the permit for another send was taken when the send was aborted. */
+	hasRetryPermit = false;
 	readonly #timers: TimerService;
 	readonly #served: ServedRequest;
-	readonly #silenceTimeoutMs: number | undefined;
+	readonly #options: Pick<AttemptOptions, 'silenceTimeoutMs' | 'tryTakeRetry'>;
 	readonly #onAbort: () => void;
 	#timer: Timer | undefined;
 
-	constructor(timers: TimerService, served: ServedRequest, silenceTimeoutMs: number | undefined) {
+	constructor(timers: TimerService, served: ServedRequest, options: Pick<AttemptOptions, 'silenceTimeoutMs' | 'tryTakeRetry'>) {
 		this.#timers = timers;
 		this.#served = served;
-		this.#silenceTimeoutMs = silenceTimeoutMs;
+		this.#options = options;
 		this.#onAbort = () => {
 			this.controller.abort();
 		};
@@ -48,8 +54,15 @@
 
 	reset(): void {
 		this.#timer?.cancel();
-		if (this.#silenceTimeoutMs !== undefined) {
-			this.#timer = this.#timers.startTimer(this.#silenceTimeoutMs, () => {
+		const {silenceTimeoutMs, tryTakeRetry} = this.#options;
+		if (silenceTimeoutMs !== undefined) {
+			this.#timer = this.#timers.startTimer(silenceTimeoutMs, () => {
+				this.hasRetryPermit = tryTakeRetry?.() ?? false;
+				if (tryTakeRetry && !this.hasRetryPermit) {
+					this.reset();
+					return;
+				}
+
 				this.isSilent = true;
 				this.controller.abort();
 			});
@@ -86,7 +99,12 @@
 		this.trace = served.trace.onSend(view, options.purpose);
 		this.#stopTracking = trackSend(view);
 		this.#startedAt = dependencies.timers.getNow();
-		this.#watchdog = new SendWatchdog(dependencies.timers, served, options.silenceTimeoutMs);
+		this.#watchdog = new SendWatchdog(dependencies.timers, served, options);
+	}
+
+	/** Whether the permit of the retry budget for a further send was taken already. */
+	get hasRetryPermit(): boolean {
+		return this.#watchdog.hasRetryPermit;
 	}
 
 	/** Whether the engine answered with a 2xx status. */
@@ -120,10 +138,16 @@
 	async readBody(): Promise<Uint8Array | undefined> {
 		const chunks: Uint8Array[] = [];
 		let sizeBytes = 0;
+		let progressBytes = 0;
 		try {
 			for await (const chunk of this.generateBody()) {
 				sizeBytes += chunk.length;
 				chunks.push(chunk);
+				if (sizeBytes - progressBytes >= minProgressBytes) {
+					progressBytes = sizeBytes;
+					this.onProgress();
+				}
+
 				if (sizeBytes > maxBufferedBodyBytes) {
 					throw new RangeError(`The answer exceeds the limit of ${maxBufferedBodyBytes} bytes.`);
 				}
@@ -136,6 +160,11 @@
 		}
 	}
 
+	/** Records that the answer has made progress, so that the engine does not count as silent. A few bytes are none: a stalled engine may send them. */
+	onProgress(): void {
+		this.#watchdog.reset();
+	}
+
 	/** Yields chunks of the body as they arrive; throws when it breaks off, stays silent or is aborted. */
 	async * generateBody(): AsyncGenerator<Uint8Array, void> {
 		if (!this.reply) {
@@ -143,7 +172,6 @@
 		}
 
 		for await (const chunk of this.reply.generateBody()) {
-			this.#watchdog.reset();
 			this.trace.bodyBytes = (this.trace.bodyBytes ?? 0) + chunk.length;
 			yield chunk;
 		}
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -111,6 +111,7 @@
 			fetchFrom: kvCacheHandle ? undefined : findAddress(served, reservation.engines.prefixSource),
 			resumeAfter: progress.lastEventId,
 			silenceTimeoutMs: mayResume ? computeSilenceTimeoutMs(served, reservation, decodeSilenceTargets) : undefined,
+			tryTakeRetry: () => hasOtherEngine(dependencies, served, decodeEngine) && dependencies.retryBudget.tryTake(served.service),
 			mayReuseIdle: served.route.isResumable,
 		}));
 		const isDone = yield * callStep('pass the stream on', async () => relayStream(dependencies, served, {
@@ -135,7 +136,7 @@
 	const mayResume = served.route.isResumable && progress.runs < served.route.maxRuns;
 	const isUnbudgeted = attempt.isNotSent && progress.hasConnectTriesLeft;
 	const mayRetry = !served.signal.aborted && (attempt.isNotRun || mayResume);
-	if (mayRetry && (isUnbudgeted || (!attempt.isNotSent && dependencies.retryBudget.tryTake(served.service)))) {
+	if (mayRetry && (isUnbudgeted || attempt.hasRetryPermit || (!attempt.isNotSent && dependencies.retryBudget.tryTake(served.service)))) {
 		dependencies.reporter.onRetry(selectRetryReason(attempt, attempt.trace.sign === 'silent' ? retryReason.silentStream : retryReason.brokenStream));
 		return true;
 	}
@@ -285,6 +286,7 @@
 		for await (const chunk of attempt.generateBody()) {
 			const events = splitter.add(chunk);
 			if (events) {
+				attempt.onProgress();
 				await writeEvents(dependencies, served, relay, events.bytes);
 				progress.lastEventId = events.lastId ?? progress.lastEventId;
 			}
@@ -338,6 +340,11 @@
 	return Math.max(minSilenceTimeoutMs, route.targetMs * targets, engines.firstTokenMs * maxExpectedMultiple);
 }
 
+/** Tells whether another engine than `view` could decode an answer now. */
+function hasOtherEngine({timers}: GatewayDependencies, {fleet, service}: ServedRequest, view: EngineView): boolean {
+	return fleet.listServing(service).some(other => other !== view && other.record.stage !== engineStage.prefill && other.isAvailable(timers.getNow()));
+}
+
 function findAddress(served: ServedRequest, engineId: string | undefined): string | undefined {
 	return engineId === undefined ? undefined : served.fleet.findServing(engineId)?.record.address;
 }
--- a/src/gateway/plain.ts
+++ b/src/gateway/plain.ts
@@ -54,6 +54,7 @@
 		const attempt = yield * callStep('send to an engine', async () => callEngine(dependencies, served, view, {
 			purpose: 'run',
 			silenceTimeoutMs: mayRepeat ? served.route.targetMs * silenceTimeoutShare : undefined,
+			tryTakeRetry: () => dependencies.retryBudget.tryTake(served.service),
 			mayReuseIdle: served.route.kind === requestKind.idempotent,
 		}));
 		const body = attempt.isNotRun ? undefined : yield * callStep('read the answer', async () => readAnswer(served, attempt));
@@ -100,7 +101,7 @@
 		return false;
 	}
 
-	return attempt.isNotSent ? progress.hasConnectTriesLeft : dependencies.retryBudget.tryTake(served.service);
+	return attempt.isNotSent ? progress.hasConnectTriesLeft : attempt.hasRetryPermit || dependencies.retryBudget.tryTake(served.service);
 }
 
 type LastAttempt = {readonly attempt: Attempt; readonly body: Uint8Array | undefined};
--- a/src/places/test/crashing.test.ts
+++ b/src/places/test/crashing.test.ts
@@ -72,11 +72,11 @@
 			}
 
 			if (this.#random(1000) < (this.#options.otherCrashes ?? 0)) {
-				this.#crashEngine([...this.#addressById.keys()][this.#random(addresses.length)]);
+				this.#stopEngine([...this.#addressById.keys()][this.#random(addresses.length)]);
 			}
 
 			await this.timers.advance(stepMs);
-			this.#endGenerations();
+			this.#settleEnded();
 			for (const [address, {id, at}] of this.#returnAt) {
 				if (at <= this.timers.getNow()) {
 					this.#fleet.remove(id);
@@ -99,10 +99,10 @@
 	#send(blocks: readonly string[]): void {
 		const isCrashing = this.#isCrashing(blocks);
 		this.sound.sent += isCrashing ? 0 : 1;
-		void this.#place(blocks, isCrashing);
+		void this.#serve(blocks, isCrashing);
 	}
 
-	async #place(blocks: readonly string[], isCrashing: boolean): Promise<void> {
+	async #serve(blocks: readonly string[], isCrashing: boolean): Promise<void> {
 		const prefixBlocks: PrefixBlock[] = blocks.map(id => ({id, tokens: 50}));
 		const excludedEngines: string[] = [];
 		try {
@@ -129,7 +129,7 @@
 		return this.#allocator.acquire(createReservationRequest({prefixBlocks, kvCapacityTokens: 1_000_000, excludedEngines: [...excludedEngines]}), new AbortController().signal);
 	}
 
-	#endGenerations(): void {
+	#settleEnded(): void {
 		for (const generation of this.#running) {
 			if (!this.#isCrashing(generation.blocks) && this.timers.getNow() - generation.startedAt >= firstEventMs) {
 				generation.reservation.onPrefillEnd(engineOutcome.answered);
@@ -141,15 +141,15 @@
 
 			if (this.#isCrashing(generation.blocks)) {
 				this.crashes++;
-				this.#crashEngine(generation.reservation.engines.decodeEngine);
+				this.#stopEngine(generation.reservation.engines.decodeEngine);
 			} else {
-				this.#end(generation, engineOutcome.answered);
+				this.#release(generation, engineOutcome.answered);
 				this.sound.answered++;
 			}
 		}
 	}
 
-	#crashEngine(id: string | undefined): void {
+	#stopEngine(id: string | undefined): void {
 		const address = id === undefined ? undefined : this.#addressById.get(id);
 		if (id === undefined || address === undefined) {
 			return;
@@ -160,12 +160,12 @@
 		for (const generation of this.#running) {
 			if (generation.reservation.engines.decodeEngine === id) {
 				const hasBegun = !this.#isCrashing(generation.blocks) && this.timers.getNow() - generation.startedAt >= firstEventMs;
-				this.#end(generation, hasBegun ? engineOutcome.crashedInAnswer : engineOutcome.crashed);
+				this.#release(generation, hasBegun ? engineOutcome.crashedInAnswer : engineOutcome.crashed);
 			}
 		}
 	}
 
-	#end(generation: Generation, outcome: EngineOutcome): void {
+	#release(generation: Generation, outcome: EngineOutcome): void {
 		this.#running.delete(generation);
 		generation.reservation.release(outcome);
 	}
--- a/src/quarantine/attribution.ts
+++ b/src/quarantine/attribution.ts
@@ -134,7 +134,7 @@
 
 		if (isCrash(outcome)) {
 			this.#handleCrash(prefillEngine);
-			this.#judgeTrial(run, outcome);
+			this.#settleTrial(run, outcome);
 		}
 
 		run.decodesFrom = this.#timers.getNow();
@@ -148,7 +148,7 @@
 			this.#handleCrash(run.decodeEngine);
 		}
 
-		this.#judgeTrial(run, outcome);
+		this.#settleTrial(run, outcome);
 
 		for (const view of listEngines(run)) {
 			this.#removeRun(view, run);
@@ -207,7 +207,7 @@
 	Puts blocks of a trial under quarantine whose engine crashed. More crashes are needed for blocks that were answered shortly before, where
 	the answer had begun, and where engines crash without the blocks too.
 	*/
-	#judgeTrial(run: Run, outcome: EngineOutcome | undefined): void {
+	#settleTrial(run: Run, outcome: EngineOutcome | undefined): void {
 		if (!run.isAtFault) {
 			return;
 		}
