Engines at one address share the pause that one of them asked for

The pause is kept by address; a later incarnation starts without one. Test: 'shares a pause between the registrations at one address' (failed before: the pause belonged to a registration).

--- a/src/dispatch/engine.ts
+++ b/src/dispatch/engine.ts
@@ -36,6 +36,9 @@
 /** Weight of the newest request in the average duration. */
 const durationWeight = 0.1;
 
+/** Time until which the process at an address wants no request of this process: whichever registration a request is for, that process gets it. */
+export type AddressPause = {endsAt: number};
+
 /** What this process knows of one engine: its registration, its load and its health. */
 export class EngineView {
 	readonly health = new EngineHealth();
@@ -46,9 +49,8 @@
 	#remoteRequestsAtReport = 0;
 	#reportedAt = Number.NEGATIVE_INFINITY;
 	#hasSaidLeaving = false;
-	#pausedUntil = Number.NEGATIVE_INFINITY;
 
-	constructor(public record: EngineRecord) {}
+	constructor(public record: EngineRecord, readonly pause: AddressPause = {endsAt: Number.NEGATIVE_INFINITY}) {}
 
 	/** Whether the engine finishes its requests and takes no new ones, by its registration or by an answer. */
 	get isLeaving(): boolean {
@@ -62,17 +64,17 @@
 
 	/** Records that the engine wants no request of this process for `durationMs` from `now`. An earlier wish that ends later holds. */
 	onRetryAfter(durationMs: number, now: number): void {
-		this.#pausedUntil = Math.max(this.#pausedUntil, now + durationMs);
+		this.pause.endsAt = Math.max(this.pause.endsAt, now + durationMs);
 	}
 
 	/** Computes for how much longer the engine wants no request of this process, in milliseconds. */
 	computePauseMs(now: number): number {
-		return Math.max(0, this.#pausedUntil - now);
+		return Math.max(0, this.pause.endsAt - now);
 	}
 
 	/** Tells whether the engine may get a request of this process at `now`: it is not leaving, holds nothing back and is not suspect. */
 	isAvailable(now: number): boolean {
-		return !this.isLeaving && now >= this.#pausedUntil && this.health.isAvailable(now);
+		return !this.isLeaving && now >= this.pause.endsAt && this.health.isAvailable(now);
 	}
 
 	/** Records the load that the engine reported with an answer. */
--- a/src/dispatch/fleet.ts
+++ b/src/dispatch/fleet.ts
@@ -1,5 +1,5 @@
 import {EngineView} from './engine.js';
-import type {EngineRecord} from './engine.js';
+import type {AddressPause, EngineRecord} from './engine.js';
 
 /** Number of removed engines whose last registrations are kept: more than the engines that leave within the age of any copy of the store. */
 const maxRemoved = 1000;
@@ -36,7 +36,7 @@
 		}
 
 		// What an incarnation has said of itself holds although its registration was missing for a while.
-		const view = removed && isSameIncarnation(removed.record, record) ? removed : new EngineView(record);
+		const view = removed && isSameIncarnation(removed.record, record) ? removed : new EngineView(record, this.#findPause(record));
 		view.record = record;
 		this.#views.set(record.id, view);
 		const views = this.#viewsByService.get(record.service) ?? [];
@@ -90,6 +90,16 @@
 		const view = this.findServing(id);
 		return view?.computePauseMs(now) === 0 ? view : undefined;
 	}
+
+	/** Finds the pause of the engines that were registered at the address of a new incarnation; one that started later has asked for none. */
+	#findPause({address, startedAt}: EngineRecord): AddressPause | undefined {
+		const known = [...this.#removed.values(), ...this.#views.values()].findLast(view => view.record.address === address);
+		if (known && startedAt !== undefined && known.record.startedAt !== undefined && startedAt > known.record.startedAt) {
+			known.pause.endsAt = Number.NEGATIVE_INFINITY;
+		}
+
+		return known?.pause;
+	}
 }
 
 /** Tells whether `record` is known to have been written before `latest`, by the same incarnation. */
--- a/src/dispatch/test/fleet.test.ts
+++ b/src/dispatch/test/fleet.test.ts
@@ -51,6 +51,18 @@
 		expect(isServing()).to.equal(true);
 	});
 
+	it('shares a pause between the registrations at one address, until a later incarnation starts there', () => {
+		fleet.onRegistration({...record, id: 'e2', startedAt: 2});
+		const isPaused = (id: string) => fleet.findAccepting(id, 100) === undefined;
+		fleet.findServing('e2')!.onRetryAfter(2000, 0);
+		expect([isPaused('e1'), isPaused('e2')]).to.deep.equal([true, true]);
+		fleet.remove('e1');
+		fleet.onRegistration({...record, id: 'e0', startedAt: 0});
+		expect(isPaused('e0')).to.equal(true);
+		fleet.onRegistration({...record, id: 'e3', startedAt: 3});
+		expect(isPaused('e3')).to.equal(false);
+	});
+
 	it('counts a service as paused only while all its engines hold back until the deadline', () => {
 		fleet.onRegistration({...record, id: 'e2', address: '10.0.0.2:80'});
 		const views = fleet.listServing('app');
