--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -37,14 +37,14 @@
 		const prefix = this.#getLastBytes();
 		const end = findLastEventEnd(prefix.length === 0 ? chunk : Buffer.concat([prefix, chunk])) - prefix.length;
 		if (end <= 0) {
-			this.#hold(chunk);
+			this.#addIncomplete(chunk);
 			return undefined;
 		}
 
 		const complete = this.#incomplete.length === 0 ? chunk.subarray(0, end) : Buffer.concat([...this.#incomplete, chunk.subarray(0, end)]);
 		this.#incomplete = [];
 		this.#incompleteBytes = 0;
-		this.#hold(chunk.subarray(end));
+		this.#addIncomplete(chunk.subarray(end));
 		return {bytes: complete, lastId: findLastId(complete)};
 	}
 
@@ -58,7 +58,7 @@
 		return incomplete;
 	}
 
-	#hold(bytes: Uint8Array): void {
+	#addIncomplete(bytes: Uint8Array): void {
 		if (bytes.length === 0) {
 			return;
 		}
--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -372,14 +372,16 @@
 	return `id: ${id}\ndata: piece ${id} of ${requestId}\n\n`;
 }
 
-const endlessFaults = [engineFault.endlessHead, engineFault.endlessInformation, engineFault.endlessBody, engineFault.endlessTrailer] as const;
+type EndlessFault = 'endlessHead' | 'endlessInformation' | 'endlessBody' | 'endlessTrailer';
 
-function isEndless(fault: EngineFault | undefined): fault is (typeof endlessFaults)[number] {
-	return endlessFaults.includes(fault);
+const endlessFaults: ReadonlySet<string | undefined> = new Set<EndlessFault>(['endlessHead', 'endlessInformation', 'endlessBody', 'endlessTrailer']);
+
+function isEndless(fault: EngineFault | undefined): fault is EndlessFault {
+	return endlessFaults.has(fault);
 }
 
 /** Sends what `fault` says until the connection is closed. */
-async function sendEndless(socket: Socket | undefined, headers: Record<string, string>, fault: (typeof endlessFaults)[number]): Promise<void> {
+async function sendEndless(socket: Socket | undefined, headers: Record<string, string>, fault: EndlessFault): Promise<void> {
 	const fields = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('');
 	const start = {
 		endlessHead: `HTTP/1.1 200 OK\r\n${fields}`,
@@ -391,9 +393,10 @@
 		endlessHead: 'X-More: more\r\n'.repeat(100), endlessInformation: 'HTTP/1.1 100 Continue\r\n\r\n', endlessBody: 'x'.repeat(65_536), endlessTrailer: 'X-More: more\r\n'.repeat(100),
 	}[fault];
 	socket?.write(start);
-	while (socket && !socket.destroyed) {
-		if (!socket.write(repeated)) {
-			await Promise.race([once(socket, 'drain'), once(socket, 'close')]);
+	const closed = socket ? once(socket, 'close') : Promise.resolve();
+	for (let isOpen = socket !== undefined && !socket.destroyed; isOpen; isOpen = socket !== undefined && !socket.destroyed) {
+		if (!socket?.write(repeated)) {
+			await Promise.race([once(socket!, 'drain'), closed]);
 		}
 
 		await sleep(1);
