Soak: requests that crash engines in every second run, engines that send bytes without end

The decode engines of the soak crash on one block and are back 1.5 s later; a caller sends requests with it, no two alike, through all faults; the check is the users' rule, for VMs in touch. The kinds of endless engines, stalled and slow streams come from a source of their own.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -8,6 +8,7 @@
 import type {RandomSource} from '../src/rates/index.js';
 import {ports} from './vm.js';
 import type {Incarnation, SoakVm} from './vm.js';
+import {crashingBlock} from './world.js';
 import type {SoakWorld} from './world.js';
 
 /** Time that callers give for an answer, as they say in a header, in milliseconds. */
@@ -48,7 +49,7 @@
 const lastUsedAt = new WeakMap<Socket, number>();
 
 /** Sends one request over the keep-alive connections to a VM; resolves when the call has ended, also if it failed. */
-export async function sendCall(vm: SoakVm, path: string, isStream: boolean): Promise<ObservedCall> {
+export async function sendCall(vm: SoakVm, path: string, isStream: boolean, promptHeaders: Readonly<Record<string, string>> = createPromptHeaders()): Promise<ObservedCall> {
 	const call: ObservedCall = {
 		id: randomUUID(), path, isStream, vm, incarnation: vm.incarnation!, sentAt: performance.now(), endedAt: 0, status: 0, hasReceipt: false, body: '', isComplete: false, error: '', connectionIdleMs: undefined,
 	};
@@ -76,7 +77,7 @@
 				Host: callersHost,
 				[header.requestId]: call.id,
 				[header.remainingMs]: String(callerDeadlineMs),
-				...isStream && createPromptHeaders(),
+				...isStream && promptHeaders,
 			},
 		}, response => {
 			call.status = response.statusCode ?? 0;
@@ -121,6 +122,19 @@
 	}
 }
 
+/** Sends generations with a block on which engines crash to random entries, no two with the same prompt, until `hasEnded` returns true. */
+export async function runCrashingCaller(world: SoakWorld, random: RandomSource, onCall: (call: ObservedCall) => void, hasEnded: () => boolean): Promise<void> {
+	for (let uniqueTokens = 1; !hasEnded(); uniqueTokens++) {
+		const vm = world.vms[random.pickIndex(world.vms.length)]!;
+		const {path, isStream} = callKinds[2 + random.pickIndex(2)]!;
+		if (vm.isRunning && vm.incarnation) {
+			onCall(await sendCall(vm, path, isStream, createPromptHeaders(`aa:2000,${crashingBlock}:300`, uniqueTokens)));
+		}
+
+		await sleep(random.pickBetween(50, 300));
+	}
+}
+
 /** Sends requests to the routes that only the latest two versions of the configuration have, at every entry, until `hasEnded` returns true. */
 export async function runProbes(world: SoakWorld, onProbe: (version: number, call: ObservedCall) => void, hasEnded: () => boolean): Promise<void> {
 	while (!hasEnded()) {
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -22,6 +22,11 @@
 		return false;
 	}
 
+	/** Whether the fault may change what a VM learns from other VMs. */
+	isCuttingVms(_vm: SoakVm): boolean {
+		return false;
+	}
+
 	/** Injects the fault. */
 	abstract start(world: SoakWorld): Promise<void> | void;
 
@@ -122,6 +127,10 @@
 		return this.#from === vm.name && this.#to === engineName;
 	}
 
+	override isCuttingVms(vm: SoakVm): boolean {
+		return this.#from === vm.name || this.#to === vm.name;
+	}
+
 	start(world: SoakWorld): void {
 		const link = this.#findLink(world);
 		const {slow, reset, forgotten} = linkFaultKind;
@@ -298,9 +307,11 @@
 
 /** Faults of answers that {@link pickEngineFault} picks. */
 const framingFaults = [engineFault.unframed, engineFault.resetUnframed, engineFault.closeInEvent, engineFault.endInEvent] as const;
+const endlessFaults = [engineFault.endlessHead, engineFault.endlessInformation, engineFault.endlessBody, engineFault.endlessTrailer] as const;
 const engineWishes = new Set<EngineFault>([engineFault.leave, engineFault.retryAfter]);
 /** Faults of answers that {@link pickFault} picks; they stay as they are, so that a seed keeps its faults. */
-const answerFaults = Object.values(engineFault).filter(fault => !engineWishes.has(fault) && fault !== engineFault.closeInEvent && fault !== engineFault.endInEvent);
+const laterFaults = new Set<EngineFault>([engineFault.closeInEvent, engineFault.endInEvent, engineFault.trickle, engineFault.slowStream, ...endlessFaults]);
+const answerFaults = Object.values(engineFault).filter(fault => !engineWishes.has(fault) && !laterFaults.has(fault));
 
 /** Picks the next fault at random, with its target and duration. */
 export function pickFault(world: SoakWorld, random: RandomSource): SoakFault {
@@ -353,3 +364,14 @@
 	];
 	return faultFactories[random.pickIndex(faultFactories.length)]!();
 }
+
+/** Share of the picked faults with which an engine also sends bytes without end, or a stream that stalls or is slow. */
+const endlessShare = 0.2;
+
+/** Picks whether an engine also sends bytes without end, or a stream that stalls or is slow, with a source of its own. */
+export function pickEndlessFault(world: SoakWorld, random: RandomSource): SoakFault | undefined {
+	const faults = [...endlessFaults, engineFault.trickle, engineFault.slowStream];
+	return random.getRandom() < endlessShare
+		? new BadAnswers(world.engineHosts[random.pickIndex(world.engineHosts.length)]!, [faults[random.pickIndex(faults.length)]!])
+		: undefined;
+}
--- a/soak/invariantchecker.ts
+++ b/soak/invariantchecker.ts
@@ -1,10 +1,12 @@
 import {header} from '../platform/wire.js';
+import {listBlocks} from '../standins/fleet/index.js';
 import type {Arrival} from '../standins/fleet/index.js';
 import {callerDeadlineMs, callKinds} from './callers.js';
 import type {ObservedCall} from './callers.js';
 import type {SoakFault} from './faults.js';
 import {configurationApplyMs, stopTimeoutMs} from './vm.js';
 import type {Incarnation, SoakVm} from './vm.js';
+import {crashingBlock} from './world.js';
 import type {SoakWorld} from './world.js';
 
 /** Time by which an answer may miss its caller's deadline, in milliseconds; the processes share a busy machine. */
@@ -34,6 +36,11 @@
 const pauseGraceMs = 500;
 const maxArrivalsInPause = 2;
 
+/** Crashes on requests with one block after which entries know of it, time in which they learn of it, in milliseconds, and requests that may still arrive then. */
+const maxCrashes = 5;
+const contactMs = 3000;
+const maxArrivalsAfterCrashes = 3;
+
 /** An injected fault; times are monotonic, in milliseconds; `endedAt` is infinite while it lasts. */
 export type StartedFault = {readonly fault: SoakFault; readonly startedAt: number; endedAt: number};
 
@@ -130,6 +137,7 @@
 		this.#checkRuns();
 		this.#checkFurtherSends();
 		this.#checkWishes();
+		this.#checkCrashing();
 		for (const vm of this.#world.vms) {
 			if (vm.stderr !== '') {
 				this.violations.push(`STDERR: ${vm.name}: ${vm.stderr.slice(0, 400)}`);
@@ -142,7 +150,7 @@
 		const sent = this.calls.filter(call => call.sentAt >= from && callKinds.some(({path}) => path === call.path));
 		const bad = sent.filter(call => !call.isComplete || call.status !== 200);
 		if (sent.length === 0 || bad.length > sent.length * (1 - minRecoveredShare)) {
-			const detail = bad.slice(0, 5).map(({vm, path, status, error}) => `${vm.name}${path} ${status} ${error}`).join('; ');
+			const detail = bad.slice(0, 5).map(({vm, path, status, error, body}) => `${vm.name}${path} ${status} ${status === 200 ? '' : body.slice(0, 60)} ${error}`).join('; ');
 			this.violations.push(`RECOVER: ${bad.length} of ${sent.length} requests failed after the recovery: ${detail}`);
 		}
 	}
@@ -234,6 +242,24 @@
 		}
 	}
 
+	/** Checks that entries which can learn of it send no more requests on which engines crash once a few have crashed. */
+	#checkCrashing(): void {
+		const callsById = new Map(this.calls.map(call => [call.id, call]));
+		const knownAt = (this.#world.crashes.toSorted((left, right) => left - right)[maxCrashes - 1] ?? Number.POSITIVE_INFINITY) + contactMs;
+		const late = this.#world.listArrivals().filter(arrival => listBlocks(arrival).includes(crashingBlock) && arrival.at > knownAt).map(({id}) => callsById.get(id))
+			.filter(call => call !== undefined && this.#isInTouch(call));
+		if (late.length > maxArrivalsAfterCrashes) {
+			this.#addViolation(late.at(-1)!, `BUDGET: ${late.length} requests with a block on which ${maxCrashes} engines had crashed reached engines, ${this.#world.crashes.length} crashed in all`);
+		}
+	}
+
+	/** Whether the VM of a call ran and could reach the store and the other VMs for {@link contactMs} before the call was sent. */
+	#isInTouch({vm, incarnation, sentAt}: ObservedCall): boolean {
+		const from = sentAt - contactMs;
+		return incarnation.startedAt < from && (incarnation.sigtermAt ?? Number.POSITIVE_INFINITY) > sentAt && !vm.hasPauseBetween(from, sentAt)
+			&& !this.faults.some(({fault, startedAt, endedAt}) => startedAt < sentAt && endedAt > from && (fault.isCuttingStore(vm) || fault.isCuttingVms(vm)));
+	}
+
 	#checkLateArrivals(rule: string, arrivals: readonly Arrival[], {name, call, until, maxCount}: {readonly name: string; readonly call: ObservedCall; readonly until: number; readonly maxCount: number}): void {
 		const isExcused = call.vm.hasPauseBetween(call.sentAt, until)
 			|| this.faults.some(({fault, startedAt, endedAt}) => fault.isCuttingEngine(call.vm, name) && startedAt < until && endedAt > call.sentAt);
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -1,8 +1,10 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {RandomSource} from '../src/rates/index.js';
-import {runCaller, runProbes} from './callers.js';
-import {pickEngineFault, pickFault, pickReplacedStore} from './faults.js';
+import {runCaller, runCrashingCaller, runProbes} from './callers.js';
+import {
+	pickEndlessFault, pickEngineFault, pickFault, pickReplacedStore,
+} from './faults.js';
 import type {SoakFault} from './faults.js';
 import {InvariantChecker} from './invariantchecker.js';
 import type {StartedFault} from './invariantchecker.js';
@@ -24,6 +26,8 @@
 const storeSeedOffset = 1_000_000;
 /** The same for the seed that decides when engines leave, ask for a pause or frame answers otherwise. */
 const engineSeedOffset = 2_000_000;
+/** The same for the seed that decides when engines send bytes without end. */
+const endlessSeedOffset = 3_000_000;
 /** Longest time from the close of a process's connections until its `exit` event arrives here, in milliseconds. */
 const exitReportDelayMs = 1000;
 
@@ -35,6 +39,8 @@
 	/** Injected faults, each with its start, in milliseconds since faults began, and its duration. */
 	readonly faults: readonly string[];
 	readonly calls: number;
+	/** Engines that crashed on requests. */
+	readonly crashes: number;
 	/** Calls that got a complete answer with status 200. */
 	readonly answered: number;
 };
@@ -60,7 +66,13 @@
 		const checkTimer = setInterval(() => {
 			checker.checkEndings(performance.now() - exitReportDelayMs);
 		}, checkIntervalMs);
+		const endlessRandom = new RandomSource(seed + endlessSeedOffset);
+		// Requests that crash engines come in every second run.
+		const crashingState = {hasEnded: seed % 2 !== 0};
 		const activities = [
+			runCrashingCaller(world, new RandomSource(seed + endlessSeedOffset + 1), call => {
+				checker.onCall(call);
+			}, () => crashingState.hasEnded),
 			...Array.from({length: callerCount}, async (_, index) => runCaller(world, new RandomSource(seed + index + 1), call => {
 				checker.onCall(call);
 			}, hasEnded)),
@@ -69,9 +81,10 @@
 			}, hasEnded),
 		];
 		await startFaults(world, checker, {
-			random, storeRandom: new RandomSource(seed + storeSeedOffset), engineRandom: new RandomSource(seed + engineSeedOffset),
+			random, storeRandom: new RandomSource(seed + storeSeedOffset), engineRandom: new RandomSource(seed + engineSeedOffset), endlessRandom,
 		}, seconds * 1000);
 		await sleep(recoveryMs);
+		crashingState.hasEnded = true;
 		const recoveredAt = performance.now();
 		await sleep(recoveryCheckMs);
 		runState.hasEnded = true;
@@ -83,6 +96,7 @@
 			seed,
 			violations: checker.violations,
 			faults: checker.faults.map(({fault, startedAt: faultStartedAt}) => `${Math.round(faultStartedAt - startedAt)} ms ${fault.name} for ${Math.round(fault.durationMs)} ms`),
+			crashes: world.crashes.length,
 			calls: checker.calls.length,
 			answered: checker.calls.filter(({isComplete, status}) => isComplete && status === 200).length,
 		};
@@ -92,10 +106,12 @@
 	}
 }
 
-type FaultSources = {readonly random: RandomSource; readonly storeRandom: RandomSource; readonly engineRandom: RandomSource};
+type FaultSources = {readonly random: RandomSource; readonly storeRandom: RandomSource; readonly engineRandom: RandomSource; readonly endlessRandom: RandomSource};
 
 /** Injects faults for `durationMs` and ends each when its time is up; returns when all have ended. */
-async function startFaults(world: SoakWorld, checker: InvariantChecker, {random, storeRandom, engineRandom}: FaultSources, durationMs: number): Promise<void> {
+async function startFaults(world: SoakWorld, checker: InvariantChecker, {
+	random, storeRandom, engineRandom, endlessRandom,
+}: FaultSources, durationMs: number): Promise<void> {
 	const startedAt = performance.now();
 	const endings: Array<Promise<void>> = [];
 	const startFault = async (fault: SoakFault) => {
@@ -108,7 +124,7 @@
 	while (performance.now() - startedAt < durationMs) {
 		await sleep(random.pickBetween(minPauseMs, maxPauseMs));
 		await startFault(pickFault(world, random));
-		for (const further of [pickReplacedStore(storeRandom), pickEngineFault(world, engineRandom)]) {
+		for (const further of [pickReplacedStore(storeRandom), pickEngineFault(world, engineRandom), pickEndlessFault(world, endlessRandom)]) {
 			if (further) {
 				await startFault(further);
 			}
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -28,6 +28,10 @@
 		name: 'decode2', service: 'llm', stage: 'decode', eventCount: 4, eventIntervalMs: 8,
 	},
 ];
+/** Block of prompts on which the engines crash that decode. */
+export const crashingBlock = 'crash';
+/** Time after which an engine that crashed on a request is started again, in milliseconds. */
+const restartMs = 1500;
 /** Time within which every entry has to be ready at the start of a run, in milliseconds. */
 const startTimeoutMs = 40_000;
 
@@ -64,6 +68,8 @@
 	/** All incarnations of engines so far, those that have ended included. */
 	readonly startedEngines: Array<{readonly name: string; readonly engine: FleetEngine}> = [];
 	readonly versions: WrittenVersion[] = [];
+	/** Monotonic times at which engines crashed on requests, in milliseconds. */
+	readonly crashes: number[] = [];
 	/** Copies of the store, the oldest first. */
 	readonly #copies: Array<{readonly madeAt: number; readonly copy: StoreCopy}> = [];
 	readonly #copyTimer = setInterval(() => {
@@ -71,6 +77,7 @@
 		this.#copies.splice(0, this.#copies.length - maxCopies);
 	}, copyIntervalMs);
 
+	#isClosed = false;
 	/** The configuration that the operator wrote last. */
 	#configuration: Record<string, unknown> = {};
 	/** Registrations of engines written again so far; each raises the sequence of the next. */
@@ -134,7 +141,11 @@
 
 		engineHost.isUp = true;
 		const id = `${engineHost.name}-${engineHost.nextNumber++}`;
-		engineHost.engine = new FleetEngine({...engineHost.options, id});
+		engineHost.engine = new FleetEngine({
+			...engineHost.options, id, crashingBlocks: new Set([crashingBlock]), onCrash: () => {
+				this.#onCrash(engineHost, id);
+			},
+		});
 		await engineHost.engine.start(engineHost.address === '' ? 0 : Number(engineHost.address.split(':')[1]));
 		engineHost.address = engineHost.engine.address;
 		this.startedEngines.push({name: engineHost.name, engine: engineHost.engine});
@@ -213,6 +224,7 @@
 
 	/** Ends everything that was started and removes the settings files. */
 	async close(): Promise<void> {
+		this.#isClosed = true;
 		clearInterval(this.#copyTimer);
 		for (const vm of this.vms) {
 			vm.close();
@@ -228,6 +240,20 @@
 		rmSync(this.#folder, {recursive: true, force: true});
 	}
 
+	#onCrash(engineHost: EngineHost, id: string): void {
+		if (engineHost.id !== id || !engineHost.isUp) {
+			return;
+		}
+
+		engineHost.isUp = false;
+		this.crashes.push(performance.now());
+		setTimeout(() => {
+			if (!this.#isClosed) {
+				void this.startEngine(engineHost);
+			}
+		}, restartMs);
+	}
+
 	async #openLink(name: string, target: string, localAddress?: string): Promise<Link> {
 		const link = new Link(target, localAddress);
 		await link.start();
--- a/standins/fleet/configuration.ts
+++ b/standins/fleet/configuration.ts
@@ -38,11 +38,11 @@
 }
 
 /**
-Creates the header fields that describe a generation's prompt. `prefixBlock` is a block that several requests share, as `id:tokens`;
+Creates the header fields that describe a generation's prompt. `prefixBlock` is a block that several requests share, as `id:tokens`, or several with commas between;
 `uniqueTokens` are the tokens of the prompt beyond it.
 */
 export function createPromptHeaders(prefixBlock = 'aa:2000', uniqueTokens = 500): Record<string, string> {
-	const blockTokens = Number(prefixBlock.split(':')[1]);
+	const blockTokens = prefixBlock.split(',').reduce((sum, block) => sum + Number(block.split(':')[1]), 0);
 	return {
 		'Crocusworks-Model': 'm', 'Crocusworks-Token-Count': `${blockTokens + uniqueTokens},69`, 'Crocusworks-Prompt-Prefix': `${prefixBlock},bb:${uniqueTokens}`,
 	};
--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -1,4 +1,3 @@
-import {once} from 'node:events';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
@@ -393,16 +392,25 @@
 		endlessHead: 'X-More: more\r\n'.repeat(100), endlessInformation: 'HTTP/1.1 100 Continue\r\n\r\n', endlessBody: 'x'.repeat(65_536), endlessTrailer: 'X-More: more\r\n'.repeat(100),
 	}[fault];
 	socket?.write(start);
-	const closed = socket ? once(socket, 'close') : Promise.resolve();
-	for (let isOpen = socket !== undefined && !socket.destroyed; isOpen; isOpen = socket !== undefined && !socket.destroyed) {
-		if (!socket?.write(repeated)) {
-			await Promise.race([once(socket!, 'drain'), closed]);
+	while (isOpen(socket)) {
+		const isFull = !socket.write(repeated);
+		if (isFull) {
+			await new Promise<void>(resolve => {
+				socket.once('drain', resolve);
+				socket.once('close', () => {
+					resolve();
+				});
+			});
 		}
 
 		await sleep(1);
 	}
 }
 
+function isOpen(socket: Socket | undefined): socket is Socket {
+	return socket !== undefined && !socket.destroyed;
+}
+
 /** Sends a byte of an event at an interval until the connection is closed; the event is never complete. */
 async function sendTrickle(response: ServerResponse, event: string): Promise<void> {
 	for (let index = 0; index < event.length - 2 && !response.destroyed; index++) {
--- a/standins/fleet/index.ts
+++ b/standins/fleet/index.ts
@@ -2,7 +2,7 @@
 export {
 	callersHost, createConfiguration, createPromptHeaders, createSettingsText,
 } from './configuration.js';
-export {engineFault, FleetEngine} from './engine.js';
+export {engineFault, FleetEngine, listBlocks} from './engine.js';
 export type {Arrival, EngineFault, FleetEngineOptions} from './engine.js';
 export {FleetStore, storeMode} from './store.js';
 export type {StoreCopy, StoreMode} from './store.js';
