No quarantine for blocks that any entry has had answered shortly before

While links between VMs were cut, two entries allocated at once; one tried a request with the common first block alone while the other placed a crashing one on the same engine, and a fresh allocator has no answers that speak for a block. Each entry now remembers for 30 s which blocks its own requests were answered with; it lifts a quarantine of them, or leaves the others, and tells the sender. A block that was answered shortly before its first crash needs two more crashes.

--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -301,6 +301,7 @@
 	}
 
 	attempt.finish();
+	dependencies.quarantine.onPromptAnswered(progress.needs.prefixBlocks, dependencies.timers.getNow());
 	served.answer.finish();
 	served.trace.finish('answered', undefined, reply.status);
 	return true;
--- a/src/places/quarantinelink.ts
+++ b/src/places/quarantinelink.ts
@@ -1,48 +1,45 @@
-import type {MessageLink} from '../peers/index.js';
 import type {BlockQuarantine, Quarantine} from '../quarantine/index.js';
 import type {TimerService} from '../timers/index.js';
-import {allocatorMessageKind, toItems} from './messages.js';
+import {allocatorMessageKind} from './messages.js';
+import type {AllocatorMessage} from './messages.js';
 
 /**
-Keeps the quarantines of two entries alike over a connection between them: sends those known here at the start and each change from then
-on, but for what the other end has told. One quarantine goes into one message, which bounds its size.
+Keeps the quarantines of two entries alike over a connection between them: sends those known here at its start and each change from then on.
+What the other end has told is sent back once, and is no news there. One quarantine goes into one message, which bounds its size.
 */
 export class QuarantineLink {
 	readonly #timers: TimerService;
 	readonly #quarantine: BlockQuarantine;
-	readonly #link: MessageLink;
-	readonly #unsubscribe: () => void;
-	#isReceiving = false;
+	readonly #send: (message: AllocatorMessage) => void;
+	#unsubscribe: (() => void) | undefined;
 
-	constructor(timers: TimerService, quarantine: BlockQuarantine, link: MessageLink) {
+	constructor(timers: TimerService, quarantine: BlockQuarantine, send: (message: AllocatorMessage) => void) {
 		this.#timers = timers;
 		this.#quarantine = quarantine;
-		this.#link = link;
-		this.#unsubscribe = quarantine.subscribe(change => {
-			if (!this.#isReceiving) {
-				this.#send(change);
-			}
+		this.#send = send;
+	}
+
+	start(): void {
+		this.#unsubscribe = this.#quarantine.subscribe(change => {
+			this.#sendQuarantine(change);
 		});
-		for (const known of quarantine.list(timers.getNow())) {
-			this.#send(known);
+		for (const known of this.#quarantine.list(this.#timers.getNow())) {
+			this.#sendQuarantine(known);
 		}
 	}
 
 	/** Takes over what the other end knows. */
 	onMessage(quarantines: readonly Quarantine[]): void {
-		this.#isReceiving = true;
-		try {
-			this.#quarantine.merge(quarantines, this.#timers.getNow());
-		} finally {
-			this.#isReceiving = false;
+		for (const correction of this.#quarantine.merge(quarantines, this.#timers.getNow())) {
+			this.#sendQuarantine(correction);
 		}
 	}
 
 	close(): void {
-		this.#unsubscribe();
+		this.#unsubscribe?.();
 	}
 
-	#send(quarantine: Quarantine): void {
-		this.#link.send(toItems({kind: allocatorMessageKind.quarantine, id: 0, quarantines: [quarantine]}));
+	#sendQuarantine({blocks, remainingMs, count}: Quarantine): void {
+		this.#send({kind: allocatorMessageKind.quarantine, id: 0, quarantines: [{blocks, remainingMs, count}]});
 	}
 }
--- a/src/places/remoteallocator.ts
+++ b/src/places/remoteallocator.ts
@@ -67,6 +67,9 @@
 		this.#onAnswer = onAnswer;
 		this.#checkDueAt = timers.getNow();
 		this.#lastReceivedAt = timers.getNow();
+		this.#quarantineLink = new QuarantineLink(timers, quarantine, message => {
+			this.#send(message);
+		});
 		this.#link = network.open(address, {
 			onMessage: items => {
 				this.#onMessage(parseItems(items));
@@ -75,7 +78,7 @@
 				this.#markLost('connection closed');
 			},
 		});
-		this.#quarantineLink = new QuarantineLink(timers, quarantine, this.#link);
+		this.#quarantineLink.start();
 		this.#sendPing();
 		this.#checkTimer = timers.startInterval(checkIntervalMs, () => {
 			this.#checkAllocator();
--- a/src/places/serve.ts
+++ b/src/places/serve.ts
@@ -23,7 +23,8 @@
 		link.send(toItems(message));
 	};
 
-	const quarantineLink = new QuarantineLink(allocator.timers, allocator.quarantine, link);
+	const quarantineLink = new QuarantineLink(allocator.timers, allocator.quarantine, send);
+	quarantineLink.start();
 
 	const onRequest = async (id: number, request: ReservationRequest) => {
 		const state: RequestState = {controller: new AbortController(), reservation: undefined};
--- a/src/quarantine/attribution.ts
+++ b/src/quarantine/attribution.ts
@@ -12,8 +12,6 @@
 const maxRecentRuns = 512;
 /** Time after which a request that is still being answered has shown that its blocks crash no engine, in milliseconds. */
 const survivalMs = 2000;
-/** Time for which an answer shows that blocks are sound, in milliseconds: a single crash then doesn't make them suspect. */
-const provenMs = 30_000;
 /** Crashes that make a block suspect, and those that do so for one that is proven. */
 const crashesToSuspect = 1;
 const crashesToSuspectIfProven = 2;
@@ -21,9 +19,10 @@
 const otherCrashesMs = 300_000;
 /** Maximum number of crashes that are remembered for this time. */
 const maxCrashes = 64;
-/** Maximum numbers of suspect blocks and of proven ones that are remembered. */
+/** Further crashes that are needed to quarantine a block that is proven. */
+const furtherCrashesIfProven = 2;
+/** Maximum number of suspect blocks that are remembered. */
 const maxSuspects = 8192;
-const maxProven = 4096;
 
 /** A generation from its reservation to its end. */
 export type Run = {
@@ -69,8 +68,6 @@
 	readonly #crashedAt = new WeakMap<EngineView, number>();
 	/** By block; the one in the order of the last crash. */
 	readonly #suspicions = new Map<string, Suspicion>();
-	/** Monotonic time of the last answer by block, in milliseconds; the earliest answered first. */
-	readonly #answeredAt = new Map<string, number>();
 	/** Monotonic times of the latest crashes, in milliseconds. */
 	#crashTimes: readonly number[] = [];
 	#recent: Array<{readonly run: Run; readonly endedAt: number}> = [];
@@ -222,7 +219,7 @@
 			}
 
 			const hasOtherCrashes = this.#crashTimes.length > suspicion.crashes;
-			const needed = (suspicion.wasProven ? crashesToSuspectIfProven : crashesToSuspect) + 1 + (outcome === engineOutcome.crashed ? 0 : 1) + (hasOtherCrashes ? 1 : 0);
+			const needed = crashesToSuspect + 1 + (suspicion.wasProven ? furtherCrashesIfProven : 0) + (outcome === engineOutcome.crashed ? 0 : 1) + (hasOtherCrashes ? 1 : 0);
 			return suspicion.crashes >= needed;
 		});
 		if (blocks.length > 0) {
@@ -233,18 +230,9 @@
 	#onAnswered(blocks: readonly string[], now: number): void {
 		for (const id of blocks) {
 			this.#suspicions.delete(id);
-			this.#answeredAt.delete(id);
-			this.#answeredAt.set(id, now);
 		}
 
 		this.#quarantine.onAnswered(blocks, now);
-		for (const [id] of this.#answeredAt) {
-			if (this.#answeredAt.size <= maxProven) {
-				break;
-			}
-
-			this.#answeredAt.delete(id);
-		}
 	}
 
 	#listSuspectIds(ids: readonly string[]): readonly string[] {
@@ -270,7 +258,7 @@
 		let suspicion = this.#suspicions.get(id);
 		if (!suspicion) {
 			const runs = [...this.#runs.values()].flatMap(set => [...set]).filter(({blocks}) => blocks.includes(id));
-			suspicion = {crashes: 0, wasProven: now - (this.#answeredAt.get(id) ?? Number.NEGATIVE_INFINITY) < provenMs, runs: new Set(runs)};
+			suspicion = {crashes: 0, wasProven: this.#quarantine.isProven(id, now), runs: new Set(runs)};
 			this.#suspicions.set(id, suspicion);
 		}
 
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -31,6 +31,11 @@
 	readonly cause: 'crash' | 'peer' | 'answer';
 };
 
+/** Time for which an answer shows that blocks are sound, in milliseconds. */
+const provenMs = 30_000;
+/** Maximum number of blocks whose last answer is remembered. */
+const maxAnswered = 4096;
+
 type Entry = {readonly blocks: readonly string[]; endsAt: number; count: number};
 
 /**
@@ -40,6 +45,8 @@
 export class BlockQuarantine {
 	/** By the joined ids of their blocks, the earliest written first. */
 	readonly #entries = new Map<string, Entry>();
+	/** Monotonic time of the last answer by block, in milliseconds; the earliest answered first. */
+	readonly #answeredAt = new Map<string, number>();
 	readonly #listeners = new Set<(change: QuarantineChange) => void>();
 
 	/** Number of quarantines in force at `now`. */
@@ -82,14 +89,24 @@
 		this.#write({blocks, count, endsAt: now + Math.min(maxDurationMs, firstDurationMs * (durationFactor ** (count - 1)))}, now, 'crash');
 	}
 
-	/** Takes over quarantines that another entry knows, or has lifted (`count` 0). */
-	merge(quarantines: readonly Quarantine[], now: number): void {
-		for (const {blocks, remainingMs, count} of quarantines.slice(0, maxQuarantines)) {
-			if (count === 0) {
-				this.#remove(formatKey(blocks), 'peer');
+	/**
+	Takes over quarantines that another entry knows, or has lifted (`count` 0), but for blocks that were answered here shortly before. Returns
+	what the other entry should change: quarantines to lift, and those that are left of them.
+	*/
+	merge(quarantines: readonly Quarantine[], now: number): readonly Quarantine[] {
+		const corrections: Quarantine[] = [];
+		for (const received of quarantines.slice(0, maxQuarantines)) {
+			if (received.count === 0) {
+				this.#remove(formatKey(received.blocks), 'peer');
 				continue;
 			}
 
+			const quarantine = {...received, blocks: received.blocks.filter(id => !this.isProven(id, now))};
+			if (quarantine.blocks.length < received.blocks.length) {
+				corrections.push({...received, remainingMs: 0, count: 0}, ...(quarantine.blocks.length > 0 ? [quarantine] : []));
+			}
+
+			const {blocks, remainingMs, count} = quarantine;
 			const known = this.#entries.get(formatKey(blocks));
 			const endsAt = now + Math.min(maxDurationMs, remainingMs);
 			const isNews = !known || known.count < count || known.endsAt + endToleranceMs < endsAt;
@@ -97,10 +114,35 @@
 				this.#write({blocks: [...blocks], endsAt: Math.max(endsAt, known?.endsAt ?? 0), count: Math.max(count, known?.count ?? 0)}, now, 'peer');
 			}
 		}
+
+		return corrections;
+	}
+
+	/** Tells whether a prompt with the block was answered completely shortly before `now`. */
+	isProven(id: string, now: number): boolean {
+		return now - (this.#answeredAt.get(id) ?? Number.NEGATIVE_INFINITY) < provenMs;
+	}
+
+	/** Handles that a prompt was answered completely. */
+	onPromptAnswered(blocks: readonly PrefixBlock[], now: number): void {
+		this.onAnswered(listIds(blocks), now);
 	}
 
 	/** Handles that a prompt with these blocks was answered completely: what is left of a quarantine without them is at fault. */
 	onAnswered(ids: readonly string[], now: number): void {
+		for (const id of ids) {
+			this.#answeredAt.delete(id);
+			this.#answeredAt.set(id, now);
+		}
+
+		for (const [id] of this.#answeredAt) {
+			if (this.#answeredAt.size <= maxAnswered) {
+				break;
+			}
+
+			this.#answeredAt.delete(id);
+		}
+
 		for (const [key, entry] of this.#entries) {
 			const blocks = entry.blocks.filter(id => !ids.includes(id));
 			if (blocks.length === entry.blocks.length) {
