Own interface: a request goes to no third engine after two have crashed under it

An engine that broke off and then refuses a connection counts as crashed; after two the request ends, with an unknown outcome.

--- a/src/serving/stream.ts
+++ b/src/serving/stream.ts
@@ -17,6 +17,8 @@
 import {importPrefilledKv} from './kv.js';
 
 const maxAttempts = 8;
+/** Engines that may crash under one request: the next one would probably crash too, and take the requests of others with it. */
+const maxCrashes = 2;
 /** Delay before engines that have already failed an answer are tried again, in milliseconds. */
 const secondRoundDelayMs = 200;
 
@@ -31,6 +33,8 @@
 	readonly excludedIds: Set<string>;
 	/** Engines at which the request was resumed already. */
 	readonly resumedIds: Set<string>;
+	/** Number of engines that crashed under the request: their answer broke off, and they accepted no connection afterwards. */
+	crashes: number;
 };
 
 /**
@@ -40,7 +44,7 @@
 */
 export function * serveStream(job: StreamJob, dependencies: StreamDependencies): Procedure<EndEvent> {
 	const progress: StreamProgress = {
-		offset: job.offset, resumePlacement: job.resumePlacement, mayHaveRun: job.offset > 0, attempts: 0, excludedIds: new Set(), resumedIds: new Set(),
+		offset: job.offset, resumePlacement: job.resumePlacement, mayHaveRun: job.offset > 0, attempts: 0, excludedIds: new Set(), resumedIds: new Set(), crashes: 0,
 	};
 	for (;;) {
 		const isResume = progress.resumePlacement !== undefined;
@@ -60,7 +64,7 @@
 */
 export function * serveRelayed(job: StreamJob, placement: Placement, dependencies: StreamDependencies): Procedure<EndEvent> {
 	const progress: StreamProgress = {
-		offset: job.offset, resumePlacement: undefined, mayHaveRun: false, attempts: 0, excludedIds: new Set(), resumedIds: new Set(),
+		offset: job.offset, resumePlacement: undefined, mayHaveRun: false, attempts: 0, excludedIds: new Set(), resumedIds: new Set(), crashes: 0,
 	};
 	const attempt = new Attempt(job, placement, dependencies, false);
 	try {
@@ -134,7 +138,8 @@
 		dependencies.metrics.count('dropped', 'foreign_event');
 	}
 
-	const isLast = failure.retryReason === undefined || dependencies.signal.aborted || progress.attempts >= maxAttempts;
+	progress.crashes += failure.retryReason === retryReason.connectFailed && progress.resumedIds.has(upstream.id) ? 1 : 0;
+	const isLast = failure.retryReason === undefined || progress.crashes >= maxCrashes || dependencies.signal.aborted || progress.attempts >= maxAttempts;
 	const mayResume = !isLast && failure.mayBeHeld && (yield * isResumable(failure, attempt, {dependencies, progress}));
 	// An engine that is silent but answers a probe may have queued the request: it keeps the request, and no failure is counted.
 	const isSilentButAlive = mayResume && failure.retryReason === retryReason.silentStream;
--- a/src/serving/test/stream.test.ts
+++ b/src/serving/test/stream.test.ts
@@ -37,6 +37,19 @@
 		}
 	}
 
+	it('takes a request to no further engine once two have crashed under it', async () => {
+		const world = new StreamWorld();
+		for (const id of ['e1', 'e2']) {
+			for (let index = 0; index < 8; index++) {
+				world.getEngine(id).faults.push({fault: engineFault.breaks, at: 0}, {fault: engineFault.connectFails, at: 0});
+			}
+		}
+
+		const record = await world.settle(world.start({request: world.createWork('r', answerTokens), prompt: 'p', offset: 0}));
+		expect(record.error).to.be.instanceOf(UnknownOutcomeError);
+		expect(world.getEngine('e1').countStarted() + world.getEngine('e2').countStarted()).to.equal(2);
+	});
+
 	it('resumes at the same engine on a new connection after silence', async () => {
 		const world = new StreamWorld();
 		world.getEngine('e1').faults.push({fault: engineFault.silent, at: 5});
