--- a/soak/invariantchecker.ts
+++ b/soak/invariantchecker.ts
@@ -15,8 +15,6 @@
 const stopLossMs = 200;
 /** Time in which an entry reads the store again after a network cut, a pause or a start, in milliseconds: the timeout of one call and a second call. */
 const storeCatchUpMs = 3000;
-/** Time in which Node.js starts on a busy machine, in milliseconds; a signal before the program's first line ends any process. */
-const runtimeStartMs = 1000;
 /** Limit of further sends (retries and hedges) within a window: a share of the requests, plus a constant for each entry; both as the sites set them. */
 const furtherSendRatio = 0.2;
 const furtherSendsPerEntry = 30;
@@ -98,13 +96,14 @@
 		}
 
 		const firstSignalAt = Math.min(incarnation.sigtermAt ?? Number.POSITIVE_INFINITY, incarnation.sighupAt ?? Number.POSITIVE_INFINITY);
-		if (firstSignalAt - incarnation.startedAt - vm.measurePausedMs(incarnation.startedAt, firstSignalAt) < runtimeStartMs) {
+		if (incarnation.loggedAt === undefined || firstSignalAt < incarnation.loggedAt) {
+			// A signal before the program's first line ends any process.
 			return;
 		}
 
 		const tookMs = incarnation.exitedAt! - (incarnation.sigtermAt ?? Number.NaN);
 		if (incarnation.sigtermAt === undefined || incarnation.exitCode !== 0) {
-			this.violations.push(`EXIT: ${vm.name} exited without SIGTERM or with an error, code ${incarnation.exitCode}; first signal ${Math.round(firstSignalAt - incarnation.startedAt)} ms and exit ${Math.round(incarnation.exitedAt! - incarnation.startedAt)} ms after its start`);
+			this.violations.push(`EXIT: ${vm.name} exited without SIGTERM or with an error, code ${incarnation.exitCode}; first signal ${Math.round(firstSignalAt - incarnation.startedAt)} ms and exit ${Math.round(incarnation.exitedAt! - incarnation.startedAt)} ms after its start, first log line ${Math.round(incarnation.loggedAt - incarnation.startedAt)} ms`);
 		} else if (tookMs > stopTimeoutMs && !vm.hasPauseBetween(incarnation.sigtermAt, incarnation.exitedAt!)) {
 			this.violations.push(`EXIT: ${vm.name} took ${Math.round(tookMs)} ms to stop after SIGTERM, ${stopTimeoutMs} ms allowed`);
 		}
--- a/soak/vm.ts
+++ b/soak/vm.ts
@@ -26,6 +26,8 @@
 export type Incarnation = {
 	readonly child: ChildProcess;
 	readonly startedAt: number;
+	/** Time of its first log line. */
+	loggedAt?: number;
 	/** Time of the first SIGTERM. */
 	sigtermAt?: number;
 	/** Time of the first SIGHUP. */
@@ -70,11 +72,6 @@
 		return this.pauses.some(pause => pause.from < to && pause.to > from);
 	}
 
-	/** Measures for how much of the time between two monotonic times the process was paused, in milliseconds. */
-	measurePausedMs(from: number, to: number): number {
-		return this.pauses.reduce((sum, pause) => sum + Math.max(0, Math.min(pause.to, to) - Math.max(pause.from, from)), 0);
-	}
-
 	/** Writes the entry's settings file; to be called before the first start. */
 	writeSettings(storeAddress: string, seeds: readonly string[]): void {
 		writeFileSync(this.#settingsFile, createSettingsText({
@@ -95,6 +92,9 @@
 		this.incarnations.push(incarnation);
 		this.agent.destroy();
 		this.agent = createCallersAgent();
+		child.stdout.once('data', () => {
+			incarnation.loggedAt = performance.now();
+		});
 		child.stdout.resume();
 		child.stderr.on('data', (data: Uint8Array) => {
 			this.stderr += new TextDecoder().decode(data);
