A request on trial holds up others with its block for half a second at most

Suspected, found by reading: where all prompts share a block and the allocator is new, one trial that hangs at a silent engine held up every generation for up to 2 s. Test: 'holds up requests with a common block for half a second at most when one with it hangs after a crash' (before: 2 s).

--- a/src/places/test/crashing.test.ts
+++ b/src/places/test/crashing.test.ts
@@ -243,6 +243,39 @@
 		}
 	}).timeout(60_000);
 
+	it('holds up requests with a common block for half a second at most when one with it hangs after a crash', async () => {
+		const timers = new ManualTimers();
+		const fleet = new Fleet();
+		for (const id of ['e1', 'e2']) {
+			fleet.onRegistration({
+				id, address: `${id}:1`, service: 'llm', stage: engineStage.any, slots: 8, isLeaving: false, startedAt: 1,
+			});
+		}
+
+		const allocator = new SlotAllocator({
+			timers, fleet, getRandom: () => 0.5, getSlotShare: () => 1,
+		});
+		const request = createReservationRequest({
+			prefixBlocks: [{id: 'common', tokens: 10}], targetMs: 3000, deadlineMs: 20_000, firstByteTimeoutMs: 20_000,
+		});
+		const acquire = async () => allocator.acquire(request, new AbortController().signal);
+		const crashed = await acquire();
+		crashed.release(engineOutcome.crashed);
+		await acquire();
+		const next = acquire();
+		let grantedAt = 0;
+		const track = async () => {
+			await next;
+			grantedAt = timers.getNow();
+		};
+
+		const tracked = track();
+		const startedAt = timers.getNow();
+		await timers.advance(1000);
+		await tracked;
+		expect(grantedAt - startedAt).to.be.within(450, 550);
+	});
+
 	it('tests a block once its time is over, one request at a time, and serves it when it is answered', async () => {
 		const first = new CrashingLoad({seed: 1, crashingBlocks: ['bad']});
 		await first.run(12_000);
--- a/src/quarantine/attribution.ts
+++ b/src/quarantine/attribution.ts
@@ -4,6 +4,8 @@
 import {listIds} from './quarantine.js';
 import type {BlockQuarantine} from './quarantine.js';
 
+/** Time for which a run with a suspect block keeps others from starting, in milliseconds: engines crash sooner, and an engine that hangs must not hold up all requests with the block. */
+const trialMs = 500;
 /** Time for which further reports of a crash are about the same one, in milliseconds: the requests on the engine end one by one. */
 const sameCrashMs = 1000;
 /** Time between the end of a request without an answer and a crash for which it may be the cause, in milliseconds: its caller may have left. */
@@ -31,6 +33,8 @@
 	readonly decodeEngine: EngineView;
 	/** Whether it had suspect blocks when it was placed; no other run at its engines had any. */
 	readonly isTrial: boolean;
+	/** Monotonic, in milliseconds. */
+	readonly startedAt: number;
 	/** Monotonic time from which the decode engine may be at work on it, in milliseconds; `undefined` while another engine prefills it. */
 	decodesFrom: number | undefined;
 	/** Whether it was the only trial on an engine that has crashed. */
@@ -88,12 +92,13 @@
 	those without another suspect.
 	*/
 	selectEngines(views: readonly EngineView[], suspects: readonly string[]): readonly EngineView[] {
-		if (suspects.some(id => (this.#suspicions.get(id)?.runs.size ?? 0) > 0)) {
+		const now = this.#timers.getNow();
+		if (suspects.some(id => [...this.#suspicions.get(id)?.runs ?? []].some(run => isOnTrial(run, now)))) {
 			return [];
 		}
 
 		const busy = new Set([...this.#suspicions.values()]
-			.flatMap(suspicion => [...suspicion.runs].filter(({isTrial}) => isTrial || isSuspect(suspicion)))
+			.flatMap(suspicion => [...suspicion.runs].filter(run => (run.isTrial || isSuspect(suspicion)) && isOnTrial(run, now)))
 			.flatMap(run => listEngines(run)));
 		return views.filter(view => !busy.has(view));
 	}
@@ -102,8 +107,9 @@
 	start(blocks: readonly PrefixBlock[], {prefillEngine, decodeEngine}: Pick<Run, 'prefillEngine' | 'decodeEngine'>): Run {
 		const ids = listIds(blocks);
 		const suspects = this.#listSuspectIds(ids);
+		const now = this.#timers.getNow();
 		const run: Run = {
-			blocks: ids, prefillEngine, decodeEngine, isTrial: suspects.length > 0, decodesFrom: prefillEngine ? undefined : this.#timers.getNow(),
+			blocks: ids, prefillEngine, decodeEngine, isTrial: suspects.length > 0, startedAt: now, decodesFrom: prefillEngine ? undefined : now,
 		};
 		for (const view of listEngines(run)) {
 			const runs = this.#runs.get(view) ?? new Set();
@@ -284,6 +290,11 @@
 	}
 }
 
+/** Tells whether a run may still crash its engine at `now`. */
+function isOnTrial({startedAt, decodesFrom}: Run, now: number): boolean {
+	return now - (decodesFrom ?? startedAt) < trialMs;
+}
+
 function isCrash(outcome: EngineOutcome | undefined): boolean {
 	return outcome === engineOutcome.crashed || outcome === engineOutcome.crashedInAnswer;
 }
