No quarantine without answers; an entry that refuses for one keeps contact with the allocator

And an entry that refuses by itself never opened a connection to the allocator, so that the others' answers could not lift its quarantine; it now contacts the allocator with each such refusal. Tests: 'quarantines nothing before it has seen an answer', 'are lifted also at an entry that refuses all its requests for them'.

--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -159,6 +159,7 @@
 	const now = dependencies.timers.getNow();
 	const quarantineMs = computeQuarantineMs(dependencies, progress);
 	if (quarantineMs > 0) {
+		dependencies.reservations.connect(served.service);
 		refuseQuarantined(served, quarantineMs, progress.runs > 0);
 		return undefined;
 	}
--- a/src/places/failover.ts
+++ b/src/places/failover.ts
@@ -89,6 +89,14 @@
 		return this.#acquireFrom(localAllocator, requestAtTime, signal);
 	}
 
+	connect(service: string): void {
+		const {timers, localAddress} = this.#dependencies;
+		const address = this.#listAllocators(service).find(candidate => candidate === localAddress || (this.#skippedUntil.get(candidate) ?? 0) <= timers.getNow());
+		if (address !== undefined && address !== localAddress) {
+			this.#getRemoteAllocator(address);
+		}
+	}
+
 	/** Closes the connections to other entries' allocators. */
 	stop(): void {
 		for (const allocator of this.#remoteAllocators.values()) {
--- a/src/places/test/crashing.test.ts
+++ b/src/places/test/crashing.test.ts
@@ -276,6 +276,36 @@
 		expect(grantedAt - startedAt).to.be.within(450, 550);
 	});
 
+	it('quarantines nothing before it has seen an answer', async () => {
+		const timers = new ManualTimers();
+		const fleet = new Fleet();
+		for (const id of ['e1', 'e2', 'e3', 'e4']) {
+			fleet.onRegistration({
+				id, address: `${id}:1`, service: 'llm', stage: engineStage.any, slots: 8, isLeaving: false, startedAt: 1,
+			});
+		}
+
+		const allocator = new SlotAllocator({
+			timers, fleet, getRandom: () => 0.5, getSlotShare: () => 1,
+		});
+		const runOnce = async (block: string, outcome: EngineOutcome, excludedEngines: readonly string[] = []) => {
+			const reservation = await allocator.acquire(createReservationRequest({prefixBlocks: [{id: block, tokens: 10}], excludedEngines}), new AbortController().signal);
+			reservation.release(outcome);
+			await timers.advance(1);
+			return [...excludedEngines, reservation.engines.decodeEngine];
+		};
+
+		let crashedEngines: readonly string[] = [];
+		for (let index = 0; index < 3; index++) {
+			crashedEngines = await runOnce('common', engineOutcome.crashed, crashedEngines);
+		}
+
+		expect(allocator.quarantine.list(timers.getNow())).to.deep.equal([]);
+		await runOnce('other', engineOutcome.answered, crashedEngines);
+		await runOnce('common', engineOutcome.crashed, crashedEngines);
+		expect(allocator.quarantine.list(timers.getNow()).map(({blocks}) => blocks)).to.deep.equal([['common']]);
+	});
+
 	it('tests a block once its time is over, one request at a time, and serves it when it is answered', async () => {
 		const first = new CrashingLoad({seed: 1, crashingBlocks: ['bad']});
 		await first.run(12_000);
--- a/src/places/test/quarantines.test.ts
+++ b/src/places/test/quarantines.test.ts
@@ -84,6 +84,20 @@
 		expect(world.listBlocks()).to.deep.equal([['bad'], ['bad'], ['bad']]);
 	});
 
+	it('are lifted also at an entry that refuses all its requests for them', async () => {
+		world.network.isSilent = true;
+		world.entries[0]!.allocator.quarantine.add(['first'], world.timers.getNow());
+		world.entries[1]!.allocator.quarantine.onAnswered(['first'], world.timers.getNow());
+		world.entries[2]!.allocator.quarantine.onAnswered(['first'], world.timers.getNow());
+		await world.timers.advance(5000);
+		world.network.isSilent = false;
+		for (const {reservations} of world.entries) {
+			reservations.connect('llm');
+		}
+
+		expect(world.listBlocks()).to.deep.equal([[], [], []]);
+	});
+
 	it('are lifted for blocks of which another entry has had complete answers', async () => {
 		const now = world.timers.getNow();
 		world.entries[2]!.allocator.quarantine.onAnswered(['first'], now);
--- a/src/quarantine/attribution.ts
+++ b/src/quarantine/attribution.ts
@@ -207,7 +207,8 @@
 	}
 
 	/**
-	Puts blocks of a trial under quarantine whose engine crashed. More crashes are needed for blocks that were answered shortly before, where
+	Puts blocks of a trial under quarantine whose engine crashed, unless nothing has been answered lately: a block that all prompts share would be
+	blamed for whatever crashes engines. More crashes are needed for blocks that were answered shortly before, where
 	the answer had begun, and where engines crash without the blocks too.
 	*/
 	#settleTrial(run: Run, outcome: EngineOutcome | undefined): void {
@@ -217,6 +218,10 @@
 
 		run.isAtFault = false;
 		const now = this.#timers.getNow();
+		if (!this.#quarantine.hasAnswers(now, otherCrashesMs)) {
+			return;
+		}
+
 		const unproven = new Set(this.#quarantine.listUnproven(run.blocks, now));
 		const blocks = run.blocks.filter(id => {
 			const suspicion = this.#suspicions.get(id);
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -47,6 +47,7 @@
 	readonly #entries = new Map<string, Entry>();
 	/** Monotonic time of the last answer by block, in milliseconds; the earliest answered first. */
 	readonly #answeredAt = new Map<string, number>();
+	#lastAnsweredAt = Number.NEGATIVE_INFINITY;
 	readonly #listeners = new Set<(change: QuarantineChange) => void>();
 
 	/** Number of quarantines in force at `now`. */
@@ -118,6 +119,11 @@
 		return corrections;
 	}
 
+	/** Tells whether any prompt was answered completely in the last `withinMs`: until then crashes say nothing about one prompt rather than another. */
+	hasAnswers(now: number, withinMs: number): boolean {
+		return now - this.#lastAnsweredAt < withinMs;
+	}
+
 	/** Tells whether a prompt with the block was answered completely shortly before `now`. */
 	isProven(id: string, now: number): boolean {
 		return now - (this.#answeredAt.get(id) ?? Number.NEGATIVE_INFINITY) < provenMs;
@@ -130,6 +136,7 @@
 
 	/** Handles that a prompt with these blocks was answered completely: what is left of a quarantine without them is at fault. */
 	onAnswered(ids: readonly string[], now: number): void {
+		this.#lastAnsweredAt = now;
 		for (const id of ids) {
 			this.#answeredAt.delete(id);
 			this.#answeredAt.set(id, now);
