Attribute a crash to a trial whose caller has left; not to one that was answered

Found by reading the diff: a trial that ended without an answer just before its engine crashed was never judged, so that its block stayed suspect for ever; a trial that was answered after another entry had reported the crash was quarantined and lifted again at once. Refused and unreached requests are no candidates any more. Test: 'finds a crashing block whose caller leaves just before the crash' (before: not quarantined).

--- a/src/places/test/crashing.test.ts
+++ b/src/places/test/crashing.test.ts
@@ -306,6 +306,37 @@
 		expect(allocator.quarantine.list(timers.getNow()).map(({blocks}) => blocks)).to.deep.equal([['common']]);
 	});
 
+	it('finds a crashing block whose caller leaves just before the crash', async () => {
+		const timers = new ManualTimers();
+		const fleet = new Fleet();
+		for (const id of ['e1', 'e2', 'e3']) {
+			fleet.onRegistration({
+				id, address: `${id}:1`, service: 'llm', stage: engineStage.any, slots: 8, isLeaving: false, startedAt: 1,
+			});
+		}
+
+		const allocator = new SlotAllocator({
+			timers, fleet, getRandom: () => 0.5, getSlotShare: () => 1,
+		});
+		const acquire = async (block: string, excludedEngines: readonly string[]) => allocator.acquire(createReservationRequest({prefixBlocks: [{id: block, tokens: 10}], excludedEngines}), new AbortController().signal);
+		for (const [excluded, index] of [[['e2', 'e3'], 0], [['e1', 'e3'], 1]] as const) {
+			const other = await acquire(`sound${index}`, excluded);
+			const left = await acquire('bad', excluded);
+			left.release(undefined);
+			await timers.advance(20);
+			other.release(engineOutcome.crashedInAnswer);
+			const answered = await acquire(`sound${index}`, ['e1', 'e2']);
+			answered.release(engineOutcome.answered);
+		}
+
+		expect(allocator.quarantine.list(timers.getNow())).to.deep.equal([]);
+		const other = await acquire('sound2', ['e1', 'e2']);
+		const left = await acquire('bad', ['e1', 'e2']);
+		left.release(undefined);
+		other.release(engineOutcome.crashedInAnswer);
+		expect(allocator.quarantine.list(timers.getNow()).map(({blocks}) => blocks)).to.deep.equal([['bad']]);
+	});
+
 	it('tests a block once its time is over, one request at a time, and serves it when it is answered', async () => {
 		const first = new CrashingLoad({seed: 1, crashingBlocks: ['bad']});
 		await first.run(12_000);
--- a/src/quarantine/attribution.ts
+++ b/src/quarantine/attribution.ts
@@ -70,7 +70,7 @@
 	readonly #onCrash: (report: CrashReport) => void;
 	readonly #runs = new Map<EngineView, Set<Run>>();
 	readonly #crashedAt = new WeakMap<EngineView, number>();
-	/** By block; the one in the order of the last crash. */
+	/** By block, in the order of the last crash. */
 	readonly #suspicions = new Map<string, Suspicion>();
 	/** Monotonic times of the latest crashes, in milliseconds. */
 	#crashTimes: readonly number[] = [];
@@ -88,8 +88,8 @@
 	}
 
 	/**
-	Filters the engines that a prompt with suspect blocks may run on: none while another run with one of them is not answered yet, and else
-	those without another suspect.
+	Selects the engines that a prompt with suspect blocks may run on: none while another run with one of them may still crash its engine, and
+	else those without another suspect.
 	*/
 	selectEngines(views: readonly EngineView[], suspects: readonly string[]): readonly EngineView[] {
 		const now = this.#timers.getNow();
@@ -163,7 +163,7 @@
 
 		if (outcome === engineOutcome.answered) {
 			this.#onAnswered(run.blocks, now);
-		} else if (run.decodesFrom !== undefined) {
+		} else if (run.decodesFrom !== undefined && (outcome === undefined || outcome === engineOutcome.broken || outcome === engineOutcome.silent)) {
 			this.#recent = [...this.#recent.filter(({endedAt}) => endedAt >= now - recentMs), {run, endedAt: now}].slice(-maxRecentRuns);
 		}
 	}
@@ -182,11 +182,16 @@
 		}
 
 		const trials = runs.filter(({isTrial}) => isTrial);
-		if (trials.length === 1) {
-			trials[0]!.isAtFault = true;
+		this.#crashTimes = [...this.#crashTimes.filter(at => at > now - otherCrashesMs), now].slice(-maxCrashes);
+		const [trial] = trials;
+		if (trial && trials.length === 1) {
+			trial.isAtFault = true;
+			if (!this.#runs.get(engine)?.has(trial)) {
+				// Its caller left just before the crash.
+				this.#settleTrial(trial, undefined);
+			}
 		}
 
-		this.#crashTimes = [...this.#crashTimes.filter(at => at > now - otherCrashesMs), now].slice(-maxCrashes);
 		this.#evictSuspicions();
 		this.#onCrash({engine, runs: runs.length, suspects: this.#listSuspectIds([...blocks])});
 	}
@@ -207,9 +212,9 @@
 	}
 
 	/**
-	Puts blocks of a trial under quarantine whose engine crashed, unless nothing has been answered lately: a block that all prompts share would be
-	blamed for whatever crashes engines. More crashes are needed for blocks that were answered shortly before, where
-	the answer had begun, and where engines crash without the blocks too.
+	Puts blocks of a trial under quarantine whose engine crashed, unless nothing has been answered lately: a block that all prompts share would
+	be blamed for whatever crashes engines. More crashes are needed for blocks that were answered shortly before, where the answer had begun, and
+	where engines crash without the blocks too.
 	*/
 	#settleTrial(run: Run, outcome: EngineOutcome | undefined): void {
 		if (!run.isAtFault) {
@@ -218,7 +223,7 @@
 
 		run.isAtFault = false;
 		const now = this.#timers.getNow();
-		if (!this.#quarantine.hasAnswers(now, otherCrashesMs)) {
+		if (outcome === engineOutcome.answered || !this.#quarantine.hasAnswers(now, otherCrashesMs)) {
 			return;
 		}
 
