--- a/src/places/failover.ts
+++ b/src/places/failover.ts
@@ -91,9 +91,10 @@
 
 	connect(service: string): void {
 		const {timers, localAddress} = this.#dependencies;
-		const address = this.#listAllocators(service).find(candidate => candidate === localAddress || (this.#skippedUntil.get(candidate) ?? 0) <= timers.getNow());
-		if (address !== undefined && address !== localAddress) {
-			this.#getRemoteAllocator(address);
+		for (const address of this.#listAllocators(service)) {
+			if (address !== localAddress && (this.#skippedUntil.get(address) ?? 0) <= timers.getNow()) {
+				this.#getRemoteAllocator(address);
+			}
 		}
 	}
 
