--- a/soak/invariantchecker.ts
+++ b/soak/invariantchecker.ts
@@ -34,7 +34,7 @@
 const pauseGraceMs = 500;
 const maxArrivalsInPause = 2;
 
-/** Crashes on requests with one block after which entries know of it, time in which they learn of it, in milliseconds, and requests that may still arrive then. */
+/** Number of crashes on one block after which entries must refuse it, the time in which they learn of it, in milliseconds, and the requests that may still arrive after that. */
 const maxCrashes = 5;
 const contactMs = 3000;
 const maxArrivalsAfterCrashes = 3;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -13,7 +13,7 @@
 	readonly purpose: AttemptTrace['purpose'];
 	/** Time without a byte from the engine after which the send is aborted, in milliseconds; `undefined` where only the caller or the deadline ends it. */
 	readonly silenceTimeoutMs: number | undefined;
-	/** Called at such a silence; returns whether another engine may get the request, which takes the permit for it. Until then the send goes on: it may only be slow. */
+	/** Called after such a silence: takes the permit to send the request to another engine and returns `true`, or returns `false`, and the send goes on. */
 	readonly tryTakeRetry?: () => boolean;
 	readonly mayReuseIdle: boolean;
 };
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -195,7 +195,7 @@
 		return model;
 	}
 
-	/** Allocates engines to a request unless its prompt has blocks that crash engines; one with suspect blocks gets engines of its own among those. */
+	/** Allocates engines to a request unless its prompt has blocks that crash engines; one with suspect blocks is placed only on engines without other suspects. */
 	#tryAllocate(request: ReservationRequest, views: readonly EngineView[], times: AllocationTimes): Allocation | QueueRefusal | typeof heldBack | undefined {
 		const quarantineMs = this.quarantine.computeRemainingMs(request.prefixBlocks, times.now);
 		if (quarantineMs > 0) {
--- a/src/places/test/crashing.test.ts
+++ b/src/places/test/crashing.test.ts
@@ -27,7 +27,7 @@
 	readonly hasCrashing?: boolean;
 	/** Crashes for other reasons, in a thousand steps. */
 	readonly otherCrashes?: number;
-	/** Allocator to start with; a new one by default. */
+	/** Quarantines to start with; none by default. */
 	readonly quarantine?: BlockQuarantine;
 	/** Blocks of the sound requests; by default four first blocks and fifty second ones. */
 	readonly createSoundBlocks?: (random: (max: number) => number) => readonly string[];
--- a/src/places/types.ts
+++ b/src/places/types.ts
@@ -63,6 +63,6 @@
 	/** Waits for a reservation. Throws `NotRunError` when the request is refused or `signal` is aborted. */
 	abstract acquire(request: ReservationRequest, signal: AbortSignal): Promise<Reservation>;
 
-	/** Contacts whoever grants the reservations of a service, without a request, so that both know the same quarantines. */
+	/** Connects to the entries that may grant reservations of a service, without a request, so that all know the same quarantines. */
 	abstract connect(service: string): void;
 }
