Reproduce: engines with a limit for all VMs together get several times as much

Stand-in engines name a limit in all their answers; findLimitBreach judges what arrives in 4 s windows.

--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -77,8 +77,13 @@
 	isLeavingTold: boolean;
 	/** Time for which the answer, a 503, asks for no further requests of its sender, in milliseconds; 0 when it does not. */
 	retryAfterMs: number;
+	/** Requests a second that the answer says the engine takes from all senders together; `undefined` when it names no limit. */
+	namedLimit: number | undefined;
 };
 
+/** A limit that an engine named, infinite where it named none, and the monotonic time from which it held, in milliseconds. */
+export type LimitChange = {readonly from: number; readonly perSecond: number};
+
 /** Interval between the bytes of a stalled stream, and the pause of a slow one, in milliseconds. */
 const trickleIntervalMs = 100;
 const slowIntervalMs = 1000;
@@ -120,6 +125,8 @@
 	isLeaving = false;
 	/** Time of the fault `retryAfter`, in milliseconds. */
 	retryAfterMs = 1500;
+	/** Limits that the engine named, each with the monotonic time from which it held, in milliseconds; infinite where it named none. */
+	readonly limits: LimitChange[] = [];
 	/** Whether the engine has crashed. */
 	hasCrashed = false;
 	/** Requests that run now. */
@@ -152,6 +159,15 @@
 		};
 	}
 
+	/** Requests a second that the engine takes from all senders together, as its answers say; infinite without a limit. */
+	get requestLimit(): number {
+		return this.limits.at(-1)?.perSecond ?? Number.POSITIVE_INFINITY;
+	}
+
+	set requestLimit(perSecond: number) {
+		this.limits.push({from: performance.now(), perSecond});
+	}
+
 	/** Starts to listen; port 0 binds to a free port. */
 	async start(port = 0): Promise<void> {
 		await new Promise<void>((resolve, reject) => {
@@ -198,13 +214,19 @@
 
 		const {headers} = request;
 		const arrival: Arrival = {
-			id: String(headers['crocusworks-request-id']), method: request.method ?? '', path: request.url ?? '', headers, body, at: performance.now(), isCut: false, hasRun: false, isForOther: headers['crocusworks-expect-instance'] !== this.#options.id, isLeavingTold: false, retryAfterMs: 0,
+			id: String(headers['crocusworks-request-id']), method: request.method ?? '', path: request.url ?? '', headers, body, at: performance.now(), isCut: false, hasRun: false, isForOther: headers['crocusworks-expect-instance'] !== this.#options.id, isLeavingTold: false, retryAfterMs: 0, namedLimit: undefined,
 		};
 		this.arrivals.push(arrival);
 		const fault = arrival.isForOther ? undefined : this.faults.shift();
 		this.isLeaving ||= fault === engineFault.leave;
 		arrival.isLeavingTold = this.isLeaving && !arrival.isForOther;
-		const commonHeaders: Record<string, string> = {'Crocusworks-Request-Id': arrival.id, 'Crocusworks-Server-Load': `${this.running},0,${this.#options.slots ?? 6}`, ...(this.isLeaving ? {'Server-Leaving': '1'} : {})};
+		if (!arrival.isForOther && Number.isFinite(this.requestLimit)) {
+			arrival.namedLimit = this.requestLimit;
+		}
+
+		const commonHeaders: Record<string, string> = {
+			'Crocusworks-Request-Id': arrival.id, 'Crocusworks-Server-Load': `${this.running},0,${this.#options.slots ?? 6}`, ...(this.isLeaving ? {'Server-Leaving': '1'} : {}), ...(arrival.namedLimit === undefined ? {} : {'Server-Limit': String(arrival.namedLimit)}),
+		};
 		if (arrival.isForOther) {
 			sendJson(response, 421, {error: 'other instance'}, {...commonHeaders, 'Crocusworks-Instance-Id': this.#options.id});
 			return;
--- a/standins/fleet/index.ts
+++ b/standins/fleet/index.ts
@@ -3,6 +3,10 @@
 	callersHost, createConfiguration, createPromptHeaders, createSettingsText,
 } from './configuration.js';
 export {engineFault, FleetEngine, listBlocks} from './engine.js';
-export type {Arrival, EngineFault, FleetEngineOptions} from './engine.js';
+export type {
+	Arrival, EngineFault, FleetEngineOptions, LimitChange,
+} from './engine.js';
+export {findLimitBreach} from './requestlimit.js';
+export type {LimitBreach} from './requestlimit.js';
 export {FleetStore, storeMode} from './store.js';
 export type {StoreCopy, StoreMode} from './store.js';
