Keep the limits on requests that engines set for all VMs together

Each process now learns limits from answers (src/requestlimits) and tells the others over the connections between entries and slot allocators. The allocator of a service grants every send within a token bucket an engine: reservations of generations (prefill and decode each), and permits that entries ask for before each plain call. What no engine may take is refused at once as 'limited', with the time at which the limit allows the next one. Requests of the second before the limit count against it. Allocators that serve only some entries grant their share.

--- a/src/errors/reasons.ts
+++ b/src/errors/reasons.ts
@@ -21,6 +21,8 @@
 	upstreamFailed: 'upstream_failed',
 	/** The request's prompt has blocks that crash engines. */
 	quarantined: 'quarantined',
+	/** All engines that could serve it have got as many requests as their limits allow. */
+	limited: 'limited',
 } as const;
 
 /** See {@link refusalReason}. */
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -219,8 +219,8 @@
 	}
 
 	/** Records what the engine says of further requests. Another process at its address says nothing about it. */
-	#recordWishes({isLeaving, isOtherEngine, retryAfterMs}: EngineReply): void {
-		const {timers, reporter} = this.#dependencies;
+	#recordWishes({isLeaving, isOtherEngine, retryAfterMs, requestLimit}: EngineReply): void {
+		const {timers, reporter, limits} = this.#dependencies;
 		const now = timers.getNow();
 		if (isOtherEngine) {
 			return;
@@ -234,6 +234,11 @@
 			this.view.onLeaving();
 		}
 
+		if (requestLimit !== undefined) {
+			this.trace.limitPerSecond = Number.isFinite(requestLimit) ? requestLimit : undefined;
+			limits.onAnswer(this.view.record, requestLimit, this.#startedAt, now);
+		}
+
 		if (retryAfterMs !== undefined) {
 			const isPaused = this.view.computePauseMs(now) > 0;
 			this.view.onRetryAfter(retryAfterMs, now);
--- a/src/gateway/ending.ts
+++ b/src/gateway/ending.ts
@@ -1,5 +1,5 @@
 import {computeRetryAfterMs} from '../dispatch/index.js';
-import type {AdmissionQueue} from '../dispatch/index.js';
+import type {AdmissionQueue, QueueRefusal} from '../dispatch/index.js';
 import {NotRunError, refusalReason} from '../errors/index.js';
 import type {RefusalReason} from '../errors/index.js';
 import type {Attempt} from './attempt.js';
@@ -11,8 +11,8 @@
 	readonly serviceMs: number;
 	/** Whether an engine may have run the request in an earlier attempt. */
 	readonly mayHaveRun: boolean;
-	/** Returns `undefined` while no engine can take the request; `now` is monotonic, in milliseconds. */
-	readonly tryChoose: (now: number) => Choice | undefined;
+	/** Returns `undefined` while no engine can take the request, and a refusal when waiting is of no use; `now` is monotonic, in milliseconds. */
+	readonly tryChoose: (now: number) => Choice | QueueRefusal | undefined;
 };
 
 /** Waits in the queue until an engine can take the request. If the request is refused instead, answers the caller and returns `undefined`. */
--- a/src/gateway/plain.ts
+++ b/src/gateway/plain.ts
@@ -1,4 +1,4 @@
-import {choosePlainEngine, isPausedUntil} from '../dispatch/index.js';
+import {choosePlainEngine, isPausedUntil, QueueRefusal} from '../dispatch/index.js';
 import type {EngineView, AdmissionQueue} from '../dispatch/index.js';
 import {refusalReason, retryReason} from '../errors/index.js';
 import {callStep} from '../procedures/index.js';
@@ -15,22 +15,34 @@
 
 /** Share of the route's target after which a silent send is aborted if the request may be repeated: another engine can still answer on time. */
 const silenceTimeoutShare = 0.6;
+/** Share of the time left to a request within which its caller can return. */
+const maxReturnShare = 1 / 3;
 /** Time that the shortest request takes at an engine, in milliseconds; with less time left, a send is of no use. */
 const minServiceMs = 5;
 
 /** Progress of one request of an application service. */
 class PlainProgress extends RequestProgress {
 	readonly triedEngines = new Set<EngineView>();
+	/** Engines whose limits allowed no request when this one asked for a permit. */
+	readonly limitedEngines = new Set<EngineView>();
 
 	/** Whether the request may run on a further engine after the next one. */
 	isRepeatable({route}: ServedRequest): boolean {
 		return route.kind === requestKind.idempotent && this.runs + 1 < route.maxRuns;
 	}
 
-	/** Chooses an engine that was not tried yet, or any one if none of those can take the request. */
-	chooseEngine({fleet, service}: ServedRequest, now: number): EngineView | undefined {
-		const views = fleet.listServing(service);
-		return choosePlainEngine(views, this.triedEngines, now) ?? choosePlainEngine(views, new Set(), now);
+	/**
+	Chooses an engine that was not tried yet, or any one if none of those can take the request. Refuses the request when all engines that are
+	available have got as many requests as their limits allow.
+	*/
+	chooseEngine({permits}: GatewayDependencies, {fleet, service, deadlineAt}: ServedRequest, now: number): EngineView | QueueRefusal | undefined {
+		const available = fleet.listServing(service).filter(view => view.isAvailable(now));
+		const open = available.filter(view => !this.limitedEngines.has(view) && permits.computeWaitMs(view.record) === 0);
+		if (open.length === 0 && available.length > 0) {
+			return new QueueRefusal(refusalReason.limited, permits.scheduleReturnMs(available.map(({record}) => record), (deadlineAt - now) * maxReturnShare));
+		}
+
+		return choosePlainEngine(open, this.triedEngines, now) ?? choosePlainEngine(open, new Set(), now);
 	}
 }
 
@@ -44,12 +56,22 @@
 		}
 
 		const view = yield * callStep('wait for a place', async () => waitForEngine(dependencies, served, queue, {
-			serviceMs: minServiceMs, mayHaveRun: progress.runs > 0, tryChoose: now => progress.chooseEngine(served, now),
+			serviceMs: minServiceMs, mayHaveRun: progress.runs > 0, tryChoose: now => progress.chooseEngine(dependencies, served, now),
 		}));
 		if (!view) {
 			return;
 		}
 
+		if (dependencies.permits.isLimited(view.record)) {
+			const isPermitted = yield * callStep('ask for a permit', async () => dependencies.permits.takePermit(view.record));
+			if (!isPermitted) {
+				progress.limitedEngines.add(view);
+				served.trace.refusedPermits++;
+				continue;
+			}
+		}
+
+		dependencies.permits.onSend(view.record);
 		const mayRepeat = progress.isRepeatable(served);
 		const attempt = yield * callStep('send to an engine', async () => callEngine(dependencies, served, view, {
 			purpose: 'run',
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -62,6 +62,8 @@
 	abstract readonly isLeaving: boolean;
 	/** Time for which the engine, as it refuses, wants no request of this process, in milliseconds; `undefined` when it names none. */
 	abstract readonly retryAfterMs: number | undefined;
+	/** Requests a second that the engine takes from all entries together, as long as it says so: infinite when it names no limit, `undefined` when what it names can't be read. */
+	abstract readonly requestLimit: number | undefined;
 	/** The answer carries the engine's receipt; a success without one does not come from an engine. */
 	abstract readonly hasReceipt: boolean;
 	abstract readonly load: EngineLoad | undefined;
--- a/src/gateway/reporter.ts
+++ b/src/gateway/reporter.ts
@@ -81,6 +81,7 @@
 		expectedMs: formatNumber(trace.expectedMs),
 		firstByteMs: formatNumber(trace.firstByteMs),
 		totalMs: formatNumber(trace.totalMs),
+		...(trace.refusedPermits === 0 ? {} : {refusedPermits: trace.refusedPermits}),
 		attempts: trace.attempts.map(attempt => ({
 			...attempt,
 			atMs: formatNumber(attempt.atMs),
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -1,7 +1,8 @@
 import type {EngineView, Fleet} from '../dispatch/index.js';
 import type {WindowRetryBudget} from '../retries/index.js';
-import type {ReservationProvider} from '../places/index.js';
+import type {PermitProvider, ReservationProvider} from '../places/index.js';
 import type {BlockQuarantine} from '../quarantine/index.js';
+import type {RequestLimits} from '../requestlimits/index.js';
 import type {TimerService} from '../timers/index.js';
 import type {CallerAnswer, EngineLink} from './ports.js';
 import type {ServiceTimes} from './servicetimes.js';
@@ -14,6 +15,10 @@
 	readonly link: EngineLink;
 	/** Grants reservations on the engines of generation services. */
 	readonly reservations: ReservationProvider;
+	/** Grants permits for requests without a reservation to engines that name a limit. */
+	readonly permits: PermitProvider;
+	/** Limits that engines name in their answers. */
+	readonly limits: RequestLimits;
 	/** Blocks of prompts that crash engines; requests with them are refused. */
 	readonly quarantine: BlockQuarantine;
 	readonly serviceTimes: ServiceTimes;
--- a/src/gateway/trace.ts
+++ b/src/gateway/trace.ts
@@ -37,6 +37,8 @@
 	bodyBytes?: number;
 	/** Bytes that a stream sent after its last complete event; absent unless there were any when it ended. */
 	incompleteBytes?: number;
+	/** Requests a second that the answer says the engine takes from all entries together; absent when it names no limit. */
+	limitPerSecond?: number | undefined;
 	/** Time from the send to its end, in milliseconds; absent until then. */
 	tookMs?: number;
 };
@@ -56,6 +58,8 @@
 /** Record of one request: its route, its attempts, its times since arrival, and how it ended. */
 export class RequestTrace {
 	configurationVersion: number | undefined;
+	/** Number of times that an engine's limit allowed no request. */
+	refusedPermits = 0;
 	route: Route | undefined;
 	service: string | undefined;
 	waitedMs: number | undefined;
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -23,6 +23,8 @@
 	engineCrashes: {name: 'crocus_engine_crashes_total', help: 'Engines that crashed with requests on them, by service', label: 'service'},
 	/** Changes of what is known of blocks that crash engines. */
 	quarantines: {name: 'crocus_quarantine_changes_total', help: 'Changes of the quarantined blocks of prompts, by cause', label: 'cause'},
+	/** Changes of what is known of engines' limits on requests. */
+	requestLimits: {name: 'crocus_request_limit_changes_total', help: 'Limits on requests that engines named, changed or dropped, by cause', label: 'cause'},
 	peerBytes: {name: 'crocus_peer_bytes_total', help: 'Bytes sent to and received from other entries', label: 'direction'},
 } as const;
 
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -22,9 +22,12 @@
 import {refusalReason} from '../errors/index.js';
 import {BlockQuarantine, CrashAttribution} from '../quarantine/index.js';
 import type {CrashReport, Run} from '../quarantine/index.js';
+import {RequestLimits, RequestPermits} from '../requestlimits/index.js';
+import type {LimitedAddress} from '../requestlimits/index.js';
 import type {Timer, TimerService} from '../timers/index.js';
+import {AllocatorClients} from './clients.js';
 import {formatRequestKind, Reservation} from './types.js';
-import type {ReservedEngines, ReservationRequest} from './types.js';
+import type {PermitAnswer, ReservedEngines, ReservationRequest} from './types.js';
 
 /** Time after a request's deadline at which its reservation is released if the holder has not released it, in milliseconds. */
 const expiryMarginMs = 500;
@@ -32,6 +35,11 @@
 const maxExpectedShare = 0.9;
 /** Time without requests after which other entries may have placed prompts at the engines, in milliseconds: several requests come in it on any load that fills caches. */
 const maxUnfollowedMs = 1500;
+/** Maximum time for which an entry is told to ask for no further permit, in milliseconds, unless none can be granted for longer; and the time for each entry that asks, which bounds their messages. */
+const maxPermitWaitMs = 250;
+const permitWaitPerClientMs = 5;
+/** Share of the time left to a request within which its caller can return. */
+const maxReturnShare = 1 / 3;
 /** Share of the capacity that is open to answers which will be late. */
 const lateShare = 0.5;
 
@@ -43,6 +51,10 @@
 	readonly getSlotShare: () => number;
 	/** Blocks that crash engines; requests with them are refused. Default: only those found out by this allocator. */
 	readonly quarantine?: BlockQuarantine;
+	/** Limits that engines set on the requests of all entries. Default: only those that other entries tell of. */
+	readonly limits?: RequestLimits;
+	/** Returns the share of the limits of a service's engines that this allocator may grant, above 0 up to 1. Default: 1. */
+	readonly getLimitShare?: (service: string) => number;
 	/** Called when an engine crashed while it had reserved requests. */
 	readonly onCrash?: (report: CrashReport) => void;
 	/** Asks an engine which blocks it holds; `undefined` when it does not say. */
@@ -57,7 +69,12 @@
 export class SlotAllocator {
 	/** Blocks that crash engines. */
 	readonly quarantine: BlockQuarantine;
+	/** Limits that engines set on the requests of all entries. */
+	readonly limits: RequestLimits;
+	/** The entries that use this allocator. */
+	readonly clients = new AllocatorClients();
 	readonly timers: TimerService;
+	readonly #permits: RequestPermits;
 	readonly #dependencies: SlotAllocatorDependencies;
 	readonly #queues = new Map<string, AdmissionQueue<Allocation>>();
 	readonly #grantRates = new Map<string, GrantRate>();
@@ -74,6 +91,8 @@
 		this.#dependencies = dependencies;
 		this.timers = dependencies.timers;
 		this.quarantine = dependencies.quarantine ?? new BlockQuarantine();
+		this.limits = dependencies.limits ?? new RequestLimits();
+		this.#permits = new RequestPermits(this.limits, service => dependencies.getLimitShare?.(service) ?? 1);
 		this.#attribution = new CrashAttribution(dependencies.timers, this.quarantine, report => {
 			dependencies.onCrash?.(report);
 		});
@@ -112,8 +131,8 @@
 			now: at, targetAt: now + request.targetMs, callerLeavesAt: now + Math.min(request.deadlineMs, request.firstByteTimeoutMs),
 		}), signal);
 		const isGranted = !(allocation instanceof QueueRefusal);
-		// What is wrong with one prompt says nothing about the requests of its kind.
-		if (isGranted || allocation.reason !== refusalReason.quarantined) {
+		// What is wrong with one prompt says nothing about the requests of its kind, and a limit ends sooner than a rate would show it.
+		if (isGranted || (allocation.reason !== refusalReason.quarantined && allocation.reason !== refusalReason.limited)) {
 			this.#getGrantRate(request).onEnd(isGranted, timers.getNow());
 		}
 
@@ -149,6 +168,32 @@
 		return this.#getGrantRate(request).compute(this.#dependencies.timers.getNow());
 	}
 
+	/**
+	Grants a permit to send one request to an engine that names a limit, for a request that needs no reservation. `priorCount` are the requests
+	that the asking entry sent it in the second before it knew of the limit.
+	*/
+	tryTakePermit(engine: LimitedAddress, priorCount: number): PermitAnswer {
+		const now = this.timers.getNow();
+		this.#permits.addPrior(engine, priorCount, now);
+		if (this.#permits.tryTake(engine, now)) {
+			return {isGranted: true, waitMs: 0};
+		}
+
+		const maxWaitMs = Math.max(maxPermitWaitMs, this.clients.countAsking(engine.service, now) * permitWaitPerClientMs);
+		const returnMs = Math.min(maxWaitMs, this.#permits.scheduleReturnMs(engine, maxWaitMs, now));
+		return {isGranted: false, waitMs: Math.max(returnMs, this.#permits.computeWaitMs(engine, now))};
+	}
+
+	/** Counts a request of this process to an engine that was sent without a reservation. */
+	onSend(engine: LimitedAddress): void {
+		this.#permits.onSend(engine, this.timers.getNow());
+	}
+
+	/** Counts the requests of this process to an engine that were sent without a reservation in the latest second. */
+	countRecentSends(engine: LimitedAddress): number {
+		return this.#permits.countRecent(engine, this.timers.getNow());
+	}
+
 	/** Tries to grant the queued requests of all services, for example after an engine was added. */
 	serveWaiting(): void {
 		for (const queue of this.#queues.values()) {
@@ -202,10 +247,32 @@
 			return new QueueRefusal(refusalReason.quarantined, quarantineMs);
 		}
 
+		const open = views.filter(({record}) => this.#permits.computeWaitMs(record, times.now) === 0);
+		if (open.length < views.length && !open.some(view => this.#canDecode(view, times.now))) {
+			const limited = views.filter(view => !open.includes(view) && this.#canDecode(view, times.now));
+			if (limited.length > 0) {
+				return this.#refuseLimited(limited, times);
+			}
+		}
+
 		const suspects = this.#attribution.listSuspects(request.prefixBlocks);
 		return suspects.length === 0
-			? this.#tryPlace(request, views, times)
-			: this.#tryPlace(request, this.#attribution.selectEngines(views, suspects), times) ?? heldBack;
+			? this.#tryPlace(request, open, times)
+			: this.#tryPlace(request, this.#attribution.selectEngines(open, suspects), times) ?? heldBack;
+	}
+
+	#canDecode(view: EngineView, now: number): boolean {
+		return view.record.stage !== engineStage.prefill && this.getUsage(view).health.isAvailable(now);
+	}
+
+	/** Refuses a request for which all engines that could decode have got as many requests as their limits allow. */
+	#refuseLimited(limited: readonly EngineView[], {now, callerLeavesAt}: AllocationTimes): QueueRefusal {
+		let next = limited[0]!;
+		for (const view of limited) {
+			next = this.#permits.computeWaitMs(view.record, now) < this.#permits.computeWaitMs(next.record, now) ? view : next;
+		}
+
+		return new QueueRefusal(refusalReason.limited, this.#permits.scheduleReturnMs(next.record, (callerLeavesAt - now) * maxReturnShare, now));
 	}
 
 	#tryPlace(request: ReservationRequest, views: readonly EngineView[], {now, targetAt, callerLeavesAt}: AllocationTimes): Allocation | QueueRefusal | undefined {
@@ -232,6 +299,8 @@
 		const {prefillEngine, decodeEngine} = placement;
 		for (const view of prefillEngine ? [prefillEngine, decodeEngine] : [decodeEngine]) {
 			this.getUsage(view).health.onSend();
+			this.#permits.onSend(view.record, now);
+			this.#permits.tryTake(view.record, now);
 		}
 
 		return this.#recordReservation(request, placement, now);
@@ -272,7 +341,7 @@
 		}
 
 		for (const view of fleet.listServing(request.service)) {
-			if (!this.#followedViews.has(view) && view.computePauseMs(now) === 0) {
+			if (!this.#followedViews.has(view) && view.computePauseMs(now) === 0 && !this.limits.isLimited(view.record)) {
 				this.#followedViews.add(view);
 				void this.#addHeldBlocks(view, request.kvCapacityTokens, listHeldBlocks);
 			}
--- a/src/places/failover.ts
+++ b/src/places/failover.ts
@@ -15,6 +15,17 @@
 /** Number of allocators of a service that are tried in order; when all are lost, each entry allocates for itself. */
 const maxAllocators = 3;
 
+/** Which allocator an entry uses for a service. */
+const allocatorUse = {
+	/** That of this process, as one of the service's. */
+	local: 'local',
+	remote: 'remote',
+	/** That of this process, as none of the service's can be reached. */
+	none: 'none',
+} as const;
+
+type AllocatorUse = (typeof allocatorUse)[keyof typeof allocatorUse];
+
 export type FailoverDependencies = {
 	readonly timers: TimerService;
 	readonly getRandom: () => number;
@@ -48,11 +59,13 @@
 	readonly #held: HeldReservations;
 	#candidates: readonly AllocatorCandidate[] = [];
 	#isIsolated = false;
+	/** Which allocator the latest request of each service went to. */
+	readonly #usedAllocators = new Map<string, AllocatorUse>();
 
 	constructor(dependencies: FailoverDependencies) {
 		super();
 		this.#dependencies = dependencies;
-		this.#refusals = new RecentRefusals(dependencies.timers, dependencies.getRandom);
+		this.#refusals = new RecentRefusals(dependencies.timers, dependencies.getRandom, dependencies.localAllocator.limits);
 		this.#held = new HeldReservations(dependencies.timers);
 	}
 
@@ -61,13 +74,49 @@
 		return this.#isIsolated ? 1 / Math.max(1, this.#dependencies.listCandidates().length) : 1;
 	}
 
+	/**
+	Computes the share of the limits of a service's engines that the allocator of this process may grant, above 0 up to 1. The first choice grants all
+	of them but the shares of entries that it lost, as those ask another allocator now; that one grants the shares of the entries that ask it.
+	*/
+	computeLimitShare(service: string): number {
+		const {timers, localAllocator: {clients}, localAddress} = this.#dependencies;
+		const candidates = this.#dependencies.listCandidates();
+		const entryCount = Math.max(1, candidates.length);
+		const usage = this.#usedAllocators.get(service);
+		if (usage === allocatorUse.none) {
+			return 1 / entryCount;
+		}
+
+		const now = timers.getNow();
+		const [first] = this.#listAllocators(service);
+		if (first === undefined || first === localAddress) {
+			const addresses = new Set(candidates.map(({address}) => address));
+			return Math.max(1, entryCount - clients.listLost(service, now).filter(address => addresses.has(address)).length) / entryCount;
+		}
+
+		const askingCount = clients.countAsking(service, now) + (usage === allocatorUse.local ? 1 : 0);
+		return Math.min(1, Math.max(1, askingCount) / entryCount);
+	}
+
 	async acquire(request: ReservationRequest, signal: AbortSignal): Promise<Reservation> {
+		const requestAtTime = {request, requestedAt: this.#dependencies.timers.getNow()};
+		return this.callAllocator(request.service, async allocator => {
+			if (allocator instanceof RemoteAllocator) {
+				this.#refusals.check(request);
+			}
+
+			return this.#acquireFrom(allocator, requestAtTime, signal);
+		});
+	}
+
+	/** Calls the first allocator of a service that is not lost; the one of this process when all are. */
+	async callAllocator<Result>(service: string, call: (allocator: SlotAllocator | RemoteAllocator) => Promise<Result>): Promise<Result> {
 		const {timers, localAllocator, localAddress} = this.#dependencies;
-		const requestAtTime = {request, requestedAt: timers.getNow()};
-		for (const address of this.#listAllocators(request.service)) {
+		for (const address of this.#listAllocators(service)) {
 			if (address === localAddress) {
 				this.#isIsolated = false;
-				return this.#acquireFrom(localAllocator, requestAtTime, signal);
+				this.#usedAllocators.set(service, allocatorUse.local);
+				return call(localAllocator);
 			}
 
 			if ((this.#skippedUntil.get(address) ?? 0) > timers.getNow()) {
@@ -76,8 +125,8 @@
 
 			try {
 				const allocator = this.#getRemoteAllocator(address);
-				this.#refusals.check(request);
-				return await this.#acquireFrom(allocator, requestAtTime, signal);
+				this.#usedAllocators.set(service, allocatorUse.remote);
+				return await call(allocator);
 			} catch (error) {
 				if (!(error instanceof AllocatorLostError)) {
 					throw error;
@@ -86,7 +135,8 @@
 		}
 
 		this.#isIsolated = true;
-		return this.#acquireFrom(localAllocator, requestAtTime, signal);
+		this.#usedAllocators.set(service, allocatorUse.none);
+		return call(localAllocator);
 	}
 
 	connect(service: string): void {
@@ -130,6 +180,8 @@
 			this.#dependencies.onAllocatorChange(address, 'asked');
 			allocator = new RemoteAllocator(this.#dependencies.timers, this.#dependencies.network, address, {
 				quarantine: this.#dependencies.localAllocator.quarantine,
+				limits: this.#dependencies.localAllocator.limits,
+				localAddress: this.#dependencies.localAddress,
 				onLost: reason => {
 					this.#remoteAllocators.delete(address);
 					this.#skippedUntil.set(address, this.#dependencies.timers.getNow() + lostAllocatorBackoffMs);
@@ -138,6 +190,9 @@
 				onAnswer: (request, isGranted, grantRate) => {
 					this.#refusals.onAnswer(request, isGranted, grantRate);
 				},
+				onLimited: (request, retryAfterMs) => {
+					this.#refusals.onLimited(request, retryAfterMs);
+				},
 			});
 			this.#remoteAllocators.set(address, allocator);
 		}
--- /dev/null
+++ b/src/places/failoverpermits.ts
@@ -0,0 +1,115 @@
+import {formatLimitKey} from '../requestlimits/index.js';
+import type {LimitedAddress} from '../requestlimits/index.js';
+import type {TimerService} from '../timers/index.js';
+import type {SlotAllocator} from './allocator.js';
+import type {FailoverReservations} from './failover.js';
+import {RemoteAllocator} from './remoteallocator.js';
+import {PermitProvider} from './types.js';
+
+const millisecondsPerSecond = 1000;
+/** Maximum number of permits of one engine that are asked for at once: a further request tries another engine. */
+const maxPendingPermits = 16;
+
+/** What this process knows of the permits of one engine. */
+type PermitState = {
+	/** Until then no permit can be had, monotonic, in milliseconds. */
+	refusedUntil: number;
+	/** Time at which the next refused request may return. */
+	returnAt: number;
+	pendingCount: number;
+	/** Whether the allocator has been told of the requests before the limit. */
+	hasReportedPrior: boolean;
+};
+
+/** Gets permits from the entry that allocates for the service, or from this process when that can't be reached. */
+export class FailoverPermits extends PermitProvider {
+	readonly #timers: TimerService;
+	readonly #allocator: SlotAllocator;
+	readonly #reservations: FailoverReservations;
+	/** By key of the engine; only engines that name a limit. */
+	readonly #states = new Map<string, PermitState>();
+
+	/** Takes the allocator of this process, and the choice among those of all entries. */
+	constructor(timers: TimerService, allocator: SlotAllocator, reservations: FailoverReservations) {
+		super();
+		this.#timers = timers;
+		this.#allocator = allocator;
+		this.#reservations = reservations;
+		allocator.limits.subscribe(change => {
+			const state = this.#states.get(formatLimitKey(change));
+			if (state) {
+				state.refusedUntil = Number.NEGATIVE_INFINITY;
+			}
+
+			if (!Number.isFinite(change.perSecond)) {
+				this.#states.delete(formatLimitKey(change));
+			}
+		});
+	}
+
+	isLimited(engine: LimitedAddress): boolean {
+		return this.#allocator.limits.isLimited(engine);
+	}
+
+	computeWaitMs(engine: LimitedAddress): number {
+		return this.isLimited(engine) ? Math.max(0, this.#getState(engine).refusedUntil - this.#timers.getNow()) : 0;
+	}
+
+	async takePermit(engine: LimitedAddress): Promise<boolean> {
+		const state = this.#getState(engine);
+		if (state.pendingCount >= maxPendingPermits) {
+			return false;
+		}
+
+		const priorCount = state.hasReportedPrior ? 0 : this.#allocator.countRecentSends(engine);
+		state.hasReportedPrior = true;
+		state.pendingCount++;
+		try {
+			const {isGranted, waitMs} = await this.#reservations.callAllocator(engine.service, async allocator => allocator instanceof RemoteAllocator
+				? allocator.takePermit(engine, priorCount)
+				: allocator.tryTakePermit(engine, 0));
+			if (!isGranted) {
+				const now = this.#timers.getNow();
+				state.refusedUntil = now + waitMs;
+				state.returnAt = Math.max(state.returnAt, state.refusedUntil);
+			}
+
+			return isGranted;
+		} finally {
+			state.pendingCount--;
+		}
+	}
+
+	scheduleReturnMs(engines: readonly LimitedAddress[], maxReturnMs: number): number {
+		const now = this.#timers.getNow();
+		let next: {readonly state: PermitState; readonly perSecond: number} | undefined;
+		for (const engine of engines) {
+			const state = this.#getState(engine);
+			next = next && next.state.returnAt <= state.returnAt ? next : {state, perSecond: this.#allocator.limits.getPerSecond(engine)};
+		}
+
+		if (!next) {
+			return 0;
+		}
+
+		const returnMs = Math.max(0, next.state.returnAt - now);
+		if (returnMs <= maxReturnMs) {
+			next.state.returnAt = now + returnMs + (millisecondsPerSecond / next.perSecond);
+		}
+
+		return returnMs;
+	}
+
+	onSend(engine: LimitedAddress): void {
+		this.#allocator.onSend(engine);
+	}
+
+	#getState(engine: LimitedAddress): PermitState {
+		const key = formatLimitKey(engine);
+		const state = this.#states.get(key) ?? {
+			refusedUntil: Number.NEGATIVE_INFINITY, returnAt: this.#timers.getNow(), pendingCount: 0, hasReportedPrior: false,
+		};
+		this.#states.set(key, state);
+		return state;
+	}
+}
--- a/src/places/index.ts
+++ b/src/places/index.ts
@@ -10,5 +10,6 @@
 export {serveReservations} from './serve.js';
 export {FailoverReservations} from './failover.js';
 export type {FailoverDependencies} from './failover.js';
-export {Reservation, ReservationProvider} from './types.js';
-export type {ReservedEngines, ReservationRequest} from './types.js';
+export {PermitProvider, Reservation, ReservationProvider} from './types.js';
+export type {PermitAnswer, ReservedEngines, ReservationRequest} from './types.js';
+export {FailoverPermits} from './failoverpermits.js';
--- a/src/places/messages.ts
+++ b/src/places/messages.ts
@@ -3,11 +3,12 @@
 import {BadFrameError, refusalReason} from '../errors/index.js';
 import type {RefusalReason} from '../errors/index.js';
 import type {Quarantine} from '../quarantine/index.js';
+import type {LimitedAddress, RequestLimit} from '../requestlimits/index.js';
 import type {ReservedEngines, ReservationRequest} from './types.js';
 
 /** Number of each kind of message on the wire, where it is the first item. Add new kinds at the end. */
 export const allocatorMessageKind = {
-	request: 1, grant: 2, refuse: 3, prefillEnd: 4, release: 5, cancel: 6, ping: 7, pong: 8, adopt: 9, quarantine: 10,
+	request: 1, grant: 2, refuse: 3, prefillEnd: 4, release: 5, cancel: 6, ping: 7, pong: 8, adopt: 9, quarantine: 10, limits: 11, permitRequest: 12, permit: 13,
 } as const;
 
 /** A message between an entry and a slot allocator. `id` identifies the reservation request, or the ping, on its connection. */
@@ -20,10 +21,19 @@
 	| {readonly kind: typeof allocatorMessageKind.adopt; readonly id: number; readonly request: ReservationRequest; readonly engines: ReservedEngines; readonly isPrefillPending: boolean}
 	/** What the sender knows of blocks that crash engines; sent in both directions, with the id 0. */
 	| {readonly kind: typeof allocatorMessageKind.quarantine; readonly id: number; readonly quarantines: readonly Quarantine[]}
+	/** What the sender, whose address is `sender`, knows of engines' limits; sent in both directions, with the id 0. */
+	| {readonly kind: typeof allocatorMessageKind.limits; readonly id: number; readonly sender: string; readonly limits: readonly RequestLimit[]}
+	/** Asks for a permit to send one request to an engine; `priorCount` are those that the sender sent it in the second before it knew of the limit. */
+	| {readonly kind: typeof allocatorMessageKind.permitRequest; readonly id: number; readonly engine: LimitedAddress; readonly priorCount: number}
+	/** Grants or refuses a permit; `waitMs` is the time after which another one may be asked for. */
+	| {readonly kind: typeof allocatorMessageKind.permit; readonly id: number; readonly isGranted: boolean; readonly waitMs: number}
 	| {readonly kind: typeof allocatorMessageKind.cancel; readonly id: number}
 	| {readonly kind: typeof allocatorMessageKind.ping; readonly id: number}
 	| {readonly kind: typeof allocatorMessageKind.pong; readonly id: number};
 
+/** Stands for an engine that names no limit. */
+const noLimit = -1;
+
 const outcomes = Object.values(engineOutcome);
 const reasons = Object.values(refusalReason);
 
@@ -52,6 +62,18 @@
 			return [message.kind, message.id, message.quarantines.map(({blocks, remainingMs, count}) => [Math.round(remainingMs), count, ...blocks])];
 		}
 
+		case allocatorMessageKind.limits: {
+			return [message.kind, message.id, message.sender, message.limits.map(({service, address, perSecond, ageMs}) => [service, address, Number.isFinite(perSecond) ? perSecond : noLimit, Math.round(ageMs)])];
+		}
+
+		case allocatorMessageKind.permitRequest: {
+			return [message.kind, message.id, message.engine.service, message.engine.address, message.priorCount];
+		}
+
+		case allocatorMessageKind.permit: {
+			return [message.kind, message.id, message.isGranted, Math.round(message.waitMs)];
+		}
+
 		case allocatorMessageKind.prefillEnd:
 		case allocatorMessageKind.release: {
 			return [message.kind, message.id, message.outcome ?? ''];
@@ -127,6 +149,24 @@
 			return {kind, id, quarantines: parseQuarantines(rest[0])};
 		}
 
+		case allocatorMessageKind.limits: {
+			return {
+				kind, id, sender: parseString(rest[0]), limits: parseLimits(rest[1]),
+			};
+		}
+
+		case allocatorMessageKind.permitRequest: {
+			return {
+				kind, id, engine: {service: parseString(rest[0]), address: parseString(rest[1])}, priorCount: parseNumber(rest[2]),
+			};
+		}
+
+		case allocatorMessageKind.permit: {
+			return {
+				kind, id, isGranted: rest[0] === true, waitMs: parseNumber(rest[1]),
+			};
+		}
+
 		case allocatorMessageKind.prefillEnd:
 		case allocatorMessageKind.release: {
 			return {kind, id, outcome: outcomes.find(known => known === rest[0])};
@@ -172,6 +212,20 @@
 	});
 }
 
+function parseLimits(value: unknown): RequestLimit[] {
+	if (!Array.isArray(value)) {
+		throw new BadFrameError('allocator message has no list of limits');
+	}
+
+	return value.map((row: unknown) => {
+		const [service, address, perSecond, ageMs] = Array.isArray(row) ? row as unknown[] : [];
+		const limit = parseNumber(perSecond);
+		return {
+			service: parseString(service), address: parseString(address), perSecond: limit < 0 ? Number.POSITIVE_INFINITY : limit, ageMs: parseNumber(ageMs),
+		};
+	});
+}
+
 function parsePrefixBlocks(value: unknown): PrefixBlock[] {
 	const items = Array.isArray(value) ? value : [];
 	const blocks: PrefixBlock[] = [];
--- a/src/places/remoteallocator.ts
+++ b/src/places/remoteallocator.ts
@@ -3,12 +3,14 @@
 import {NotRunError, refusalReason} from '../errors/index.js';
 import type {MessageLink, MessageNetwork} from '../peers/index.js';
 import type {BlockQuarantine} from '../quarantine/index.js';
+import type {LimitedAddress, RequestLimits} from '../requestlimits/index.js';
 import type {Timer, TimerService} from '../timers/index.js';
+import {LimitLink} from './limitlink.js';
 import {parseItems, allocatorMessageKind, toItems} from './messages.js';
 import type {AllocatorMessage} from './messages.js';
 import {QuarantineLink} from './quarantinelink.js';
 import {Reservation} from './types.js';
-import type {ReservedEngines, ReservationRequest} from './types.js';
+import type {PermitAnswer, ReservedEngines, ReservationRequest} from './types.js';
 
 /** Interval between checks that the allocator answers, in milliseconds. */
 const checkIntervalMs = 75;
@@ -20,6 +22,8 @@
 const slowPingMs = 150;
 /** Consecutive slow pings after which the allocator counts as lost. */
 const slowPingLimit = 3;
+/** Time without an answer to a request for a permit after which another engine is tried, in milliseconds. */
+const permitTimeoutMs = 150;
 /** Delay of a check above which ping times are ignored, in milliseconds: they then show that this process is busy, not the allocator. */
 const maxLocalLagMs = 15;
 
@@ -29,6 +33,18 @@
 	readonly onLost: (reason: string) => void;
 	/** Called when a request was granted or refused, with the grant rate of its kind. */
 	readonly onAnswer: (request: ReservationRequest, isGranted: boolean, grantRate: number) => void;
+	/** Called when a request was refused because of engines' limits, with the time after which its caller may return, in milliseconds. */
+	readonly onLimited: (request: ReservationRequest, retryAfterMs: number) => void;
+};
+
+/** What a `RemoteAllocator` shares with this process. */
+export type AllocatorState = {
+	/** Quarantines of this process, which are kept like those of the allocator's. */
+	readonly quarantine: BlockQuarantine;
+	/** Engines' limits that this process knows, kept alike too. */
+	readonly limits: RequestLimits;
+	/** `host:port` at which this process accepts reservation requests. */
+	readonly localAddress: string;
 };
 
 type PendingRequest = {
@@ -37,6 +53,12 @@
 	readonly reject: (error: Error) => void;
 };
 
+type PendingPermit = {
+	readonly resolve: (answer: PermitAnswer) => void;
+	readonly reject: (error: Error) => void;
+	readonly timer: Timer;
+};
+
 /** The slot allocator can't be reached; a reservation has to be acquired elsewhere. The error's `name` keeps an earlier name of the class. */
 export class AllocatorLostError extends Error {
 	override readonly name = 'KeeperLostError';
@@ -48,8 +70,11 @@
 	readonly #link: MessageLink;
 	readonly #onLost: (reason: string) => void;
 	readonly #onAnswer: AllocatorEvents['onAnswer'];
+	readonly #onLimited: AllocatorEvents['onLimited'];
 	readonly #quarantineLink: QuarantineLink;
+	readonly #limitLink: LimitLink;
 	readonly #pending = new Map<number, PendingRequest>();
+	readonly #pendingPermits = new Map<number, PendingPermit>();
 	readonly #checkTimer: Timer;
 	#nextId = 0;
 	readonly #pings = new Map<number, number>();
@@ -60,16 +85,23 @@
 	#isLagging = false;
 	#isLost = false;
 
-	/** Takes the quarantines of this process, which are kept like those of the allocator's. */
-	constructor(timers: TimerService, network: MessageNetwork, address: string, {onLost, onAnswer, quarantine}: AllocatorEvents & {readonly quarantine: BlockQuarantine}) {
+	constructor(timers: TimerService, network: MessageNetwork, address: string, {
+		onLost, onAnswer, onLimited, quarantine, limits, localAddress,
+	}: AllocatorEvents & AllocatorState) {
 		this.#timers = timers;
 		this.#onLost = onLost;
 		this.#onAnswer = onAnswer;
+		this.#onLimited = onLimited;
 		this.#checkDueAt = timers.getNow();
 		this.#lastReceivedAt = timers.getNow();
 		this.#quarantineLink = new QuarantineLink(timers, quarantine, message => {
 			this.#send(message);
 		});
+		this.#limitLink = new LimitLink({
+			timers, limits, localAddress, send: message => {
+				this.#send(message);
+			},
+		});
 		this.#link = network.open(address, {
 			onMessage: items => {
 				this.#onMessage(parseItems(items));
@@ -79,6 +111,7 @@
 			},
 		});
 		this.#quarantineLink.start();
+		this.#limitLink.start();
 		this.#sendPing();
 		this.#checkTimer = timers.startInterval(checkIntervalMs, () => {
 			this.#checkAllocator();
@@ -128,6 +161,29 @@
 		});
 	}
 
+	/**
+	Asks for a permit to send one request to an engine that names a limit. An allocator that does not answer in time has refused it. Throws
+	`AllocatorLostError` when the allocator is lost.
+	*/
+	async takePermit(engine: LimitedAddress, priorCount: number): Promise<PermitAnswer> {
+		const id = this.#nextId++;
+		return new Promise<PermitAnswer>((resolve, reject) => {
+			if (this.#isLost) {
+				reject(new AllocatorLostError('The slot allocator was lost before the request was sent.'));
+				return;
+			}
+
+			const timer = this.#timers.startTimer(permitTimeoutMs, () => {
+				this.#pendingPermits.delete(id);
+				resolve({isGranted: false, waitMs: permitTimeoutMs});
+			});
+			this.#pendingPermits.set(id, {resolve, reject, timer});
+			this.#send({
+				kind: allocatorMessageKind.permitRequest, id, engine, priorCount,
+			});
+		});
+	}
+
 	/** Closes the connection. */
 	close(): void {
 		this.#markLost('closed');
@@ -152,7 +208,7 @@
 		}
 
 		this.#checks++;
-		const isSilent = this.#pending.size > 0 && now - this.#lastReceivedAt >= checkIntervalMs;
+		const isSilent = this.#pending.size + this.#pendingPermits.size > 0 && now - this.#lastReceivedAt >= checkIntervalMs;
 		if (isSilent || this.#checks % checksPerPing === 0) {
 			this.#sendPing();
 		}
@@ -173,6 +229,19 @@
 			return;
 		}
 
+		if (message.kind === allocatorMessageKind.limits) {
+			this.#limitLink.onMessage(message.limits);
+			return;
+		}
+
+		if (message.kind === allocatorMessageKind.permit) {
+			const pendingPermit = this.#pendingPermits.get(message.id);
+			this.#pendingPermits.delete(message.id);
+			pendingPermit?.timer.cancel();
+			pendingPermit?.resolve(message);
+			return;
+		}
+
 		if (message.kind === allocatorMessageKind.pong) {
 			this.#onPong(message.id);
 			return;
@@ -189,7 +258,9 @@
 			this.#pending.delete(message.id);
 			if (pending) {
 				// What is wrong with one prompt says nothing about the requests of its kind.
-				if (message.reason !== refusalReason.quarantined) {
+				if (message.reason === refusalReason.limited) {
+					this.#onLimited(pending.request, message.retryAfterMs);
+				} else if (message.reason !== refusalReason.quarantined) {
 					this.#onAnswer(pending.request, false, message.grantRate);
 				}
 
@@ -219,10 +290,17 @@
 		this.#isLost = true;
 		this.#checkTimer.cancel();
 		this.#quarantineLink.close();
+		this.#limitLink.close();
 		this.#link.close();
 		const pending = [...this.#pending.values()];
 		this.#pending.clear();
-		for (const {reject} of pending) {
+		const pendingPermits = [...this.#pendingPermits.values()];
+		this.#pendingPermits.clear();
+		for (const {timer} of pendingPermits) {
+			timer.cancel();
+		}
+
+		for (const {reject} of [...pending, ...pendingPermits]) {
 			reject(new AllocatorLostError(`The slot allocator was lost before it answered: ${reason}.`));
 		}
 
--- a/src/places/serve.ts
+++ b/src/places/serve.ts
@@ -4,6 +4,7 @@
 import type {SlotAllocator} from './allocator.js';
 import {parseItems, allocatorMessageKind, toItems} from './messages.js';
 import type {AllocatorMessage} from './messages.js';
+import {LimitLink} from './limitlink.js';
 import {QuarantineLink} from './quarantinelink.js';
 import type {Reservation, ReservationRequest} from './types.js';
 
@@ -15,9 +16,9 @@
 
 /**
 Serves the reservation requests of one connection from the allocator of this process. When the connection closes, its
-waiting requests are cancelled and its reservations released.
+waiting requests are cancelled and its reservations released. Takes the address at which this process accepts such connections.
 */
-export function serveReservations(link: MessageLink, allocator: SlotAllocator): MessageHandlers {
+export function serveReservations(link: MessageLink, allocator: SlotAllocator, localAddress: string): MessageHandlers {
 	const requests = new Map<number, RequestState>();
 	const send = (message: AllocatorMessage) => {
 		link.send(toItems(message));
@@ -25,6 +26,11 @@
 
 	const quarantineLink = new QuarantineLink(allocator.timers, allocator.quarantine, send);
 	quarantineLink.start();
+	const limitLink = new LimitLink({
+		timers: allocator.timers, limits: allocator.limits, localAddress, send,
+	});
+	limitLink.start();
+	const client = allocator.clients.add(allocator.timers.getNow());
 
 	const onRequest = async (id: number, request: ReservationRequest) => {
 		const state: RequestState = {controller: new AbortController(), reservation: undefined};
@@ -60,7 +66,9 @@
 
 	/** Handles a message from another entry; ignores kinds that only an allocator sends. */
 	const onMessage = (message: AllocatorMessage) => {
+		client.lastReceivedAt = allocator.timers.getNow();
 		if (message.kind === allocatorMessageKind.request) {
+			client.askedAt.set(message.request.service, client.lastReceivedAt);
 			void onRequest(message.id, message.request);
 			return;
 		}
@@ -79,6 +87,18 @@
 			return;
 		}
 
+		if (message.kind === allocatorMessageKind.limits) {
+			allocator.clients.onAddress(client, message.sender);
+			limitLink.onMessage(message.limits);
+			return;
+		}
+
+		if (message.kind === allocatorMessageKind.permitRequest) {
+			client.askedAt.set(message.engine.service, client.lastReceivedAt);
+			send({kind: allocatorMessageKind.permit, id: message.id, ...allocator.tryTakePermit(message.engine, message.priorCount)});
+			return;
+		}
+
 		if (message.kind === allocatorMessageKind.ping) {
 			send({kind: allocatorMessageKind.pong, id: message.id});
 			return;
@@ -100,6 +120,8 @@
 		},
 		onClose() {
 			quarantineLink.close();
+			limitLink.close();
+			allocator.clients.remove(client);
 			for (const state of requests.values()) {
 				state.controller.abort(cancelReason);
 				state.reservation?.release(undefined);
--- a/src/places/test/failover.test.ts
+++ b/src/places/test/failover.test.ts
@@ -2,6 +2,7 @@
 import {Fleet} from '../../dispatch/index.js';
 import {NotRunError} from '../../errors/index.js';
 import {MessageLink, MessageNetwork} from '../../peers/index.js';
+import {RequestLimits} from '../../requestlimits/index.js';
 import {ManualTimers} from '../../timers/index.js';
 import {RemoteAllocator} from '../remoteallocator.js';
 import {listAllocators, SlotAllocator, FailoverReservations} from '../index.js';
@@ -81,7 +82,9 @@
 			}
 		}
 
-		const allocator = new RemoteAllocator(new ManualTimers(), new CountingNetwork(), 'a:1', {onLost: () => undefined, onAnswer: () => undefined, quarantine: new BlockQuarantine()});
+		const allocator = new RemoteAllocator(new ManualTimers(), new CountingNetwork(), 'a:1', {
+			onLost: () => undefined, onAnswer: () => undefined, onLimited: () => undefined, quarantine: new BlockQuarantine(), limits: new RequestLimits(), localAddress: 'x:1',
+		});
 		const sentBefore = sent.length;
 		let error: unknown;
 		try {
--- a/src/places/test/overload.test.ts
+++ b/src/places/test/overload.test.ts
@@ -38,7 +38,7 @@
 		this.#allocator = new SlotAllocator({
 			timers: this.#timers, fleet, getRandom: () => this.#random.getRandom(), getSlotShare: () => 1,
 		});
-		this.#refusals = Array.from({length: entryCount}, () => new RecentRefusals(this.#timers, () => this.#random.getRandom()));
+		this.#refusals = Array.from({length: entryCount}, () => new RecentRefusals(this.#timers, () => this.#random.getRandom(), this.#allocator.limits));
 	}
 
 	/** Sends requests at a rate; returns how many were sent to the allocator, granted, and refused by it or by their entry. */
--- a/src/places/test/quarantines.test.ts
+++ b/src/places/test/quarantines.test.ts
@@ -22,7 +22,7 @@
 			timers: this.timers, getRandom: () => 0.5, network: this.network, localAllocator: allocator, localAddress: address, listCandidates: () => this.live, onAllocatorChange: () => undefined,
 		});
 		this.entries.push({allocator, reservations});
-		void this.network.serve(address, link => serveReservations(link, allocator));
+		void this.network.serve(address, link => serveReservations(link, allocator, address));
 	}
 
 	/** Makes an entry ask the slot allocator that it uses now. */
--- a/src/places/test/refusals.test.ts
+++ b/src/places/test/refusals.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {NotRunError} from '../../errors/index.js';
+import {RequestLimits} from '../../requestlimits/index.js';
 import {ManualTimers} from '../../timers/index.js';
 import {RecentRefusals} from '../index.js';
 import type {ReservationRequest} from '../index.js';
@@ -10,7 +11,7 @@
 describe('RecentRefusals', () => {
 	it('refuses requests of a refused kind for a short time, with a time to retry after', async () => {
 		const timers = new ManualTimers();
-		const refusals = new RecentRefusals(timers, () => 0.5);
+		const refusals = new RecentRefusals(timers, () => 0.5, new RequestLimits());
 		refusals.check(request);
 		refusals.onAnswer(request, false, 1);
 		expect(() => {
@@ -22,7 +23,7 @@
 
 	it('distinguishes late requests, long ones and services, and drops a refusal after a grant', () => {
 		const timers = new ManualTimers();
-		const refusals = new RecentRefusals(timers, () => 0.5);
+		const refusals = new RecentRefusals(timers, () => 0.5, new RequestLimits());
 		const late = {...request, targetMs: -1};
 		refusals.onAnswer(late, false, 1);
 		refusals.check(request);
--- a/src/places/test/takeover.test.ts
+++ b/src/places/test/takeover.test.ts
@@ -58,7 +58,7 @@
 				timers: this.timers, getRandom: () => 0.5, network: this.#network, localAllocator: allocator, localAddress: address, listCandidates: () => entry.live, onAllocatorChange: () => undefined,
 			});
 			this.entries.push(Object.assign(entry, {reservations}));
-			void this.#network.serve(address, link => serveReservations(link, allocator));
+			void this.#network.serve(address, link => serveReservations(link, allocator, address));
 		}
 	}
 
