--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -248,8 +248,8 @@
 		}
 
 		const open = views.filter(({record}) => this.#permits.computeWaitMs(record, times.now) === 0);
-		if (open.length < views.length && !open.some(view => this.#canDecode(view, times.now))) {
-			const limited = views.filter(view => !open.includes(view) && this.#canDecode(view, times.now));
+		if (open.length < views.length && !open.some(view => this.#isAvailableToDecode(view, times.now))) {
+			const limited = views.filter(view => !open.includes(view) && this.#isAvailableToDecode(view, times.now));
 			if (limited.length > 0) {
 				return this.#refuseLimited(limited, times);
 			}
@@ -261,7 +261,7 @@
 			: this.#tryPlace(request, this.#attribution.selectEngines(open, suspects), times) ?? heldBack;
 	}
 
-	#canDecode(view: EngineView, now: number): boolean {
+	#isAvailableToDecode(view: EngineView, now: number): boolean {
 		return view.record.stage !== engineStage.prefill && this.getUsage(view).health.isAvailable(now);
 	}
 
--- a/src/places/clients.ts
+++ b/src/places/clients.ts
@@ -30,16 +30,21 @@
 		return link;
 	}
 
-	/** Handles the address of a connection's entry. */
+	/** Handles the address of a connection's entry. An earlier connection of it is of no use any more, if its end was not seen. */
 	onAddress(link: ClientLink, address: string): void {
+		for (const other of this.#links) {
+			if (other !== link && other.address === address) {
+				this.#links.delete(other);
+			}
+		}
+
 		link.address = address;
 		this.#lost.delete(address);
 	}
 
 	/** Removes a connection that has closed. */
 	remove(link: ClientLink): void {
-		this.#links.delete(link);
-		if (link.address === undefined || [...this.#links].some(({address}) => address === link.address)) {
+		if (!this.#links.delete(link) || link.address === undefined) {
 			return;
 		}
 
@@ -50,6 +55,11 @@
 		}
 	}
 
+	/** Lists the addresses of the entries that are connected. */
+	listAddresses(): ReadonlySet<string | undefined> {
+		return new Set([...this.#links].map(({address}) => address));
+	}
+
 	/** Counts the entries that have lately asked this allocator for a service. */
 	countAsking(service: string, now: number): number {
 		return [...this.#links].filter(link => now - (link.askedAt.get(service) ?? Number.NEGATIVE_INFINITY) < askingMs).length;
--- a/src/places/failover.ts
+++ b/src/places/failover.ts
@@ -1,8 +1,10 @@
 import type {MessageNetwork} from '../peers/index.js';
-import type {TimerService} from '../timers/index.js';
+import type {Timer, TimerService} from '../timers/index.js';
 import type {SlotAllocator} from './allocator.js';
 import {listAllocators} from './candidates.js';
 import type {AllocatorCandidate} from './candidates.js';
+import {LimitLink} from './limitlink.js';
+import {allocatorMessageKind, parseItems, toItems} from './messages.js';
 import {RecentRefusals} from './refusals.js';
 import {AllocatorLostError, RemoteAllocator} from './remoteallocator.js';
 import {computeRemainingRequest, HeldReservations} from './tracked.js';
@@ -15,6 +17,10 @@
 /** Number of allocators of a service that are tried in order; when all are lost, each entry allocates for itself. */
 const maxAllocators = 3;
 
+/** Delay before limits are published, in milliseconds, in which entries that have the news connect by themselves; and the time for which its connections stay open. */
+const publishDelayMs = 20;
+const publishMs = 1000;
+
 /** Which allocator an entry uses for a service. */
 const allocatorUse = {
 	/** That of this process, as one of the service's. */
@@ -58,6 +64,7 @@
 	readonly #allocators = new Map<string, readonly string[]>();
 	readonly #held: HeldReservations;
 	#candidates: readonly AllocatorCandidate[] = [];
+	#publishTimer: Timer | undefined;
 	#isIsolated = false;
 	/** Which allocator the latest request of each service went to. */
 	readonly #usedAllocators = new Map<string, AllocatorUse>();
@@ -67,6 +74,11 @@
 		this.#dependencies = dependencies;
 		this.#refusals = new RecentRefusals(dependencies.timers, dependencies.getRandom, dependencies.localAllocator.limits);
 		this.#held = new HeldReservations(dependencies.timers);
+		dependencies.localAllocator.limits.subscribe(change => {
+			if (Number.isFinite(change.perSecond) && !Number.isFinite(change.previousPerSecond)) {
+				this.#publishLimits(change.service);
+			}
+		});
 	}
 
 	/** Computes the share of each engine's capacity that the allocator of this process may grant, above 0 up to 1. */
@@ -148,13 +160,70 @@
 		}
 	}
 
+	/** Connects to the first allocator of a service that is not lost, so that it knows what this process knows. */
+	connectFirst(service: string): void {
+		const {timers, localAddress} = this.#dependencies;
+		const address = this.#listAllocators(service).find(candidate => candidate === localAddress || (this.#skippedUntil.get(candidate) ?? 0) <= timers.getNow());
+		if (address !== undefined && address !== localAddress) {
+			this.#getRemoteAllocator(address);
+		}
+	}
+
 	/** Closes the connections to other entries' allocators. */
 	stop(): void {
+		this.#publishTimer?.cancel();
 		for (const allocator of this.#remoteAllocators.values()) {
 			allocator.close();
 		}
 	}
 
+	/**
+	Tells all entries of the limits that are known, if this process is the first choice for a service: those that have not been told by an
+	answer would otherwise send one request each before they ask for permits. Limits that become known close together are published at once.
+	*/
+	#publishLimits(service: string): void {
+		const {timers, localAddress} = this.#dependencies;
+		const isFirst = this.#listAllocators(service)[0] === localAddress;
+		if (this.#publishTimer !== undefined || !isFirst) {
+			return;
+		}
+
+		this.#publishTimer = timers.startTimer(publishDelayMs, () => {
+			this.#publishTimer = undefined;
+			const connected = this.#dependencies.localAllocator.clients.listAddresses();
+			for (const {address} of this.#dependencies.listCandidates()) {
+				if (address !== localAddress && !connected.has(address)) {
+					this.#publishTo(address);
+				}
+			}
+		});
+	}
+
+	#publishTo(address: string): void {
+		const {timers, network, localAllocator, localAddress} = this.#dependencies;
+		const limitLink = new LimitLink({
+			timers, limits: localAllocator.limits, localAddress, send(message) {
+				link.send(toItems(message));
+			},
+		});
+		const closeTimer = timers.startTimer(publishMs, () => {
+			link.close();
+		});
+		const link = network.open(address, {
+			onMessage(items) {
+				const message = parseItems(items);
+				if (message.kind === allocatorMessageKind.limits) {
+					limitLink.onMessage(message.limits);
+				}
+			},
+			onClose() {
+				closeTimer.cancel();
+				limitLink.close();
+			},
+		});
+		limitLink.start();
+	}
+
 	#listAllocators(service: string): readonly string[] {
 		const candidates = this.#dependencies.listCandidates();
 		if (candidates !== this.#candidates) {
--- a/src/places/failoverpermits.ts
+++ b/src/places/failoverpermits.ts
@@ -1,5 +1,5 @@
 import {formatLimitKey} from '../requestlimits/index.js';
-import type {LimitedAddress} from '../requestlimits/index.js';
+import type {LimitedAddress, RequestLimitChange} from '../requestlimits/index.js';
 import type {TimerService} from '../timers/index.js';
 import type {SlotAllocator} from './allocator.js';
 import type {FailoverReservations} from './failover.js';
@@ -17,8 +17,8 @@
 	/** Time at which the next refused request may return. */
 	returnAt: number;
 	pendingCount: number;
-	/** Whether the allocator has been told of the requests before the limit. */
-	hasReportedPrior: boolean;
+	/** Requests of this process in the second before it knew of the limit that the allocator has not been told of. */
+	priorCount: number;
 };
 
 /** Gets permits from the entry that allocates for the service, or from this process when that can't be reached. */
@@ -26,7 +26,7 @@
 	readonly #timers: TimerService;
 	readonly #allocator: SlotAllocator;
 	readonly #reservations: FailoverReservations;
-	/** By key of the engine; only engines that name a limit. */
+	/** By key of the engine; only engines that name a limit, or did when they were last asked for. */
 	readonly #states = new Map<string, PermitState>();
 
 	/** Takes the allocator of this process, and the choice among those of all entries. */
@@ -36,14 +36,7 @@
 		this.#allocator = allocator;
 		this.#reservations = reservations;
 		allocator.limits.subscribe(change => {
-			const state = this.#states.get(formatLimitKey(change));
-			if (state) {
-				state.refusedUntil = Number.NEGATIVE_INFINITY;
-			}
-
-			if (!Number.isFinite(change.perSecond)) {
-				this.#states.delete(formatLimitKey(change));
-			}
+			this.#onLimitChange(change);
 		});
 	}
 
@@ -61,8 +54,8 @@
 			return false;
 		}
 
-		const priorCount = state.hasReportedPrior ? 0 : this.#allocator.countRecentSends(engine);
-		state.hasReportedPrior = true;
+		const {priorCount} = state;
+		state.priorCount = 0;
 		state.pendingCount++;
 		try {
 			const {isGranted, waitMs} = await this.#reservations.callAllocator(engine.service, async allocator => allocator instanceof RemoteAllocator
@@ -104,10 +97,24 @@
 		this.#allocator.onSend(engine);
 	}
 
+	#onLimitChange(change: RequestLimitChange): void {
+		const key = formatLimitKey(change);
+		if (!Number.isFinite(change.perSecond)) {
+			this.#states.delete(key);
+			return;
+		}
+
+		this.#getState(change).refusedUntil = Number.NEGATIVE_INFINITY;
+		if (change.cause === 'answer') {
+			// The first choice tells the entries that don't know of the limit.
+			this.#reservations.connectFirst(change.service);
+		}
+	}
+
 	#getState(engine: LimitedAddress): PermitState {
 		const key = formatLimitKey(engine);
 		const state = this.#states.get(key) ?? {
-			refusedUntil: Number.NEGATIVE_INFINITY, returnAt: this.#timers.getNow(), pendingCount: 0, hasReportedPrior: false,
+			refusedUntil: Number.NEGATIVE_INFINITY, returnAt: this.#timers.getNow(), pendingCount: 0, priorCount: this.#allocator.countRecentSends(engine),
 		};
 		this.#states.set(key, state);
 		return state;
--- a/src/requestlimits/permits.ts
+++ b/src/requestlimits/permits.ts
@@ -5,7 +5,7 @@
 const millisecondsPerSecond = 1000;
 /** Requests that may go out at once after a pause, in seconds of the limit, and the bounds of their number: two allocators at once have one burst each. */
 const burstSeconds = 0.25;
-const minBurst = 1;
+const minBurst = 1.5;
 const maxBurst = 3;
 /** Rate below which a limit is raised, in requests a second: without any request the end of the limit would not be seen. */
 const minPerSecond = 0.02;
@@ -15,19 +15,19 @@
 /** Requests in the time before that need no making up for: those of `priorSeconds` of the limit, and a few. */
 const priorSeconds = 2;
 const priorRequests = 2;
-/** Number of slices in which the requests of the latest `priorMs` are counted. */
-const sliceCount = 4;
+/** Number of slices in which the requests of the latest `priorMs` are counted, beside the one in progress. */
+const sliceCount = 5;
 /** Maximum number of addresses with a count of requests. */
 const maxBuckets = 4096;
 
 /** Requests that one engine was sent in the latest `priorMs`. */
 class RecentCount {
-	readonly #counts = Array.from({length: sliceCount}, () => 0);
+	readonly #counts = Array.from({length: sliceCount + 1}, () => 0);
 	#slice = 0;
 
 	add(now: number): void {
 		this.#advance(now);
-		this.#counts[this.#slice % sliceCount]!++;
+		this.#counts[this.#slice % this.#counts.length]!++;
 	}
 
 	count(now: number): number {
@@ -37,8 +37,8 @@
 
 	#advance(now: number): void {
 		const slice = Math.floor(now * sliceCount / priorMs);
-		for (let next = Math.max(this.#slice + 1, slice - sliceCount + 1); next <= slice; next++) {
-			this.#counts[next % sliceCount] = 0;
+		for (let next = Math.max(this.#slice + 1, slice - sliceCount); next <= slice; next++) {
+			this.#counts[next % this.#counts.length] = 0;
 		}
 
 		this.#slice = Math.max(this.#slice, slice);
