--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -55,7 +55,7 @@
 		const reservation = yield * callStep('wait for a place', async () => acquireReservation(dependencies, served, progress));
 		const decodeEngine = reservation && served.fleet.findAccepting(reservation.engines.decodeEngine, dependencies.timers.getNow());
 		if (!reservation) {
-			releaseHeldKvCache(dependencies, progress);
+			releaseHeldKvCache(dependencies, served, progress);
 			return;
 		}
 
@@ -120,7 +120,7 @@
 		yield * callStep('check the engine', async () => attempt.checkEngine());
 		outcome = attempt.trace.sign;
 		if (attempt.isNotRun && kvCacheHandle) {
-			dependencies.link.releaseKvCache(kvCacheHandle, kvCacheHandle.engineId);
+			void releaseKvCache(dependencies, served, kvCacheHandle);
 		}
 
 		return isDone ? undefined : attempt;
@@ -235,13 +235,21 @@
 }
 
 /** Frees the KV cache that no decode engine will use, if there is one. */
-function releaseHeldKvCache(dependencies: GatewayDependencies, progress: GenerationProgress): void {
+function releaseHeldKvCache(dependencies: GatewayDependencies, served: ServedRequest, progress: GenerationProgress): void {
 	if (progress.heldKvCache) {
-		dependencies.link.releaseKvCache(progress.heldKvCache, progress.heldKvCache.engineId);
+		void releaseKvCache(dependencies, served, progress.heldKvCache);
 		progress.heldKvCache = undefined;
 	}
 }
 
+/** Frees a KV cache. Where the engine's limit allows no request it is left to expire there. */
+async function releaseKvCache({link, permits}: GatewayDependencies, {fleet}: ServedRequest, handle: PrefilledKvCache): Promise<void> {
+	const engine = fleet.findServing(handle.engineId)?.record;
+	if (!engine || !permits.isLimited(engine) || await permits.takePermit(engine)) {
+		link.releaseKvCache(handle, handle.engineId);
+	}
+}
+
 async function readHandle(dependencies: GatewayDependencies, attempt: Attempt): Promise<string | undefined> {
 	if (!attempt.reply || attempt.isNotRun) {
 		return undefined;
