Choose allocators by VM, key limits by engine; the soak plays engines with limits

Entries in the soak reach each other, and the engines, under different addresses each. Allocators were ranked by address, so no two entries of the soak agreed on one, and limits keyed by address would not have been understood. Allocators and readers of the store are ranked by the VM's name now, and messages name engines by id; incarnations at one address still share a limit. On the platform every VM has one address and nothing else changes. The soak: engines name limits that change and end (a source of its own, so that earlier faults of a seed stay), checked by what arrives in 4 s from VMs that had been told and were neither stopped, paused nor cut off.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -270,6 +270,29 @@
 	}
 }
 
+/** An engine names a limit for the requests of all VMs together, and another one halfway through. */
+class LimitedEngine extends SoakFault {
+	readonly #engineHost: EngineHost;
+	readonly #limits: readonly [number, number];
+
+	constructor(engineHost: EngineHost, limits: readonly [number, number], durationMs: number) {
+		super(`${engineHost.name} names limits of ${limits.map(limit => limit.toFixed(1)).join(' and ')} requests a second`, durationMs);
+		this.#engineHost = engineHost;
+		this.#limits = limits;
+	}
+
+	start(): void {
+		[this.#engineHost.engine.requestLimit] = this.#limits;
+		setTimeout(() => {
+			[, this.#engineHost.engine.requestLimit] = this.#limits;
+		}, this.durationMs / 2);
+	}
+
+	close(): void {
+		this.#engineHost.engine.requestLimit = Number.POSITIVE_INFINITY;
+	}
+}
+
 /** The next answers of an engine are faulty, one for each of the given faults. */
 class BadAnswers extends SoakFault {
 	readonly #engineHost: EngineHost;
@@ -375,3 +398,20 @@
 		? new BadAnswers(world.engineHosts[random.pickIndex(world.engineHosts.length)]!, [faults[random.pickIndex(faults.length)]!])
 		: undefined;
 }
+
+/** Share of the picked faults with which an engine also names a limit, bounds of its duration, in milliseconds, and of the limits, in requests a second. */
+const limitShare = 0.2;
+const minLimitedMs = 3000;
+const maxLimitedMs = 9000;
+const minLimit = 0.3;
+const maxLimit = 15;
+
+/** Picks whether an engine also names a limit for the requests of all VMs, with a source of its own. */
+export function pickLimit(world: SoakWorld, random: RandomSource): SoakFault | undefined {
+	if (random.getRandom() >= limitShare) {
+		return undefined;
+	}
+
+	const engineHost = world.engineHosts[random.pickIndex(world.engineHosts.length)]!;
+	return new LimitedEngine(engineHost, [random.pickBetween(minLimit, maxLimit), random.pickBetween(minLimit, maxLimit)], random.pickBetween(minLimitedMs, maxLimitedMs));
+}
--- a/soak/invariantchecker.ts
+++ b/soak/invariantchecker.ts
@@ -1,5 +1,5 @@
 import {header} from '../platform/wire.js';
-import {listBlocks} from '../standins/fleet/index.js';
+import {findLimitBreach, listBlocks} from '../standins/fleet/index.js';
 import type {Arrival} from '../standins/fleet/index.js';
 import {callerDeadlineMs, callKinds} from './callers.js';
 import type {ObservedCall} from './callers.js';
@@ -39,6 +39,9 @@
 const contactMs = 3000;
 const maxArrivalsAfterCrashes = 3;
 
+/** Time after an answer that named a limit from which requests of its VM count, in milliseconds. */
+const toldMs = 500;
+
 /** An injected fault; times are monotonic, in milliseconds; `endedAt` is infinite while it lasts. */
 export type StartedFault = {readonly fault: SoakFault; readonly startedAt: number; endedAt: number};
 
@@ -137,6 +140,7 @@
 		this.#checkFurtherSends();
 		this.#checkWishes();
 		this.#checkCrashing();
+		this.#checkLimits();
 		for (const vm of this.#world.vms) {
 			if (vm.stderr !== '') {
 				this.violations.push(`STDERR: ${vm.name}: ${vm.stderr.slice(0, 400)}`);
@@ -252,6 +256,29 @@
 		}
 	}
 
+	/** Checks that engines got no more than the limits that they named from the VMs that they had told, but for VMs that were stopped, paused or cut off. */
+	#checkLimits(): void {
+		const callsById = new Map(this.calls.map(call => [call.id, call]));
+		for (const {engine, name} of this.#world.startedEngines) {
+			const toldAt = new Map<Incarnation, number>();
+			for (const {id, at, namedLimit} of engine.arrivals) {
+				const incarnation = callsById.get(id)?.incarnation;
+				if (incarnation && namedLimit !== undefined) {
+					toldAt.set(incarnation, Math.min(at, toldAt.get(incarnation) ?? at));
+				}
+			}
+
+			const counted = engine.arrivals.filter(({id, at}) => {
+				const call = callsById.get(id);
+				return call !== undefined && at > (toldAt.get(call.incarnation) ?? Number.POSITIVE_INFINITY) + toldMs && this.#isInTouch({...call, sentAt: at});
+			});
+			const breach = findLimitBreach(engine.limits, counted.map(({at}) => at));
+			if (breach) {
+				this.violations.push(`LIMIT: ${breach.count} requests reached ${name} in 4 s, ${Math.round(breach.allowed)} allowed (${engine.limits.map(({from, perSecond}) => `${perSecond.toFixed(1)} from ${Math.round(from - this.startedAt)} ms`).join(', ')}; at ${Math.round(breach.at - this.startedAt)} ms)`);
+			}
+		}
+	}
+
 	/** Whether the VM of a call ran and could reach the store and the other VMs for {@link contactMs} before the call was sent. */
 	#isInTouch({vm, incarnation, sentAt}: ObservedCall): boolean {
 		const from = sentAt - contactMs;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -3,7 +3,7 @@
 import {RandomSource} from '../src/rates/index.js';
 import {runCaller, runCrashingCaller, runProbes} from './callers.js';
 import {
-	pickEndlessFault, pickEngineFault, pickFault, pickReplacedStore,
+	pickEndlessFault, pickEngineFault, pickFault, pickLimit, pickReplacedStore,
 } from './faults.js';
 import type {SoakFault} from './faults.js';
 import {InvariantChecker} from './invariantchecker.js';
@@ -28,6 +28,8 @@
 const engineSeedOffset = 2_000_000;
 /** The same for the seed that decides when engines send bytes without end. */
 const endlessSeedOffset = 3_000_000;
+/** The same for the seed that decides when engines name limits. */
+const limitSeedOffset = 4_000_000;
 /** Longest time from the close of a process's connections until its `exit` event arrives here, in milliseconds. */
 const exitReportDelayMs = 1000;
 
@@ -81,7 +83,7 @@
 			}, hasEnded),
 		];
 		await startFaults(world, checker, {
-			random, storeRandom: new RandomSource(seed + storeSeedOffset), engineRandom: new RandomSource(seed + engineSeedOffset), endlessRandom,
+			random, storeRandom: new RandomSource(seed + storeSeedOffset), engineRandom: new RandomSource(seed + engineSeedOffset), endlessRandom, limitRandom: new RandomSource(seed + limitSeedOffset),
 		}, seconds * 1000);
 		await sleep(recoveryMs);
 		crashingState.hasEnded = true;
@@ -106,11 +108,11 @@
 	}
 }
 
-type FaultSources = {readonly random: RandomSource; readonly storeRandom: RandomSource; readonly engineRandom: RandomSource; readonly endlessRandom: RandomSource};
+type FaultSources = {readonly random: RandomSource; readonly storeRandom: RandomSource; readonly engineRandom: RandomSource; readonly endlessRandom: RandomSource; readonly limitRandom: RandomSource};
 
 /** Injects faults for `durationMs` and ends each when its time is up; returns when all have ended. */
 async function startFaults(world: SoakWorld, checker: InvariantChecker, {
-	random, storeRandom, engineRandom, endlessRandom,
+	random, storeRandom, engineRandom, endlessRandom, limitRandom,
 }: FaultSources, durationMs: number): Promise<void> {
 	const startedAt = performance.now();
 	const endings: Array<Promise<void>> = [];
@@ -124,7 +126,7 @@
 	while (performance.now() - startedAt < durationMs) {
 		await sleep(random.pickBetween(minPauseMs, maxPauseMs));
 		await startFault(pickFault(world, random));
-		for (const further of [pickReplacedStore(storeRandom), pickEngineFault(world, engineRandom), pickEndlessFault(world, endlessRandom)]) {
+		for (const further of [pickReplacedStore(storeRandom), pickEngineFault(world, engineRandom), pickEndlessFault(world, endlessRandom), pickLimit(world, limitRandom)]) {
 			if (further) {
 				await startFault(further);
 			}
--- a/src/changefeed/reader.ts
+++ b/src/changefeed/reader.ts
@@ -2,6 +2,7 @@
 
 /** An entry of a failure domain that may read the store for the others. */
 export type ReaderCandidate = {
+	readonly vm: string;
 	/** `host:port` at which other entries reach it. */
 	readonly address: string;
 	readonly domain: string;
@@ -12,20 +13,20 @@
 
 /** Chooses the entry that reads the store for the entries of a failure domain, the same in all of them; `undefined` when each reads it by itself. */
 export function chooseReader(domain: string, candidates: readonly ReaderCandidate[]): string | undefined {
-	const addresses = candidates.filter(candidate => candidate.domain === domain).map(({address}) => address);
-	if (addresses.length < minEntries) {
+	const members = candidates.filter(candidate => candidate.domain === domain);
+	if (members.length < minEntries) {
 		return undefined;
 	}
 
-	let best = '';
+	let best: ReaderCandidate | undefined;
 	let highest = -1;
-	for (const address of addresses) {
-		const score = computeRendezvousScore(domain, address);
-		if (score > highest || (score === highest && address < best)) {
-			best = address;
+	for (const member of members) {
+		const score = computeRendezvousScore(domain, member.vm);
+		if (!best || score > highest || (score === highest && member.vm < best.vm)) {
+			best = member;
 			highest = score;
 		}
 	}
 
-	return best;
+	return best?.address;
 }
--- a/src/changefeed/test/changefeed.test.ts
+++ b/src/changefeed/test/changefeed.test.ts
@@ -237,7 +237,7 @@
 });
 
 describe('chooseReader', () => {
-	const entries = Array.from({length: 9}, (_, index) => ({address: `10.0.0.${index}:1`, domain: 'one'}));
+	const entries = Array.from({length: 9}, (_, index) => ({vm: `vm${index}`, address: `10.0.0.${index}:1`, domain: 'one'}));
 
 	it('chooses the same entry of a failure domain in any order, and none of few', () => {
 		expect(chooseReader('one', [...entries].reverse())).to.equal(chooseReader('one', entries));
--- a/src/dispatch/engine.ts
+++ b/src/dispatch/engine.ts
@@ -50,7 +50,8 @@
 	#reportedAt = Number.NEGATIVE_INFINITY;
 	#hasSaidLeaving = false;
 
-	constructor(public record: EngineRecord, readonly pause: AddressPause = {endsAt: Number.NEGATIVE_INFINITY}) {}
+	/** Takes the pause that the engines at its address share, and the id of the first incarnation that served the service there, by which limits are kept. */
+	constructor(public record: EngineRecord, readonly pause: AddressPause = {endsAt: Number.NEGATIVE_INFINITY}, readonly firstId = record.id) {}
 
 	/** Whether the engine finishes its requests and takes no new ones, by its registration or by an answer. */
 	get isLeaving(): boolean {
--- a/src/dispatch/fleet.ts
+++ b/src/dispatch/fleet.ts
@@ -36,7 +36,7 @@
 		}
 
 		// What an incarnation has said of itself holds although its registration was missing for a while.
-		const view = removed && isSameIncarnation(removed.record, record) ? removed : new EngineView(record, this.#findPause(record));
+		const view = removed && isSameIncarnation(removed.record, record) ? removed : new EngineView(record, this.#findPause(record), this.#findLatest(record, record.service)?.firstId);
 		view.record = record;
 		this.#views.set(record.id, view);
 		const views = this.#viewsByService.get(record.service) ?? [];
@@ -91,9 +91,20 @@
 		return view?.computePauseMs(now) === 0 ? view : undefined;
 	}
 
+	/** Finds the id of the first incarnation that is known to have served the service of an engine at its address; that of the engine itself when it is not known. */
+	findFirstId(id: string): string {
+		return (this.#views.get(id) ?? this.#removed.get(id))?.firstId ?? id;
+	}
+
+	/** Finds the engine that was registered last at an address, for one service unless any will do. */
+	#findLatest({address}: EngineRecord, service?: string): EngineView | undefined {
+		return [...this.#removed.values(), ...this.#views.values()].findLast(({record}) => record.address === address && (service === undefined || record.service === service));
+	}
+
 	/** Finds the pause of the engines that were registered at the address of a new incarnation; one that started later has asked for none. */
-	#findPause({address, startedAt}: EngineRecord): AddressPause | undefined {
-		const known = [...this.#removed.values(), ...this.#views.values()].findLast(view => view.record.address === address);
+	#findPause(record: EngineRecord): AddressPause | undefined {
+		const {startedAt} = record;
+		const known = this.#findLatest(record);
 		if (known && startedAt !== undefined && known.record.startedAt !== undefined && startedAt > known.record.startedAt) {
 			known.pause.endsAt = Number.NEGATIVE_INFINITY;
 		}
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -23,7 +23,7 @@
 import {BlockQuarantine, CrashAttribution} from '../quarantine/index.js';
 import type {CrashReport, Run} from '../quarantine/index.js';
 import {RequestLimits, RequestPermits} from '../requestlimits/index.js';
-import type {LimitedAddress} from '../requestlimits/index.js';
+import type {LimitedEngine} from '../requestlimits/index.js';
 import type {Timer, TimerService} from '../timers/index.js';
 import {AllocatorClients} from './clients.js';
 import {formatRequestKind, Reservation} from './types.js';
@@ -172,7 +172,7 @@
 	Grants a permit to send one request to an engine that names a limit, for a request that needs no reservation. `priorCount` are the requests
 	that the asking entry sent it in the second before it knew of the limit.
 	*/
-	tryTakePermit(engine: LimitedAddress, priorCount: number): PermitAnswer {
+	tryTakePermit(engine: LimitedEngine, priorCount: number): PermitAnswer {
 		const now = this.timers.getNow();
 		this.#permits.addPrior(engine, priorCount, now);
 		if (this.#permits.tryTake(engine, now)) {
@@ -185,12 +185,12 @@
 	}
 
 	/** Counts a request of this process to an engine that was sent without a reservation. */
-	onSend(engine: LimitedAddress): void {
+	onSend(engine: LimitedEngine): void {
 		this.#permits.onSend(engine, this.timers.getNow());
 	}
 
 	/** Counts the requests of this process to an engine that were sent without a reservation in the latest second. */
-	countRecentSends(engine: LimitedAddress): number {
+	countRecentSends(engine: LimitedEngine): number {
 		return this.#permits.countRecent(engine, this.timers.getNow());
 	}
 
--- a/src/places/candidates.ts
+++ b/src/places/candidates.ts
@@ -2,6 +2,8 @@
 
 /** An entry that may allocate for the others. */
 export type AllocatorCandidate = {
+	/** Its VM. */
+	readonly vm: string;
 	/** `host:port` at which it accepts reservation requests. */
 	readonly address: string;
 	readonly domain: string;
@@ -24,12 +26,14 @@
 		domainSizes.set(domain, (domainSizes.get(domain) ?? 0) + 1);
 	}
 
-	const ranked = candidates.map(({address, domain, cores}) => ({address, headroom: cores * (domainSizes.get(domain) ?? 1), score: computeRendezvousScore(service, address)}));
+	const ranked = candidates.map(({vm, address, domain, cores}) => ({
+		vm, address, headroom: cores * (domainSizes.get(domain) ?? 1), score: computeRendezvousScore(service, vm),
+	}));
 	const maxHeadroom = Math.max(...ranked.map(({headroom}) => headroom));
 	return ranked
 		.sort((left, right) => Number(right.headroom >= maxHeadroom * minHeadroomShare) - Number(left.headroom >= maxHeadroom * minHeadroomShare)
 			|| right.score - left.score
-			|| (left.address < right.address ? -1 : 1))
+			|| (left.vm < right.vm ? -1 : 1))
 		.slice(0, count)
 		.map(({address}) => address);
 }
--- a/src/places/failover.ts
+++ b/src/places/failover.ts
@@ -38,6 +38,8 @@
 	readonly network: MessageNetwork;
 	/** Allocator of this process. */
 	readonly localAllocator: SlotAllocator;
+	/** VM of this process. */
+	readonly localVm: string;
 	/** `host:port` at which this process accepts reservation requests of other entries. */
 	readonly localAddress: string;
 	/**
@@ -102,8 +104,8 @@
 		const now = timers.getNow();
 		const [first] = this.#listAllocators(service);
 		if (first === undefined || first === localAddress) {
-			const addresses = new Set(candidates.map(({address}) => address));
-			return Math.max(1, entryCount - clients.listLost(service, now).filter(address => addresses.has(address)).length) / entryCount;
+			const vms = new Set(candidates.map(({vm}) => vm));
+			return Math.max(1, entryCount - clients.listLost(service, now).filter(vm => vms.has(vm)).length) / entryCount;
 		}
 
 		const askingCount = clients.countAsking(service, now) + (usage === allocatorUse.local ? 1 : 0);
@@ -190,9 +192,9 @@
 
 		this.#publishTimer = timers.startTimer(publishDelayMs, () => {
 			this.#publishTimer = undefined;
-			const connected = this.#dependencies.localAllocator.clients.listAddresses();
-			for (const {address} of this.#dependencies.listCandidates()) {
-				if (address !== localAddress && !connected.has(address)) {
+			const connected = this.#dependencies.localAllocator.clients.listVms();
+			for (const {vm, address} of this.#dependencies.listCandidates()) {
+				if (address !== localAddress && !connected.has(vm)) {
 					this.#publishTo(address);
 				}
 			}
@@ -200,9 +202,9 @@
 	}
 
 	#publishTo(address: string): void {
-		const {timers, network, localAllocator, localAddress} = this.#dependencies;
+		const {timers, network, localAllocator, localVm} = this.#dependencies;
 		const limitLink = new LimitLink({
-			timers, limits: localAllocator.limits, localAddress, send(message) {
+			timers, limits: localAllocator.limits, localVm, send(message) {
 				link.send(toItems(message));
 			},
 		});
@@ -250,7 +252,7 @@
 			allocator = new RemoteAllocator(this.#dependencies.timers, this.#dependencies.network, address, {
 				quarantine: this.#dependencies.localAllocator.quarantine,
 				limits: this.#dependencies.localAllocator.limits,
-				localAddress: this.#dependencies.localAddress,
+				localVm: this.#dependencies.localVm,
 				onLost: reason => {
 					this.#remoteAllocators.delete(address);
 					this.#skippedUntil.set(address, this.#dependencies.timers.getNow() + lostAllocatorBackoffMs);
--- a/src/places/failoverpermits.ts
+++ b/src/places/failoverpermits.ts
@@ -1,5 +1,4 @@
-import {formatLimitKey} from '../requestlimits/index.js';
-import type {LimitedAddress, RequestLimitChange} from '../requestlimits/index.js';
+import type {LimitedEngine, RequestLimitChange} from '../requestlimits/index.js';
 import type {TimerService} from '../timers/index.js';
 import type {SlotAllocator} from './allocator.js';
 import type {FailoverReservations} from './failover.js';
@@ -40,15 +39,15 @@
 		});
 	}
 
-	isLimited(engine: LimitedAddress): boolean {
+	isLimited(engine: LimitedEngine): boolean {
 		return this.#allocator.limits.isLimited(engine);
 	}
 
-	computeWaitMs(engine: LimitedAddress): number {
+	computeWaitMs(engine: LimitedEngine): number {
 		return this.isLimited(engine) ? Math.max(0, this.#getState(engine).refusedUntil - this.#timers.getNow()) : 0;
 	}
 
-	async takePermit(engine: LimitedAddress): Promise<boolean> {
+	async takePermit(engine: LimitedEngine): Promise<boolean> {
 		const state = this.#getState(engine);
 		if (state.pendingCount >= maxPendingPermits) {
 			return false;
@@ -73,7 +72,7 @@
 		}
 	}
 
-	scheduleReturnMs(engines: readonly LimitedAddress[], maxReturnMs: number): number {
+	scheduleReturnMs(engines: readonly LimitedEngine[], maxReturnMs: number): number {
 		const now = this.#timers.getNow();
 		let next: {readonly state: PermitState; readonly perSecond: number} | undefined;
 		for (const engine of engines) {
@@ -93,12 +92,12 @@
 		return returnMs;
 	}
 
-	onSend(engine: LimitedAddress): void {
+	onSend(engine: LimitedEngine): void {
 		this.#allocator.onSend(engine);
 	}
 
 	#onLimitChange(change: RequestLimitChange): void {
-		const key = formatLimitKey(change);
+		const key = this.#allocator.limits.formatKey(change);
 		if (!Number.isFinite(change.perSecond)) {
 			this.#states.delete(key);
 			return;
@@ -111,8 +110,8 @@
 		}
 	}
 
-	#getState(engine: LimitedAddress): PermitState {
-		const key = formatLimitKey(engine);
+	#getState(engine: LimitedEngine): PermitState {
+		const key = this.#allocator.limits.formatKey(engine);
 		const state = this.#states.get(key) ?? {
 			refusedUntil: Number.NEGATIVE_INFINITY, returnAt: this.#timers.getNow(), pendingCount: 0, priorCount: this.#allocator.countRecentSends(engine),
 		};
--- a/src/places/limitlink.ts
+++ b/src/places/limitlink.ts
@@ -10,8 +10,8 @@
 export type LimitLinkDependencies = {
 	readonly timers: TimerService;
 	readonly limits: RequestLimits;
-	/** `host:port` at which this process accepts reservation requests, by which the other end tells its clients apart. */
-	readonly localAddress: string;
+	/** VM of this process, by which the other end tells its clients apart. */
+	readonly localVm: string;
 	readonly send: (message: AllocatorMessage) => void;
 };
 
@@ -56,7 +56,7 @@
 	#sendLimits(limits: readonly RequestLimit[]): void {
 		this.#hasSent = true;
 		this.#dependencies.send({
-			kind: allocatorMessageKind.limits, id: 0, sender: this.#dependencies.localAddress, limits,
+			kind: allocatorMessageKind.limits, id: 0, sender: this.#dependencies.localVm, limits,
 		});
 	}
 }
--- a/src/places/messages.ts
+++ b/src/places/messages.ts
@@ -3,7 +3,7 @@
 import {BadFrameError, refusalReason} from '../errors/index.js';
 import type {RefusalReason} from '../errors/index.js';
 import type {Quarantine} from '../quarantine/index.js';
-import type {LimitedAddress, RequestLimit} from '../requestlimits/index.js';
+import type {LimitedEngine, RequestLimit} from '../requestlimits/index.js';
 import type {ReservedEngines, ReservationRequest} from './types.js';
 
 /** Number of each kind of message on the wire, where it is the first item. Add new kinds at the end. */
@@ -21,10 +21,10 @@
 	| {readonly kind: typeof allocatorMessageKind.adopt; readonly id: number; readonly request: ReservationRequest; readonly engines: ReservedEngines; readonly isPrefillPending: boolean}
 	/** What the sender knows of blocks that crash engines; sent in both directions, with the id 0. */
 	| {readonly kind: typeof allocatorMessageKind.quarantine; readonly id: number; readonly quarantines: readonly Quarantine[]}
-	/** What the sender, whose address is `sender`, knows of engines' limits; sent in both directions, with the id 0. */
+	/** What the sender, the entry on the VM `sender`, knows of engines' limits; sent in both directions, with the id 0. */
 	| {readonly kind: typeof allocatorMessageKind.limits; readonly id: number; readonly sender: string; readonly limits: readonly RequestLimit[]}
 	/** Asks for a permit to send one request to an engine; `priorCount` are those that the sender sent it in the second before it knew of the limit. */
-	| {readonly kind: typeof allocatorMessageKind.permitRequest; readonly id: number; readonly engine: LimitedAddress; readonly priorCount: number}
+	| {readonly kind: typeof allocatorMessageKind.permitRequest; readonly id: number; readonly engine: LimitedEngine; readonly priorCount: number}
 	/** Grants or refuses a permit; `waitMs` is the time after which another one may be asked for. */
 	| {readonly kind: typeof allocatorMessageKind.permit; readonly id: number; readonly isGranted: boolean; readonly waitMs: number}
 	| {readonly kind: typeof allocatorMessageKind.cancel; readonly id: number}
@@ -63,11 +63,11 @@
 		}
 
 		case allocatorMessageKind.limits: {
-			return [message.kind, message.id, message.sender, message.limits.map(({service, address, perSecond, ageMs}) => [service, address, Number.isFinite(perSecond) ? perSecond : noLimit, Math.round(ageMs)])];
+			return [message.kind, message.id, message.sender, message.limits.map(({service, id, perSecond, ageMs}) => [service, id, Number.isFinite(perSecond) ? perSecond : noLimit, Math.round(ageMs)])];
 		}
 
 		case allocatorMessageKind.permitRequest: {
-			return [message.kind, message.id, message.engine.service, message.engine.address, message.priorCount];
+			return [message.kind, message.id, message.engine.service, message.engine.id, message.priorCount];
 		}
 
 		case allocatorMessageKind.permit: {
@@ -157,7 +157,7 @@
 
 		case allocatorMessageKind.permitRequest: {
 			return {
-				kind, id, engine: {service: parseString(rest[0]), address: parseString(rest[1])}, priorCount: parseNumber(rest[2]),
+				kind, id, engine: {service: parseString(rest[0]), id: parseString(rest[1])}, priorCount: parseNumber(rest[2]),
 			};
 		}
 
@@ -218,10 +218,10 @@
 	}
 
 	return value.map((row: unknown) => {
-		const [service, address, perSecond, ageMs] = Array.isArray(row) ? row as unknown[] : [];
+		const [service, engineId, perSecond, ageMs] = Array.isArray(row) ? row as unknown[] : [];
 		const limit = parseNumber(perSecond);
 		return {
-			service: parseString(service), address: parseString(address), perSecond: limit < 0 ? Number.POSITIVE_INFINITY : limit, ageMs: parseNumber(ageMs),
+			service: parseString(service), id: parseString(engineId), perSecond: limit < 0 ? Number.POSITIVE_INFINITY : limit, ageMs: parseNumber(ageMs),
 		};
 	});
 }
--- a/src/places/remoteallocator.ts
+++ b/src/places/remoteallocator.ts
@@ -3,7 +3,7 @@
 import {NotRunError, refusalReason} from '../errors/index.js';
 import type {MessageLink, MessageNetwork} from '../peers/index.js';
 import type {BlockQuarantine} from '../quarantine/index.js';
-import type {LimitedAddress, RequestLimits} from '../requestlimits/index.js';
+import type {LimitedEngine, RequestLimits} from '../requestlimits/index.js';
 import type {Timer, TimerService} from '../timers/index.js';
 import {LimitLink} from './limitlink.js';
 import {parseItems, allocatorMessageKind, toItems} from './messages.js';
@@ -43,8 +43,8 @@
 	readonly quarantine: BlockQuarantine;
 	/** Engines' limits that this process knows, kept alike too. */
 	readonly limits: RequestLimits;
-	/** `host:port` at which this process accepts reservation requests. */
-	readonly localAddress: string;
+	/** VM of this process. */
+	readonly localVm: string;
 };
 
 type PendingRequest = {
@@ -86,7 +86,7 @@
 	#isLost = false;
 
 	constructor(timers: TimerService, network: MessageNetwork, address: string, {
-		onLost, onAnswer, onLimited, quarantine, limits, localAddress,
+		onLost, onAnswer, onLimited, quarantine, limits, localVm,
 	}: AllocatorEvents & AllocatorState) {
 		this.#timers = timers;
 		this.#onLost = onLost;
@@ -98,7 +98,7 @@
 			this.#send(message);
 		});
 		this.#limitLink = new LimitLink({
-			timers, limits, localAddress, send: message => {
+			timers, limits, localVm, send: message => {
 				this.#send(message);
 			},
 		});
@@ -165,7 +165,7 @@
 	Asks for a permit to send one request to an engine that names a limit. An allocator that does not answer in time has refused it. Throws
 	`AllocatorLostError` when the allocator is lost.
 	*/
-	async takePermit(engine: LimitedAddress, priorCount: number): Promise<PermitAnswer> {
+	async takePermit(engine: LimitedEngine, priorCount: number): Promise<PermitAnswer> {
 		const id = this.#nextId++;
 		return new Promise<PermitAnswer>((resolve, reject) => {
 			if (this.#isLost) {
--- a/src/places/serve.ts
+++ b/src/places/serve.ts
@@ -16,9 +16,9 @@
 
 /**
 Serves the reservation requests of one connection from the allocator of this process. When the connection closes, its
-waiting requests are cancelled and its reservations released. Takes the address at which this process accepts such connections.
+waiting requests are cancelled and its reservations released. Takes the VM of this process.
 */
-export function serveReservations(link: MessageLink, allocator: SlotAllocator, localAddress: string): MessageHandlers {
+export function serveReservations(link: MessageLink, allocator: SlotAllocator, localVm: string): MessageHandlers {
 	const requests = new Map<number, RequestState>();
 	const send = (message: AllocatorMessage) => {
 		link.send(toItems(message));
@@ -27,7 +27,7 @@
 	const quarantineLink = new QuarantineLink(allocator.timers, allocator.quarantine, send);
 	quarantineLink.start();
 	const limitLink = new LimitLink({
-		timers: allocator.timers, limits: allocator.limits, localAddress, send,
+		timers: allocator.timers, limits: allocator.limits, localVm, send,
 	});
 	limitLink.start();
 	const client = allocator.clients.add(allocator.timers.getNow());
@@ -88,7 +88,7 @@
 		}
 
 		if (message.kind === allocatorMessageKind.limits) {
-			allocator.clients.onAddress(client, message.sender);
+			client.vm = message.sender;
 			limitLink.onMessage(message.limits);
 			return;
 		}
--- a/src/places/test/candidates.test.ts
+++ b/src/places/test/candidates.test.ts
@@ -2,7 +2,9 @@
 import {listAllocators} from '../index.js';
 import type {AllocatorCandidate} from '../index.js';
 
-const createCandidate = (address: string, domain: string, cores = 0.675): AllocatorCandidate => ({address, domain, cores});
+const createCandidate = (address: string, domain: string, cores = 0.675): AllocatorCandidate => ({
+	vm: address, address, domain, cores,
+});
 
 describe('listAllocators', () => {
 	const candidates = [
--- a/src/places/test/failover.test.ts
+++ b/src/places/test/failover.test.ts
@@ -11,7 +11,9 @@
 import {createReservationRequest} from './requests.js';
 
 const request = createReservationRequest();
-const candidates: readonly AllocatorCandidate[] = ['a', 'b', 'c', 'd'].map(name => ({address: `${name}:1`, domain: 'one', cores: 1}));
+const candidates: readonly AllocatorCandidate[] = ['a', 'b', 'c', 'd'].map(name => ({
+	vm: name, address: `${name}:1`, domain: 'one', cores: 1,
+}));
 
 class SilentLink extends MessageLink {
 	override send(): void {
@@ -50,7 +52,7 @@
 			timers, fleet: new Fleet(), getRandom: () => 0.5, getSlotShare: () => 1,
 		});
 		const provider = new FailoverReservations({
-			timers, getRandom: () => 0.5, network, localAllocator, localAddress: 'x:1', listCandidates: () => current, onAllocatorChange: () => undefined,
+			timers, getRandom: () => 0.5, network, localAllocator, localVm: 'x', localAddress: 'x:1', listCandidates: () => current, onAllocatorChange: () => undefined,
 		});
 		const first = listAllocators(request.service, candidates, 1)[0]!;
 		const others = candidates.filter(({address}) => address !== first);
@@ -83,7 +85,7 @@
 		}
 
 		const allocator = new RemoteAllocator(new ManualTimers(), new CountingNetwork(), 'a:1', {
-			onLost: () => undefined, onAnswer: () => undefined, onLimited: () => undefined, quarantine: new BlockQuarantine(), limits: new RequestLimits(), localAddress: 'x:1',
+			onLost: () => undefined, onAnswer: () => undefined, onLimited: () => undefined, quarantine: new BlockQuarantine(), limits: new RequestLimits(), localVm: 'x',
 		});
 		const sentBefore = sent.length;
 		let error: unknown;
--- a/src/places/test/limitworld.ts
+++ b/src/places/test/limitworld.ts
@@ -5,6 +5,7 @@
 import {MessageLink, MessageNetwork} from '../../peers/index.js';
 import type {MessageHandlers} from '../../peers/index.js';
 import {RandomSource} from '../../rates/index.js';
+import {RequestLimits} from '../../requestlimits/index.js';
 import {ManualTimers} from '../../timers/index.js';
 import {
 	FailoverPermits, FailoverReservations, serveReservations, SlotAllocator,
@@ -156,7 +157,9 @@
 		this.#isPlain = isPlain;
 		this.#random = new RandomSource(seed);
 		this.#slots = slots;
-		const candidates = Array.from({length: entryCount}, (_, index) => ({address: `entry${index}:1`, domain: `domain${index % 3}`, cores: 1}));
+		const candidates = Array.from({length: entryCount}, (_, index) => ({
+			vm: `entry${index}:1`, address: `entry${index}:1`, domain: `domain${index % 3}`, cores: 1,
+		}));
 		for (const {address} of candidates) {
 			this.entries.push(this.#createEntry(address, candidates));
 		}
@@ -232,11 +235,11 @@
 		const getRandom = () => this.#random.getRandom();
 		const state: {reservations?: FailoverReservations} = {};
 		const allocator = new SlotAllocator({
-			timers: this.timers, fleet, getRandom, getSlotShare: () => state.reservations!.computeSlotShare(), getLimitShare: service => state.reservations!.computeLimitShare(service),
+			limits: new RequestLimits(id => fleet.findFirstId(id)), timers: this.timers, fleet, getRandom, getSlotShare: () => state.reservations!.computeSlotShare(), getLimitShare: service => state.reservations!.computeLimitShare(service),
 		});
 		const entry: {live: readonly AllocatorCandidate[]} = {live: candidates};
 		const reservations = new FailoverReservations({
-			timers: this.timers, getRandom, network, localAllocator: allocator, localAddress: address, listCandidates: () => entry.live, onAllocatorChange: () => undefined,
+			timers: this.timers, getRandom, network, localAllocator: allocator, localVm: address, localAddress: address, listCandidates: () => entry.live, onAllocatorChange: () => undefined,
 		});
 		state.reservations = reservations;
 		void network.serve(address, link => serveReservations(link, allocator, address));
@@ -278,10 +281,10 @@
 			const listed = this.engines.filter(({id}) => entry.fleet.findServing(id));
 			const engine = listed.find(candidate => !refused.has(candidate) && entry.permits.computeWaitMs({...candidate, service: 'llm'}) === 0);
 			if (!engine) {
-				throw new NotRunError('limited', {props: {reason: 'limited', retryAfterMs: entry.permits.scheduleReturnMs(listed.map(({address}) => ({service: 'llm', address})), 600)}});
+				throw new NotRunError('limited', {props: {reason: 'limited', retryAfterMs: entry.permits.scheduleReturnMs(listed.map(({id}) => ({service: 'llm', id})), 600)}});
 			}
 
-			const target = {service: 'llm', address: engine.address};
+			const target = {service: 'llm', id: engine.id};
 			if (!entry.permits.isLimited(target) || await entry.permits.takePermit(target)) {
 				entry.permits.onSend(target);
 				await this.#send(entry, engine);
@@ -292,12 +295,12 @@
 		}
 	}
 
-	async #send(entry: LimitEntry, {limits, arrivals, address}: LimitedEngine): Promise<void> {
+	async #send(entry: LimitEntry, {id, limits, arrivals}: LimitedEngine): Promise<void> {
 		const sentAt = this.timers.getNow();
 		arrivals.push({at: sentAt, entry: entry.address});
 		const perSecond = limits.at(-1)?.perSecond ?? Number.POSITIVE_INFINITY;
 		await this.timers.sleep(workMs);
-		entry.allocator.limits.onAnswer({service: 'llm', address}, perSecond, sentAt, this.timers.getNow());
+		entry.allocator.limits.onAnswer({service: 'llm', id}, perSecond, sentAt, this.timers.getNow());
 	}
 
 	#addResult({address}: LimitEntry, at: number, error: InstanceType<typeof NotRunError> | undefined): void {
--- a/src/places/test/quarantines.test.ts
+++ b/src/places/test/quarantines.test.ts
@@ -19,7 +19,7 @@
 			timers: this.timers, fleet: new Fleet(), getRandom: () => 0.5, getSlotShare: () => 1,
 		});
 		const reservations = new FailoverReservations({
-			timers: this.timers, getRandom: () => 0.5, network: this.network, localAllocator: allocator, localAddress: address, listCandidates: () => this.live, onAllocatorChange: () => undefined,
+			timers: this.timers, getRandom: () => 0.5, network: this.network, localAllocator: allocator, localVm: address, localAddress: address, listCandidates: () => this.live, onAllocatorChange: () => undefined,
 		});
 		this.entries.push({allocator, reservations});
 		void this.network.serve(address, link => serveReservations(link, allocator, address));
@@ -47,7 +47,9 @@
 
 describe('quarantines of several entries', () => {
 	let world: QuarantineWorld;
-	const candidates = ['a', 'b', 'c'].map(name => ({address: `${name}:1`, domain: 'one', cores: 1}));
+	const candidates = ['a', 'b', 'c'].map(name => ({
+		vm: name, address: `${name}:1`, domain: 'one', cores: 1,
+	}));
 
 	beforeEach(async () => {
 		world = new QuarantineWorld();
@@ -65,7 +67,9 @@
 		world.entries[0]!.allocator.quarantine.add(['bad'], world.timers.getNow());
 		expect(world.listBlocks()).to.deep.equal([['bad'], ['bad'], ['bad']]);
 		world.startEntry('d:1');
-		world.live = [{address: 'd:1', domain: 'one', cores: 1}];
+		world.live = [{
+			vm: 'd', address: 'd:1', domain: 'one', cores: 1,
+		}];
 		await world.ask(1);
 		expect(world.listBlocks()[3]).to.deep.equal(['bad']);
 		const refused = world.entries[3]!.allocator.quarantine.computeRemainingMs([{id: 'other', tokens: 1}, {id: 'bad', tokens: 1}], world.timers.getNow());
--- a/src/places/test/takeover.test.ts
+++ b/src/places/test/takeover.test.ts
@@ -23,7 +23,10 @@
 /** Entries that reserve slots of the same engines, each with its own view of which entries are live. */
 class TakeoverWorld {
 	readonly timers = new ManualTimers();
-	readonly candidates: readonly AllocatorCandidate[] = Array.from({length: entryCount}, (_, index) => ({address: `entry${index}:1`, domain: 'one', cores: 1}));
+	readonly candidates: readonly AllocatorCandidate[] = Array.from({length: entryCount}, (_, index) => ({
+		vm: `entry${index}`, address: `entry${index}:1`, domain: 'one', cores: 1,
+	}));
+
 	readonly entries: Array<{readonly allocator: SlotAllocator; readonly reservations: FailoverReservations; readonly fleet: Fleet; live: readonly AllocatorCandidate[]}> = [];
 	readonly held: Reservation[] = [];
 	readonly asked: string[] = [];
@@ -55,7 +58,7 @@
 			};
 			const {allocator} = entry;
 			const reservations = new FailoverReservations({
-				timers: this.timers, getRandom: () => 0.5, network: this.#network, localAllocator: allocator, localAddress: address, listCandidates: () => entry.live, onAllocatorChange: () => undefined,
+				timers: this.timers, getRandom: () => 0.5, network: this.#network, localAllocator: allocator, localVm: address, localAddress: address, listCandidates: () => entry.live, onAllocatorChange: () => undefined,
 			});
 			this.entries.push(Object.assign(entry, {reservations}));
 			void this.#network.serve(address, link => serveReservations(link, allocator, address));
--- a/src/places/types.ts
+++ b/src/places/types.ts
@@ -1,6 +1,6 @@
 import {isLong} from '../dispatch/index.js';
 import type {EngineOutcome, GenerationNeeds} from '../dispatch/index.js';
-import type {LimitedAddress} from '../requestlimits/index.js';
+import type {LimitedEngine} from '../requestlimits/index.js';
 
 /**
 A request to reserve engine capacity for one generation. Times are durations from now, in milliseconds, since the clocks of
@@ -69,19 +69,19 @@
 /** Grants permits for single requests to engines that name a limit, to requests that need no reservation. */
 export abstract class PermitProvider {
 	/** Whether the engine names a limit, so that a request to it needs a permit. */
-	abstract isLimited(engine: LimitedAddress): boolean;
+	abstract isLimited(engine: LimitedEngine): boolean;
 
 	/** Computes for how much longer no permit can be had for an engine, in milliseconds; 0 when one may be asked for, or none is needed. */
-	abstract computeWaitMs(engine: LimitedAddress): number;
+	abstract computeWaitMs(engine: LimitedEngine): number;
 
 	/** Asks for a permit to send one request. Returns whether it was granted; another engine has to be tried otherwise. */
-	abstract takePermit(engine: LimitedAddress): Promise<boolean>;
+	abstract takePermit(engine: LimitedEngine): Promise<boolean>;
 
 	/** Computes the time after which a request that none of the engines could take may return, in milliseconds, spread over those that are refused; it can return within `maxReturnMs`. */
-	abstract scheduleReturnMs(engines: readonly LimitedAddress[], maxReturnMs: number): number;
+	abstract scheduleReturnMs(engines: readonly LimitedEngine[], maxReturnMs: number): number;
 
 	/** Counts a request that is sent without a reservation: those just before a limit is named count against it. */
-	abstract onSend(engine: LimitedAddress): void;
+	abstract onSend(engine: LimitedEngine): void;
 }
 
 /** Grants reservations to requests. */
--- a/src/requestlimits/limits.ts
+++ b/src/requestlimits/limits.ts
@@ -1,23 +1,28 @@
-import {formatLimitKey} from './types.js';
-import type {LimitedAddress, RequestLimit, RequestLimitChange} from './types.js';
+import type {LimitedEngine, RequestLimit, RequestLimitChange} from './types.js';
 
-/** Maximum number of addresses whose limits are remembered, lifted ones included. */
+/** Maximum number of engines whose limits are remembered, lifted ones included. */
 const maxEntries = 4096;
 /** Difference in the times of two observations below which their order is not known, in milliseconds: a message between entries takes up to that long. */
 const orderToleranceMs = 250;
 /** Minimum time between two reports of changed limits of one engine, in milliseconds; the first one and the end of a limit are reported at once. */
 const minReportIntervalMs = 200;
 
-type Entry = LimitedAddress & {perSecond: number; observedAt: number; reportedPerSecond: number; reportedAt: number};
+type Entry = {readonly service: string; id: string; perSecond: number; observedAt: number; reportedPerSecond: number; reportedAt: number};
 
 /**
-The limits on requests that engines named in their answers. Engines at one address share a limit: an incarnation that returns there is
-in the same need until one of its answers says otherwise. Times are monotonic, in milliseconds.
+The limits on requests that engines named in their answers. Incarnations with the same key share a limit: one that follows another at its address
+is in the same need until one of its answers says otherwise. Times are monotonic, in milliseconds.
 */
 export class RequestLimits {
 	/** By key, the earliest named first. */
 	readonly #entries = new Map<string, Entry>();
 	readonly #listeners = new Set<(change: RequestLimitChange) => void>();
+	readonly #findKey: (id: string) => string;
+
+	/** Takes a function that returns the key of an incarnation, by its id. */
+	constructor(findKey: (id: string) => string = id => id) {
+		this.#findKey = findKey;
+	}
 
 	/** Calls `listener` at each change. Returns a function that ends this. */
 	subscribe(listener: (change: RequestLimitChange) => void): () => void {
@@ -27,13 +32,18 @@
 		};
 	}
 
+	/** Formats the key that an engine shares with those that follow it at its address. */
+	formatKey({service, id}: LimitedEngine): string {
+		return `${service} ${this.#findKey(id)}`;
+	}
+
 	/** Returns how many requests a second an engine takes from all entries together; infinite when it names no limit. */
-	getPerSecond(engine: LimitedAddress): number {
-		return this.#entries.size === 0 ? Number.POSITIVE_INFINITY : this.#entries.get(formatLimitKey(engine))?.perSecond ?? Number.POSITIVE_INFINITY;
+	getPerSecond(engine: LimitedEngine): number {
+		return this.#entries.size === 0 ? Number.POSITIVE_INFINITY : this.#entries.get(this.formatKey(engine))?.perSecond ?? Number.POSITIVE_INFINITY;
 	}
 
 	/** Whether an engine names a limit. */
-	isLimited(engine: LimitedAddress): boolean {
+	isLimited(engine: LimitedEngine): boolean {
 		return Number.isFinite(this.getPerSecond(engine));
 	}
 
@@ -49,8 +59,8 @@
 
 	/** Lists the limits, those lifted included. */
 	list(now: number): RequestLimit[] {
-		return [...this.#entries.values()].map(({service, address, perSecond, observedAt}) => ({
-			service, address, perSecond, ageMs: now - observedAt,
+		return [...this.#entries.values()].map(({service, id, perSecond, observedAt}) => ({
+			service, id, perSecond, ageMs: now - observedAt,
 		}));
 	}
 
@@ -58,8 +68,8 @@
 	Handles an answer that names the limit `perSecond`, or none if infinite. Answers on different connections overtake each other: one to a
 	request that was sent before the limit was last named lifts nothing.
 	*/
-	onAnswer(engine: LimitedAddress, perSecond: number, sentAt: number, now: number): void {
-		const known = this.#entries.get(formatLimitKey(engine));
+	onAnswer(engine: LimitedEngine, perSecond: number, sentAt: number, now: number): void {
+		const known = this.#entries.get(this.formatKey(engine));
 		if (!known && !Number.isFinite(perSecond)) {
 			return;
 		}
@@ -68,14 +78,16 @@
 			return;
 		}
 
-		this.#write({...engine, perSecond, ageMs: 0}, now, 'answer');
+		this.#write({
+			service: engine.service, id: engine.id, perSecond, ageMs: 0,
+		}, now, 'answer');
 	}
 
 	/** Takes over limits that another entry knows. Returns the limits that are known here by later answers, for the other entry. */
 	merge(limits: readonly RequestLimit[], now: number): readonly RequestLimit[] {
 		const corrections: RequestLimit[] = [];
 		for (const received of limits.slice(0, maxEntries)) {
-			const known = this.#entries.get(formatLimitKey(received));
+			const known = this.#entries.get(this.formatKey(received));
 			if (known?.perSecond === received.perSecond) {
 				known.observedAt = Math.max(known.observedAt, now - received.ageMs);
 				continue;
@@ -84,7 +96,7 @@
 			const newerByMs = known ? now - received.ageMs - known.observedAt : Number.POSITIVE_INFINITY;
 			if (known && newerByMs < -orderToleranceMs) {
 				corrections.push({
-					service: known.service, address: known.address, perSecond: known.perSecond, ageMs: now - known.observedAt,
+					service: known.service, id: known.id, perSecond: known.perSecond, ageMs: now - known.observedAt,
 				});
 			} else if (known ? newerByMs > orderToleranceMs || received.perSecond < known.perSecond : Number.isFinite(received.perSecond)) {
 				this.#write(received, now, 'peer');
@@ -94,12 +106,13 @@
 		return corrections;
 	}
 
-	#write({service, address, perSecond, ageMs}: RequestLimit, now: number, cause: RequestLimitChange['cause']): void {
-		const key = formatLimitKey({service, address});
+	#write({service, id, perSecond, ageMs}: RequestLimit, now: number, cause: RequestLimitChange['cause']): void {
+		const key = this.formatKey({service, id});
 		const entry = this.#entries.get(key) ?? {
-			service, address, perSecond: Number.POSITIVE_INFINITY, observedAt: now, reportedPerSecond: Number.POSITIVE_INFINITY, reportedAt: Number.NEGATIVE_INFINITY,
+			service, id, perSecond: Number.POSITIVE_INFINITY, observedAt: now, reportedPerSecond: Number.POSITIVE_INFINITY, reportedAt: Number.NEGATIVE_INFINITY,
 		};
 		const isEdge = Number.isFinite(entry.perSecond) !== Number.isFinite(perSecond);
+		entry.id = id;
 		entry.perSecond = perSecond;
 		entry.observedAt = now - ageMs;
 		this.#entries.set(key, entry);
@@ -113,7 +126,7 @@
 		entry.reportedAt = now;
 		for (const listener of this.#listeners) {
 			listener({
-				service, address, perSecond, ageMs, previousPerSecond, cause,
+				service, id, perSecond, ageMs, previousPerSecond, cause,
 			});
 		}
 	}
--- a/src/requestlimits/permits.ts
+++ b/src/requestlimits/permits.ts
@@ -1,6 +1,5 @@
 import type {RequestLimits} from './limits.js';
-import {formatLimitKey} from './types.js';
-import type {LimitedAddress} from './types.js';
+import type {LimitedEngine} from './types.js';
 
 const millisecondsPerSecond = 1000;
 /** Requests that may go out at once after a pause, in seconds of the limit, and the bounds of their number: two allocators at once have one burst each. */
@@ -17,7 +16,7 @@
 const priorRequests = 2;
 /** Number of slices in which the requests of the latest `priorMs` are counted, beside the one in progress. */
 const sliceCount = 5;
-/** Maximum number of addresses with a count of requests. */
+/** Maximum number of engines with a count of requests. */
 const maxBuckets = 4096;
 
 /** Requests that one engine was sent in the latest `priorMs`. */
@@ -74,17 +73,17 @@
 	}
 
 	/** Counts a request to an engine, limited or not: those just before a limit count against it. */
-	onSend(engine: LimitedAddress, now: number): void {
+	onSend(engine: LimitedEngine, now: number): void {
 		this.#getBucket(engine, now).recent.add(now);
 	}
 
 	/** Counts the requests of this process to an engine in the latest second. */
-	countRecent(engine: LimitedAddress, now: number): number {
-		return this.#buckets.get(formatLimitKey(engine))?.recent.count(now) ?? 0;
+	countRecent(engine: LimitedEngine, now: number): number {
+		return this.#buckets.get(this.#limits.formatKey(engine))?.recent.count(now) ?? 0;
 	}
 
 	/** Counts requests that another entry sent an engine shortly before its limit was named. */
-	addPrior(engine: LimitedAddress, count: number, now: number): void {
+	addPrior(engine: LimitedEngine, count: number, now: number): void {
 		if (this.#limits.isLimited(engine)) {
 			const bucket = this.#getBucket(engine, now);
 			if (now - bucket.namedAt < repaymentMs) {
@@ -94,7 +93,7 @@
 	}
 
 	/** Computes the time until an engine can take a request, in milliseconds; 0 when it can take one now. */
-	computeWaitMs(engine: LimitedAddress, now: number): number {
+	computeWaitMs(engine: LimitedEngine, now: number): number {
 		if (!this.#limits.isLimited(engine)) {
 			return 0;
 		}
@@ -104,7 +103,7 @@
 	}
 
 	/** Takes a permit; returns whether the limit allows it. */
-	tryTake(engine: LimitedAddress, now: number): boolean {
+	tryTake(engine: LimitedEngine, now: number): boolean {
 		if (!this.#limits.isLimited(engine)) {
 			return true;
 		}
@@ -122,7 +121,7 @@
 	Computes the time after which a refused request can expect a permit, in milliseconds, behind those that were refused before it. One that
 	can't come back that late, `maxReturnMs`, is promised nothing.
 	*/
-	scheduleReturnMs(engine: LimitedAddress, maxReturnMs: number, now: number): number {
+	scheduleReturnMs(engine: LimitedEngine, maxReturnMs: number, now: number): number {
 		const bucket = this.#getBucket(engine, now);
 		const promisedAt = Math.max(bucket.nextPromiseAt, now + this.computeWaitMs(engine, now));
 		if (promisedAt - now <= maxReturnMs) {
@@ -132,13 +131,13 @@
 		return promisedAt - now;
 	}
 
-	#computeRate(engine: LimitedAddress): number {
+	#computeRate(engine: LimitedEngine): number {
 		return Math.max(minPerSecond, this.#limits.getPerSecond(engine)) * this.#getShare(engine.service);
 	}
 
 	/** Returns the bucket of an engine, refilled up to `now`. */
-	#getBucket(engine: LimitedAddress, now: number): Bucket {
-		const key = formatLimitKey(engine);
+	#getBucket(engine: LimitedEngine, now: number): Bucket {
+		const key = this.#limits.formatKey(engine);
 		const bucket = this.#buckets.get(key) ?? {
 			recent: new RecentCount(), perSecond: Number.POSITIVE_INFINITY, tokens: 0, refilledAt: now, priorCredit: 0, namedAt: now, nextPromiseAt: now,
 		};
--- a/src/requestlimits/types.ts
+++ b/src/requestlimits/types.ts
@@ -1,12 +1,12 @@
-/** The engines at one address, whichever incarnation runs there. Another service may take over the address. */
-export type LimitedAddress = {
+/** An engine that may name a limit. */
+export type LimitedEngine = {
 	readonly service: string;
-	/** `host:port`. */
-	readonly address: string;
+	/** Id of the incarnation. */
+	readonly id: string;
 };
 
 /** What is known of an engine's limit. */
-export type RequestLimit = LimitedAddress & {
+export type RequestLimit = LimitedEngine & {
 	/** Requests a second that the engine takes from all entries together; infinite once it names no limit. */
 	readonly perSecond: number;
 	/** Time since the answer that showed it, in milliseconds. */
@@ -20,8 +20,3 @@
 	/** Where it was learned: from an answer to this process, or from another entry. */
 	readonly cause: 'answer' | 'peer';
 };
-
-/** Formats a key for maps. */
-export function formatLimitKey({service, address}: LimitedAddress): string {
-	return `${service} ${address}`;
-}
