--- a/soak/invariantchecker.ts
+++ b/soak/invariantchecker.ts
@@ -1,4 +1,5 @@
 import {header} from '../platform/wire.js';
+import {refusalReason} from '../src/errors/index.js';
 import {findLimitBreach, listBlocks} from '../standins/fleet/index.js';
 import type {Arrival} from '../standins/fleet/index.js';
 import {callerDeadlineMs, callKinds} from './callers.js';
@@ -154,7 +155,8 @@
 		const bad = sent.filter(call => !call.isComplete || call.status !== 200);
 		if (sent.length === 0 || bad.length > sent.length * (1 - minRecoveredShare)) {
 			const detail = bad.slice(0, 5).map(({vm, path, status, error, body}) => `${vm.name}${path} ${status} ${status === 200 ? '' : body.slice(0, 60)} ${error}`).join('; ');
-			this.violations.push(`RECOVER: ${bad.length} of ${sent.length} requests failed after the recovery: ${detail}`);
+			const quarantines = bad.some(({body}) => body.includes(refusalReason.quarantined)) ? this.#world.vms.flatMap(({quarantineLines}) => quarantineLines).join('\n') : '';
+			this.violations.push(`RECOVER: ${bad.length} of ${sent.length} requests failed after the recovery: ${detail} ${quarantines}`.trimEnd());
 		}
 	}
 
--- a/soak/vm.ts
+++ b/soak/vm.ts
@@ -5,6 +5,7 @@
 import path from 'node:path';
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
+import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
 import {settingsVariable} from '../platform/settings.js';
 import {createSettingsText} from '../standins/fleet/index.js';
@@ -22,6 +23,9 @@
 /** Time after which callers no longer reuse an idle connection, in milliseconds: four fifths of the configuration's idle timeout, as the users' callers do. */
 const maxIdleMs = 4000;
 
+/** Number of log lines on quarantines that are kept for the report. */
+const maxQuarantineLines = 40;
+
 /** One start of an entry's process; times are monotonic, in milliseconds. */
 export type Incarnation = {
 	readonly child: ChildProcess;
@@ -47,6 +51,8 @@
 	agent = createCallersAgent();
 	/** Times at which the process was paused; `to` is infinite while a pause lasts. */
 	readonly pauses: Array<{readonly from: number; to: number}> = [];
+	/** Its latest log lines on quarantines, oldest first. */
+	readonly quarantineLines: string[] = [];
 	/** Everything that its processes wrote to standard error. */
 	stderr = '';
 	#isClosed = false;
@@ -95,7 +101,12 @@
 		child.stdout.once('data', () => {
 			incarnation.loggedAt = performance.now();
 		});
-		child.stdout.resume();
+		createInterface({input: child.stdout}).on('line', line => {
+			if (line.includes('"kind":"quarantine"')) {
+				this.quarantineLines.push(line);
+				this.quarantineLines.splice(0, this.quarantineLines.length - maxQuarantineLines);
+			}
+		});
 		child.stderr.on('data', (data: Uint8Array) => {
 			this.stderr += new TextDecoder().decode(data);
 		});
