--- a/faults/processes/world.ts
+++ b/faults/processes/world.ts
@@ -55,19 +55,30 @@
 
 let running: RunningDeployment | undefined;
 
-/** Returns the processes that the cells share, started at the first call: every cell leaves them whole again. */
+/** Returns the processes that the cells share, started at the first call: every cell leaves them whole again. They are started anew after a cell that did not. */
 export async function openWorld(): Promise<RunningDeployment> {
-	if (!running) {
-		running = new RunningDeployment({
-			configurationText: text, entriesPerDomain: entryCount, timeScale, isLinked: true,
-		});
-		await running.start();
-		await waitForEntries(running);
+	if (running && !running.isWhole) {
+		await closeWorld();
 	}
 
+	running ??= await startWorld();
 	return running;
 }
 
+async function startWorld(): Promise<RunningDeployment> {
+	const deployment = new RunningDeployment({
+		configurationText: text, entriesPerDomain: entryCount, timeScale, isLinked: true,
+	});
+	try {
+		await deployment.start();
+		await waitForEntries(deployment);
+		return deployment;
+	} catch (error) {
+		await deployment.close();
+		throw error;
+	}
+}
+
 /** Ends the processes. */
 export async function closeWorld(): Promise<void> {
 	await running?.close();
--- a/rigs/deployment.ts
+++ b/rigs/deployment.ts
@@ -81,26 +81,16 @@
 
 	/** Starts everything and returns when every entry is ready. */
 	async start(): Promise<void> {
-		const deployment = parseDeployment(this.configurationText);
-		const entryCount = deployment.domains.length * this.#options.entriesPerDomain;
-		const addresses = await findFreeAddresses(1 + deployment.upstreams.length + (2 * entryCount));
-		const takeAddress = () => addresses.pop()!;
-		this.#startPlatform(takeAddress());
-		for (const upstream of deployment.upstreams) {
-			await this.#startUpstream(deployment, upstream, takeAddress());
-		}
-
-		await waitForOk(`${this.platform}/vms`);
-		await Promise.all(this.upstreams.map(async ({origin}) => waitForOk(`${origin}/journal`)));
-		await this.#writeConfiguration();
-		for (const domain of deployment.domains) {
-			for (let index = 1; index <= this.#options.entriesPerDomain; index++) {
-				this.#addEntry(`${domain}-vm-${index}`, domain, takeAddress(), takeAddress());
-			}
+		try {
+			await this.#startAll();
+		} catch (error) {
+			throw new RangeError(`the deployment did not start; processes that ended: ${this.#processes.unexpectedExits.join('; ') || 'none'}`, {cause: error});
 		}
+	}
 
-		await this.#writeVms();
-		await Promise.all(this.entries.map(async entry => waitForOk(`${entry.origin}/readyz`)));
+	/** Whether all of its processes run; a test may have left one ended. */
+	get isWhole(): boolean {
+		return this.#processes.runningCount === 1 + this.upstreams.length + this.entries.length;
 	}
 
 	/** Starts an entry's program again, with an empty memory, after its process has ended. */
@@ -130,6 +120,29 @@
 		rmSync(this.#folder, {recursive: true});
 	}
 
+	async #startAll(): Promise<void> {
+		const deployment = parseDeployment(this.configurationText);
+		const entryCount = deployment.domains.length * this.#options.entriesPerDomain;
+		const addresses = await findFreeAddresses(1 + deployment.upstreams.length + (2 * entryCount));
+		const takeAddress = () => addresses.pop()!;
+		this.#startPlatform(takeAddress());
+		for (const upstream of deployment.upstreams) {
+			await this.#startUpstream(deployment, upstream, takeAddress());
+		}
+
+		await waitForOk(`${this.platform}/vms`);
+		await Promise.all(this.upstreams.map(async ({origin}) => waitForOk(`${origin}/journal`)));
+		await this.#writeConfiguration();
+		for (const domain of deployment.domains) {
+			for (let index = 1; index <= this.#options.entriesPerDomain; index++) {
+				this.#addEntry(`${domain}-vm-${index}`, domain, takeAddress(), takeAddress());
+			}
+		}
+
+		await this.#writeVms();
+		await Promise.all(this.entries.map(async entry => waitForOk(`${entry.origin}/readyz`)));
+	}
+
 	#startPlatform(address: string): void {
 		this.platform = `http://${address}`;
 		this.#processes.start('dist/standins/platform/main.js', [address]);
--- a/rigs/processgroup.ts
+++ b/rigs/processgroup.ts
@@ -4,18 +4,28 @@
 
 /** Child processes that are ended together. */
 export class ProcessGroup {
+	/** Processes that ended by themselves, with their exit codes. */
+	readonly unexpectedExits: string[] = [];
 	readonly #children = new Set<ChildProcess>();
 
 	/** Starts the compiled program `file` with `parameters`; its output goes to this process's output. */
 	start(file: string, parameters: readonly string[]): ChildProcess {
 		const child = spawn(process.execPath, [file, ...parameters], {stdio: ['ignore', 'inherit', 'inherit']});
 		this.#children.add(child);
-		child.once('exit', () => {
+		child.once('exit', code => {
 			this.#children.delete(child);
+			if (code !== null && code !== 0) {
+				this.unexpectedExits.push(`${file} ${parameters.join(' ')}: exit code ${code}`);
+			}
 		});
 		return child;
 	}
 
+	/** Number of processes that run. */
+	get runningCount(): number {
+		return this.#children.size;
+	}
+
 	/** Kills every process that still runs and waits until they have exited. */
 	async close(): Promise<void> {
 		const ended = [...this.#children].map(async child => new Promise(resolve => {
