Waits for a reservation leave no listener on the request's signal

A request that waited more than ten times, for slots or permits, caused MaxListenersExceededWarning and kept each wait's memory to its end. The queue and the client of a remote allocator remove their listeners when the wait ends. Both tests failed before.

--- a/src/dispatch/queue.ts
+++ b/src/dispatch/queue.ts
@@ -204,14 +204,21 @@
 		}
 
 		return new Promise<Reservation | QueueRefusal>(resolve => {
-			const waiter: Waiter<Reservation> = {
-				request, tryReserve, resolve,
-			};
-			signal.addEventListener('abort', () => {
+			const onAbort = () => {
 				if (group.remove(waiter)) {
 					resolve(new QueueRefusal(refusalReason.deadline, minRetryAfterMs));
 				}
-			}, {once: true});
+			};
+
+			const waiter: Waiter<Reservation> = {
+				request,
+				tryReserve,
+				resolve(result) {
+					signal.removeEventListener('abort', onAbort);
+					resolve(result);
+				},
+			};
+			signal.addEventListener('abort', onAbort, {once: true});
 			group.add(waiter, isOnTime, now);
 			this.#startTimer();
 		});
--- a/src/dispatch/test/queue.test.ts
+++ b/src/dispatch/test/queue.test.ts
@@ -1,3 +1,4 @@
+import {getEventListeners} from 'node:events';
 import {expect} from 'chai';
 import {NotRunError} from '../../errors/index.js';
 import {ManualTimers} from '../../timers/index.js';
@@ -151,4 +152,16 @@
 		expect(onTimeWaits.length).to.be.greaterThan(150);
 		expect(onTimeWaits.length / waitsMs.length).to.be.greaterThan(0.8);
 	});
+
+	it('leaves no listener on the signal of a request that has ended its wait', async () => {
+		const timers = new ManualTimers();
+		const slot = new SingleSlot(timers, 30);
+		const {signal} = new AbortController();
+		slot.submit('first');
+		slot.submit('second', {}, signal);
+		expect(getEventListeners(signal, 'abort')).to.have.lengthOf(1);
+		await timers.advance(100);
+		expect(slot.granted).to.deep.equal(['first', 'second']);
+		expect(getEventListeners(signal, 'abort')).to.have.lengthOf(0);
+	});
 });
--- a/src/places/remoteallocator.ts
+++ b/src/places/remoteallocator.ts
@@ -136,14 +136,26 @@
 				return;
 			}
 
-			this.#pending.set(id, {request, resolve, reject});
-			this.#send({kind: allocatorMessageKind.request, id, request});
-			signal.addEventListener('abort', () => {
+			const onAbort = () => {
 				if (this.#pending.delete(id)) {
 					this.#send({kind: allocatorMessageKind.cancel, id});
 					reject(createCancelledError());
 				}
-			}, {once: true});
+			};
+
+			this.#pending.set(id, {
+				request,
+				resolve(engines) {
+					signal.removeEventListener('abort', onAbort);
+					resolve(engines);
+				},
+				reject(error) {
+					signal.removeEventListener('abort', onAbort);
+					reject(error);
+				},
+			});
+			this.#send({kind: allocatorMessageKind.request, id, request});
+			signal.addEventListener('abort', onAbort, {once: true});
 		});
 		return new RemoteReservation(engines, message => {
 			this.#send({...message, id});
--- a/src/places/test/failover.test.ts
+++ b/src/places/test/failover.test.ts
@@ -1,3 +1,4 @@
+import {getEventListeners} from 'node:events';
 import {expect} from 'chai';
 import {Fleet} from '../../dispatch/index.js';
 import {NotRunError} from '../../errors/index.js';
@@ -99,4 +100,16 @@
 		expect(sent).to.have.lengthOf(sentBefore);
 		allocator.close();
 	});
+
+	it('leaves no listener on the signal of a request when the allocator is lost', async () => {
+		const allocator = new RemoteAllocator(new ManualTimers(), new RecordingNetwork(), 'a:1', {
+			onLost: () => undefined, onAnswer: () => undefined, onLimited: () => undefined, quarantine: new BlockQuarantine(), limits: new RequestLimits(), localVm: 'x',
+		});
+		const {signal} = new AbortController();
+		const acquired = allocator.acquire(request, signal).catch(() => 'lost');
+		expect(getEventListeners(signal, 'abort')).to.have.lengthOf(1);
+		allocator.close();
+		expect(await acquired).to.equal('lost');
+		expect(getEventListeners(signal, 'abort')).to.have.lengthOf(0);
+	});
 });
