--- a/src/places/test/failover.test.ts
+++ b/src/places/test/failover.test.ts
@@ -106,10 +106,11 @@
 			onLost: () => undefined, onAnswer: () => undefined, onLimited: () => undefined, quarantine: new BlockQuarantine(), limits: new RequestLimits(), localVm: 'x',
 		});
 		const {signal} = new AbortController();
-		const acquired = allocator.acquire(request, signal).catch(() => 'lost');
+		const acquired = Promise.allSettled([allocator.acquire(request, signal)]);
 		expect(getEventListeners(signal, 'abort')).to.have.lengthOf(1);
 		allocator.close();
-		expect(await acquired).to.equal('lost');
+		const [result] = await acquired;
+		expect(result.status).to.equal('rejected');
 		expect(getEventListeners(signal, 'abort')).to.have.lengthOf(0);
 	});
 });
