--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -194,6 +194,19 @@
 		await stopped;
 	}
 
+	/** Counts the open connections. */
+	async countConnections(): Promise<number> {
+		return new Promise((resolve, reject) => {
+			this.#server.getConnections((error, count) => {
+				if (error) {
+					reject(error);
+				} else {
+					resolve(count);
+				}
+			});
+		});
+	}
+
 	/** Lists the received requests that ran. */
 	listRuns(): Arrival[] {
 		return this.arrivals.filter(({hasRun}) => hasRun);
