Retries without requests stay within the slack of all entries

Each keeps to its share of the slack now, read from the settings and divided by the live entries. The test failed before (800 retries of 400 entries, 430 allowed).

--- a/src/retries/test/windowbudget.test.ts
+++ b/src/retries/test/windowbudget.test.ts
@@ -61,4 +61,18 @@
 			}
 		}), {seed, numRuns: 60});
 	});
+
+	it('keeps the sum of the retries of many entries without requests within the slack', () => {
+		const slack = 430;
+		const entryCount = 400;
+		let retries = 0;
+		for (let index = 0; index < entryCount; index++) {
+			const budget = new WindowRetryBudget(new ManualTimers(), {...limit, slack, entryCount});
+			while (budget.tryTake('llm')) {
+				retries++;
+			}
+		}
+
+		expect(retries).to.be.at.most(slack);
+	});
 });
--- a/src/retries/windowbudget.ts
+++ b/src/retries/windowbudget.ts
@@ -4,6 +4,10 @@
 export type RetryLimit = {
 	/** Retries allowed for each request. */
 	readonly ratio: number;
+	/** Retries allowed in a window beside those, over all entries; infinite if not given. */
+	readonly slack?: number;
+	/** Number of entries that share the slack. */
+	readonly entryCount?: number;
 	/** Sliding window over which retries and requests are counted, in milliseconds. */
 	readonly windowMs: number;
 };
@@ -12,15 +16,15 @@
 const sliceCount = 10;
 /** Share of the limit that is used: the windows of the entries, and of whoever checks the limit, are not aligned. */
 const safetyFactor = 0.8;
-/** Retries in a window that an entry may make without any requests: few beside the slack that the limit gives an entry. */
-const freeRetries = 2;
+/** Maximum number of retries in a window that an entry may make without any requests; less where its share of the slack is less. */
+const maxFreeRetries = 2;
 
 /** Requests and retries of one service in each slice of the window, at the index `slice % sliceCount`; `slice` is the latest. */
 type WindowCounts = {readonly requests: number[]; readonly retries: number[]; slice: number};
 
 /**
 Limits the retries of each service by the number of requests that this entry received. Entries need not communicate: if
-each keeps the ratio of retries to its own requests, all of them together keep it too.
+each keeps the ratio of retries to its own requests, and its share of the slack, all of them together keep the limit too.
 */
 export class WindowRetryBudget {
 	readonly #timers: TimerService;
@@ -50,7 +54,9 @@
 	/** Takes one retry from the budget; returns whether the limit allows it. */
 	tryTake(service: string): boolean {
 		const counts = this.#getCounts(service);
-		const maxRetries = freeRetries + (computeSum(counts.requests) * this.#limit.ratio * safetyFactor);
+		const {ratio, slack = Number.POSITIVE_INFINITY, entryCount = 1} = this.#limit;
+		const freeRetries = Math.min(maxFreeRetries, slack * safetyFactor / Math.max(1, entryCount));
+		const maxRetries = freeRetries + (computeSum(counts.requests) * ratio * safetyFactor);
 		if (computeSum(counts.retries) + 1 > maxRetries) {
 			return false;
 		}
