Quarantine no block that was answered since its last crash

An allocator's suspicions outlived answers that other allocators had granted, which this process saw: two crashes minutes apart, with the block answered in between, put it under quarantine. Now an answer seen by the process clears the suspicion. The test failed before.

--- a/src/places/test/crashing.test.ts
+++ b/src/places/test/crashing.test.ts
@@ -306,6 +306,35 @@
 		expect(allocator.quarantine.list(timers.getNow()).map(({blocks}) => blocks)).to.deep.equal([['common']]);
 	});
 
+	it('quarantines no block that was answered since its last crash through another allocator', async () => {
+		const timers = new ManualTimers();
+		const fleet = new Fleet();
+		for (const id of ['e1', 'e2', 'e3']) {
+			fleet.onRegistration({
+				id, address: `${id}:1`, service: 'llm', stage: engineStage.any, slots: 8, isLeaving: false, startedAt: 1,
+			});
+		}
+
+		const allocator = new SlotAllocator({
+			timers, fleet, getRandom: () => 0.5, getSlotShare: () => 1,
+		});
+		const blocks = [{id: 'common', tokens: 10}];
+		const runCrashing = async (engine: string) => {
+			const excludedEngines = ['e1', 'e2', 'e3'].filter(id => id !== engine);
+			const reservation = await allocator.acquire(createReservationRequest({prefixBlocks: blocks, excludedEngines}), new AbortController().signal);
+			reservation.release(engineOutcome.crashed);
+			await timers.advance(1);
+		};
+
+		allocator.quarantine.onPromptAnswered([{id: 'other', tokens: 10}], timers.getNow());
+		await runCrashing('e1');
+		await timers.advance(60_000);
+		allocator.quarantine.onPromptAnswered(blocks, timers.getNow());
+		await timers.advance(1000);
+		await runCrashing('e2');
+		expect(allocator.quarantine.list(timers.getNow())).to.deep.equal([]);
+	});
+
 	it('finds a crashing block whose caller leaves just before the crash', async () => {
 		const timers = new ManualTimers();
 		const fleet = new Fleet();
--- a/src/quarantine/attribution.ts
+++ b/src/quarantine/attribution.ts
@@ -54,6 +54,8 @@
 type Suspicion = {
 	crashes: number;
 	readonly wasProven: boolean;
+	/** Monotonic time of the last crash, in milliseconds. */
+	crashedAt: number;
 	/** Runs that have the block. */
 	readonly runs: Set<Run>;
 };
@@ -204,8 +206,11 @@
 	}
 
 	#countCrash(id: string, now: number): void {
+		// Other allocators grant requests with the block too: their answers count as well.
+		this.#findSuspicion(id, now);
 		const suspicion = this.#getSuspicion(id, now);
 		suspicion.crashes++;
+		suspicion.crashedAt = now;
 		// Kept in the order of the last crash, for the eviction.
 		this.#suspicions.delete(id);
 		this.#suspicions.set(id, suspicion);
@@ -259,10 +264,10 @@
 			: ids.filter(id => unproven.includes(id) || isSuspect(this.#findSuspicion(id, now)));
 	}
 
-	/** Finds the suspicion of a block unless a run that has it has outlived every crash that it could have caused. */
+	/** Finds the suspicion of a block unless a prompt with it was answered since its last crash, or a run that has it has outlived every crash that it could have caused. */
 	#findSuspicion(id: string, now: number): Suspicion | undefined {
 		const suspicion = this.#suspicions.get(id);
-		if (suspicion && [...suspicion.runs].some(({decodesFrom}) => decodesFrom !== undefined && now - decodesFrom >= survivalMs)) {
+		if (suspicion && (this.#quarantine.getAnsweredAt(id) > suspicion.crashedAt || [...suspicion.runs].some(({decodesFrom}) => decodesFrom !== undefined && now - decodesFrom >= survivalMs))) {
 			this.#suspicions.delete(id);
 			return undefined;
 		}
@@ -274,7 +279,9 @@
 		let suspicion = this.#suspicions.get(id);
 		if (!suspicion) {
 			const runs = [...this.#runs.values()].flatMap(set => [...set]).filter(({blocks}) => blocks.includes(id));
-			suspicion = {crashes: 0, wasProven: this.#quarantine.isProven(id, now), runs: new Set(runs)};
+			suspicion = {
+				crashes: 0, wasProven: this.#quarantine.isProven(id, now), crashedAt: now, runs: new Set(runs),
+			};
 			this.#suspicions.set(id, suspicion);
 		}
 
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -126,7 +126,12 @@
 
 	/** Tells whether a prompt with the block was answered completely shortly before `now`. */
 	isProven(id: string, now: number): boolean {
-		return now - (this.#answeredAt.get(id) ?? Number.NEGATIVE_INFINITY) < provenMs;
+		return now - this.getAnsweredAt(id) < provenMs;
+	}
+
+	/** Returns when a prompt with the block was last answered completely, monotonic, in milliseconds; minus infinity if it was not. */
+	getAnsweredAt(id: string): number {
+		return this.#answeredAt.get(id) ?? Number.NEGATIVE_INFINITY;
 	}
 
 	/** Handles that a prompt was answered completely. */
