Refusals for limits promise a time only to callers that can return by then

The entry's own refusals advanced the time to return with each one, also beyond the time that callers have left: at 500 refusals a second and a limit of 10 it ran 50 s ahead in a second. States of permits are bounded as well.

--- a/src/places/failoverpermits.ts
+++ b/src/places/failoverpermits.ts
@@ -8,6 +8,8 @@
 const millisecondsPerSecond = 1000;
 /** Maximum number of permits of one engine that are asked for at once: a further request tries another engine. */
 const maxPendingPermits = 16;
+/** Maximum number of engines with a state. */
+const maxStates = 4096;
 
 /** What this process knows of the permits of one engine. */
 type PermitState = {
@@ -116,6 +118,11 @@
 			refusedUntil: Number.NEGATIVE_INFINITY, returnAt: this.#timers.getNow(), pendingCount: 0, priorCount: this.#allocator.countRecentSends(engine),
 		};
 		this.#states.set(key, state);
+		const [oldestKey] = this.#states.keys();
+		if (this.#states.size > maxStates && oldestKey !== undefined) {
+			this.#states.delete(oldestKey);
+		}
+
 		return state;
 	}
 }
--- a/src/places/refusals.ts
+++ b/src/places/refusals.ts
@@ -11,6 +11,8 @@
 const lateHoldMs = 60;
 /** Maximum time for which a refusal because of engines' limits applies to all requests of its service, in milliseconds. */
 const maxLimitedHoldMs = 250;
+/** Share of the time left to a request within which its caller can return. */
+const maxReturnShare = 1 / 3;
 const millisecondsPerSecond = 1000;
 
 /**
@@ -36,7 +38,7 @@
 	this one back because most requests of the kind are refused.
 	*/
 	check(request: ReservationRequest): void {
-		this.#checkLimited(request.service);
+		this.#checkLimited(request);
 		const kind = this.#kinds.get(formatRequestKind(request));
 		if (!kind) {
 			return;
@@ -67,7 +69,7 @@
 		this.#kinds.set(formatRequestKind(request), kind);
 	}
 
-	#checkLimited(service: string): void {
+	#checkLimited({service, deadlineMs}: ReservationRequest): void {
 		const limited = this.#limited.get(service);
 		const now = this.#timers.getNow();
 		const perSecond = this.#limits.sumPerSecond(service);
@@ -75,9 +77,13 @@
 			return;
 		}
 
-		limited.returnAt += millisecondsPerSecond / perSecond;
+		const retryAfterMs = limited.returnAt - now;
+		if (retryAfterMs <= deadlineMs * maxReturnShare) {
+			limited.returnAt += millisecondsPerSecond / perSecond;
+		}
+
 		throw new NotRunError('Refused without asking the slot allocator: all engines have got as many requests as their limits allow.', {
-			props: {reason: refusalReason.limited, retryAfterMs: limited.returnAt - now},
+			props: {reason: refusalReason.limited, retryAfterMs},
 		});
 	}
 }
--- a/src/places/test/refusals.test.ts
+++ b/src/places/test/refusals.test.ts
@@ -32,4 +32,32 @@
 		refusals.onAnswer(late, true, 1);
 		refusals.check(late);
 	});
+
+	it('refuses requests whose engines are limited, each with a later time to return as long as callers can return by then', async () => {
+		const timers = new ManualTimers();
+		const limits = new RequestLimits();
+		limits.onAnswer({service: request.service, id: 'd1'}, 10, 0, 0);
+		const refusals = new RecentRefusals(timers, () => 0.5, limits);
+		refusals.onLimited(request, 200);
+		const listRetryAfter = (count: number) => Array.from({length: count}, () => {
+			try {
+				refusals.check(request);
+				return 0;
+			} catch (error) {
+				return (error as {retryAfterMs: number}).retryAfterMs;
+			}
+		});
+		// Callers with 1,800 ms left can return within 600 ms.
+		expect(listRetryAfter(8)).to.deep.equal([200, 300, 400, 500, 600, 700, 700, 700]);
+		await timers.advance(201);
+		expect(listRetryAfter(1)).to.deep.equal([0]);
+	});
+
+	it('refuses no others when a request was limited that may not use all engines', () => {
+		const limits = new RequestLimits();
+		limits.onAnswer({service: request.service, id: 'd1'}, 10, 0, 0);
+		const refusals = new RecentRefusals(new ManualTimers(), () => 0.5, limits);
+		refusals.onLimited({...request, excludedEngines: ['d2']}, 200);
+		refusals.check(request);
+	});
 });
