--- a/src/places/test/messages.test.ts
+++ b/src/places/test/messages.test.ts
@@ -37,6 +37,22 @@
 			{
 				kind: allocatorMessageKind.refuse, id: 2, reason: 'deadline', retryAfterMs: 250, grantRate: 0.25,
 			},
+			{
+				kind: allocatorMessageKind.limits, id: 0, sender: 'vm1', limits: [
+					{
+						service: 'llm', id: 'd1', perSecond: 0.4, ageMs: 12,
+					},
+					{
+						service: 'llm', id: 'd2', perSecond: Number.POSITIVE_INFINITY, ageMs: 0,
+					},
+				],
+			},
+			{
+				kind: allocatorMessageKind.permitRequest, id: 9, engine: {service: 'app', id: 'a1'}, priorCount: 3,
+			},
+			{
+				kind: allocatorMessageKind.permit, id: 9, isGranted: false, waitMs: 138,
+			},
 			{kind: allocatorMessageKind.prefillEnd, id: 3, outcome: 'answered'},
 			{kind: allocatorMessageKind.release, id: 4, outcome: undefined},
 			{kind: allocatorMessageKind.cancel, id: 5},
