Comments of the request limits read as a newcomer

Cause: comments of the charge for earlier requests, and of the shares of allocators, had to be read twice.

--- a/src/places/failover.ts
+++ b/src/places/failover.ts
@@ -90,7 +90,7 @@
 
 	/**
 	Computes the share of the limits of a service's engines that the allocator of this process may grant, above 0 up to 1. The first choice grants all
-	of them but the shares of entries that it lost, as those ask another allocator now; that one grants the shares of the entries that ask it.
+	of them but the shares of the entries that it lost, which ask another allocator now; any other one grants the shares of the entries that ask it.
 	*/
 	computeLimitShare(service: string): number {
 		const {timers, localAllocator: {clients}, localAddress} = this.#dependencies;
--- a/src/requestlimits/permits.ts
+++ b/src/requestlimits/permits.ts
@@ -8,10 +8,10 @@
 const maxBurst = 3;
 /** Rate below which a limit is raised, in requests a second: without any request the end of the limit would not be seen. */
 const minPerSecond = 0.02;
-/** Time before a limit was named in which requests count against it, and time in which they are made up for, in milliseconds. */
+/** Time before a limit was named whose requests are charged to it, and the longest time for which nothing is granted because of them, in milliseconds. */
 const priorMs = 1000;
 const repaymentMs = 3000;
-/** Requests in the time before that need no making up for: those of `priorSeconds` of the limit, and a few. */
+/** Earlier requests that are not charged: those of `priorSeconds` of the limit, and a few. */
 const priorSeconds = 2;
 const priorRequests = 2;
 /** Number of slices in which the requests of the latest `priorMs` are counted, beside the one in progress. */
@@ -50,7 +50,7 @@
 	perSecond: number;
 	tokens: number;
 	refilledAt: number;
-	/** Requests before the limit was named that need no making up for. */
+	/** Number of earlier requests that are still not charged. */
 	priorCredit: number;
 	namedAt: number;
 	/** Time from which a further refused request can expect a permit. */
@@ -118,8 +118,8 @@
 	}
 
 	/**
-	Computes the time after which a refused request can expect a permit, in milliseconds, behind those that were refused before it. One that
-	can't come back that late, `maxReturnMs`, is promised nothing.
+	Computes the time after which a refused request can expect a permit, in milliseconds, behind those that were refused before it. Keeps that
+	time for it if its caller can return within `maxReturnMs`.
 	*/
 	scheduleReturnMs(engine: LimitedEngine, maxReturnMs: number, now: number): number {
 		const bucket = this.#getBucket(engine, now);
@@ -162,7 +162,7 @@
 		return bucket;
 	}
 
-	/** Begins with a new or lower limit: requests sent shortly before are made up for, as the engine counts them too. */
+	/** Begins with a new or lower limit. Requests sent shortly before are charged to it, as the engine counts them too. */
 	#startLimit(bucket: Bucket, perSecond: number, now: number): void {
 		const isNew = !Number.isFinite(bucket.perSecond);
 		bucket.tokens = isNew ? 0 : Math.min(bucket.tokens, minBurst);
@@ -182,6 +182,7 @@
 	}
 }
 
+/** Charges requests that were sent before the limit was named. */
 function addDebt(bucket: Bucket, count: number): void {
 	const covered = Math.min(bucket.priorCredit, count);
 	bucket.priorCredit -= covered;
