One constant for the time in which refused callers can return

Cause: the share of a third stood in four files (queue, refusals, allocator, plain calls), so that one could change without the others. Change: one exported constant next to computeRetryAfterMs; a comment of the permits reworded. No behaviour changes.

--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -8,7 +8,7 @@
 export {EngineHealth, engineOutcome} from './health.js';
 export type {EngineOutcome} from './health.js';
 export {
-	heldBack, isOnTimeAt, comparePriority, computeRetryAfterMs, isOverdue, QueueRefusal, AdmissionQueue,
+	heldBack, isOnTimeAt, comparePriority, computeRetryAfterMs, maxReturnShare, isOverdue, QueueRefusal, AdmissionQueue,
 } from './queue.js';
 export type {QueuedRequest} from './queue.js';
 export {chooseGenerationPlacement, choosePlainEngine, estimateFirstTokenMs} from './placement.js';
--- a/src/dispatch/queue.ts
+++ b/src/dispatch/queue.ts
@@ -53,6 +53,8 @@
 const maxFirstByteWaitShare = 0.5;
 /** Interval at which reservations are tried again and overdue requests are refused, without a report of free capacity, in milliseconds. */
 const dispatchIntervalMs = 5;
+/** Share of the time left to a request up to which its caller honours a retry-after time. */
+export const maxReturnShare = 1 / 3;
 /** Minimum time after which a refused caller should retry, in milliseconds: capacity does not become free sooner. */
 const minRetryAfterMs = 50;
 /** Time between two grants that is assumed until it has been measured, in milliseconds. */
@@ -296,7 +298,7 @@
 they do not return together. With a sixth gone, the time left to the deadline shows that a request was refused before.
 */
 export function computeRetryAfterMs(remainingMs: number, random: number): number {
-	return Math.max(minRetryAfterMs, Math.round(Math.max(0, remainingMs) / 3 * (0.5 + (0.5 * random))));
+	return Math.max(minRetryAfterMs, Math.round(Math.max(0, remainingMs) * maxReturnShare * (0.5 + (0.5 * random))));
 }
 
 /** Compares which request is served first: those that can be on time by earliest target, then late ones by earliest deadline. */
--- a/src/gateway/plain.ts
+++ b/src/gateway/plain.ts
@@ -1,4 +1,6 @@
-import {choosePlainEngine, isPausedUntil, QueueRefusal} from '../dispatch/index.js';
+import {
+	choosePlainEngine, isPausedUntil, maxReturnShare, QueueRefusal,
+} from '../dispatch/index.js';
 import type {EngineView, AdmissionQueue} from '../dispatch/index.js';
 import {refusalReason, retryReason} from '../errors/index.js';
 import {callStep} from '../procedures/index.js';
@@ -15,8 +17,6 @@
 
 /** Share of the route's target after which a silent send is aborted if the request may be repeated: another engine can still answer on time. */
 const silenceTimeoutShare = 0.6;
-/** Share of the time left to a request within which its caller can return. */
-const maxReturnShare = 1 / 3;
 /** Time that the shortest request takes at an engine, in milliseconds; with less time left, a send is of no use. */
 const minServiceMs = 5;
 
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -11,6 +11,7 @@
 	GrantRate,
 	heldBack,
 	isLong,
+	maxReturnShare,
 	noPrefillWork,
 	PrefillModel,
 	PrefixCacheIndex,
@@ -38,8 +39,6 @@
 /** Maximum time for which an entry is told to ask for no further permit, in milliseconds, unless none can be granted for longer; and the time for each entry that asks, which bounds their messages. */
 const maxPermitWaitMs = 250;
 const permitWaitPerClientMs = 5;
-/** Share of the time left to a request within which its caller can return. */
-const maxReturnShare = 1 / 3;
 /** Share of the capacity that is open to answers which will be late. */
 const lateShare = 0.5;
 
--- a/src/places/refusals.ts
+++ b/src/places/refusals.ts
@@ -1,4 +1,4 @@
-import {computeRetryAfterMs, AdaptiveThrottle} from '../dispatch/index.js';
+import {AdaptiveThrottle, computeRetryAfterMs, maxReturnShare} from '../dispatch/index.js';
 import {NotRunError, refusalReason} from '../errors/index.js';
 import type {RequestLimits} from '../requestlimits/index.js';
 import type {TimerService} from '../timers/index.js';
@@ -11,8 +11,6 @@
 const lateHoldMs = 60;
 /** Maximum time for which a refusal because of engines' limits applies to all requests of its service, in milliseconds. */
 const maxLimitedHoldMs = 250;
-/** Share of the time left to a request within which its caller can return. */
-const maxReturnShare = 1 / 3;
 const millisecondsPerSecond = 1000;
 
 /**
--- a/src/requestlimits/permits.ts
+++ b/src/requestlimits/permits.ts
@@ -50,7 +50,7 @@
 	perSecond: number;
 	tokens: number;
 	refilledAt: number;
-	/** Number of earlier requests that are still not charged. */
+	/** Number of further earlier requests that are not charged when they become known. */
 	priorCredit: number;
 	namedAt: number;
 	/** Time from which a further refused request can expect a permit. */
