Name a time to return while many requests wait for permits

Cause: a request that was refused because sixteen others waited for permits of the only engine got Retry-After 0, an invitation to come back at once. Change: its time to return is at least that of the next request that the limit allows. Result: the new test failed before (0, 50 expected) and passes; the 28 tests of limits pass.

--- a/src/places/failoverpermits.ts
+++ b/src/places/failoverpermits.ts
@@ -52,6 +52,7 @@
 	async takePermit(engine: LimitedEngine): Promise<boolean> {
 		const state = this.#getState(engine);
 		if (state.pendingCount >= maxPendingPermits) {
+			state.returnAt = Math.max(state.returnAt, this.#timers.getNow() + (millisecondsPerSecond / this.#allocator.limits.getPerSecond(engine)));
 			return false;
 		}
 
--- a/src/places/test/failover.test.ts
+++ b/src/places/test/failover.test.ts
@@ -6,7 +6,9 @@
 import {RequestLimits} from '../../requestlimits/index.js';
 import {ManualTimers} from '../../timers/index.js';
 import {RemoteAllocator} from '../remoteallocator.js';
-import {listAllocators, SlotAllocator, FailoverReservations} from '../index.js';
+import {
+	FailoverPermits, FailoverReservations, listAllocators, SlotAllocator,
+} from '../index.js';
 import type {ReservationRequest, AllocatorCandidate} from '../index.js';
 import {BlockQuarantine} from '../../quarantine/index.js';
 import {createReservationRequest} from './requests.js';
@@ -114,3 +116,26 @@
 		expect(getEventListeners(signal, 'abort')).to.have.lengthOf(0);
 	});
 });
+
+describe('FailoverPermits', () => {
+	it('names a time to return also to requests that come while many others wait for permits', async () => {
+		const timers = new ManualTimers();
+		const localAllocator = new SlotAllocator({
+			timers, fleet: new Fleet(), getRandom: () => 0.5, getSlotShare: () => 1,
+		});
+		const reservations = new FailoverReservations({
+			timers, getRandom: () => 0.5, network: new RecordingNetwork(), localAllocator, localVm: 'x', localAddress: 'x:1', listCandidates: () => candidates, onAllocatorChange: () => undefined,
+		});
+		const permits = new FailoverPermits(timers, localAllocator, reservations);
+		const engine = {service: 'app', id: 'a1'};
+		localAllocator.limits.onAnswer(engine, 20, 0, 0);
+		for (let index = 0; index < 16; index++) {
+			void permits.takePermit(engine);
+		}
+
+		expect(await permits.takePermit(engine)).to.equal(false);
+		expect(permits.scheduleReturnMs([engine], 600)).to.equal(50);
+		expect(permits.scheduleReturnMs([engine], 600)).to.equal(100);
+		reservations.stop();
+	});
+});
