Timeouts that let a process that was held up read first

Cause: Node runs timers that are due before it reads its sockets. A process that was held up (a large configuration, a collection of garbage, a spent share of its processor) therefore ran its timeouts before the bytes that had arrived in time were read, and took a peer for silent.

--- a/src/timers/service.ts
+++ b/src/timers/service.ts
@@ -49,6 +49,15 @@
 		});
 	}
 
+	/**
+	Like `startTimer`, for a time without data from a peer: data that has arrived by the end of the time is read before `action` is called, and may
+	cancel the timer. A timer that is late because this process was held up would otherwise run before the data that waits in its sockets is read.
+	A service without sockets calls `action` at once.
+	*/
+	startTimeout(delayMs: number, action: () => void): Timer {
+		return this.startTimer(delayMs, action);
+	}
+
 	/** Reads the monotonic clock, in milliseconds. It stops while the VM is suspended. */
 	abstract getNow(): number;
 
