--- a/src/dispatch/health.ts
+++ b/src/dispatch/health.ts
@@ -6,7 +6,7 @@
 	failed: 'failed',
 	/** The engine answered that it did not run the request. */
 	refused: 'refused',
-	/** No byte came in time. */
+	/** No byte came in time; the answer may still come. */
 	silent: 'silent',
 	/** The answer broke off, or was for another request. */
 	broken: 'broken',
@@ -43,13 +43,15 @@
 	#backoffMs = 0;
 	#backoffUntil = 0;
 	#isProbing = false;
+	/** Whether the latest failure was a silence, which a sound engine ends by itself. */
+	#isSilent = false;
 
 	/** Whether the engine gets no requests, or trial requests only. */
 	get isSuspect(): boolean {
 		return this.#backoffMs > 0;
 	}
 
-	/** Updates the health by the outcome of a request that ended at `now`, in monotonic milliseconds. */
+	/** Updates the health by the outcome of a request at `now`, in monotonic milliseconds. A silence is recorded when it is noticed, which ends no request. */
 	onOutcome(outcome: EngineOutcome, now: number): void {
 		const isSuccess = outcome === engineOutcome.answered;
 		const isResponsive = isSuccess || outcome === engineOutcome.failed || outcome === engineOutcome.refused;
@@ -58,9 +60,11 @@
 		if (isResponsive) {
 			this.#consecutiveFailures = 0;
 			this.#backoffMs = 0;
+			this.#isSilent = false;
 			return;
 		}
 
+		this.#isSilent = outcome === engineOutcome.silent;
 		this.#consecutiveFailures++;
 		const isDefinite = outcome === engineOutcome.unreachable || outcome === engineOutcome.otherEngine;
 		if ((isDefinite || this.#consecutiveFailures >= failuresToSuspect) && now >= this.#backoffUntil) {
@@ -69,6 +73,23 @@
 		}
 	}
 
+	/** Records at `now` that the engine sends again after a silence: it gets a trial request at once, and all requests again once it has answered one. */
+	onResume(now: number): void {
+		this.#isSilent = false;
+		this.#isProbing = false;
+		this.#consecutiveFailures = 0;
+		this.#backoffUntil = Math.min(this.#backoffUntil, now);
+	}
+
+	/** Computes the time after which a silent engine may get a request, in milliseconds; 0 when it may get one now, infinite when it is suspect for another reason. */
+	computeSilenceLeftMs(now: number): number {
+		if (this.isAvailable(now)) {
+			return 0;
+		}
+
+		return this.#isSilent ? Math.max(0, this.#backoffUntil - now) : Number.POSITIVE_INFINITY;
+	}
+
 	/** Records that a request ended without telling anything of the engine, such as when its caller left. */
 	onInconclusive(): void {
 		this.#isProbing = false;
--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -126,10 +126,14 @@
 	return combined && {...combined, prefillEngine: undefined, decodeEngine: combined.view};
 }
 
-/** Estimates the shortest time to the first token that any engine offers now, room or not, in milliseconds; infinite without an engine. */
+/**
+Estimates the shortest time to the first token that any engine offers now, room or not, in milliseconds; infinite without an engine. A silent engine offers
+it after its backoff.
+*/
 export function estimateFirstTokenMs(views: readonly EngineView[], needs: GenerationNeeds, context: PlacementContext): number {
-	const available = views.filter(view => context.getUsage(view).health.isAvailable(context.now));
-	return Math.min(Number.POSITIVE_INFINITY, ...planPrefills(available, needs, context).map(({firstTokenMs}) => firstTokenMs));
+	const computeDelayMs = (view: EngineView) => context.getUsage(view).health.computeSilenceLeftMs(context.now);
+	const expected = views.filter(view => Number.isFinite(computeDelayMs(view)));
+	return Math.min(Number.POSITIVE_INFINITY, ...planPrefills(expected, needs, context).map(({firstTokenMs, view}) => firstTokenMs + computeDelayMs(view)));
 }
 
 /**
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -11,10 +11,12 @@
 /** Options of one send of a request to an engine. */
 export type AttemptOptions = Partial<Pick<EngineCall, 'continueFrom' | 'fetchFrom' | 'resumeAfter'>> & {
 	readonly purpose: AttemptTrace['purpose'];
-	/** Time without a byte from the engine after which the send is aborted, in milliseconds; `undefined` where only the caller or the deadline ends it. */
+	/** Time without progress after which the engine counts as silent, in milliseconds; `undefined` where it never does. Its answer is awaited all the same. */
 	readonly silenceTimeoutMs: number | undefined;
-	/** Called after such a silence: takes the permit to send the request to another engine and returns `true`, or returns `false`, and the send goes on. */
-	readonly tryTakeRetry?: () => boolean;
+	/** Called at the end of each such time while the engine is silent. */
+	readonly onSilence?: () => void;
+	/** Called when a silence begins, and when the engine goes on after it. */
+	readonly onSilenceChange?: (isSilent: boolean) => void;
 	readonly mayReuseIdle: boolean;
 };
 
@@ -23,55 +25,69 @@
 /** Bytes of a buffered body that count as progress. */
 const minProgressBytes = 256;
 
-/** Aborts a send when its engine stays silent, its caller disconnects or its deadline passes. */
+/** Aborts a send when its caller disconnects or its deadline passes, and notices when its engine is silent. */
 class SendWatchdog {
 	readonly controller = new AbortController();
+	/** Whether the engine has made no progress for the silence timeout or longer. */
 	isSilent = false;
-	/** Whether the permit for another send was taken when the send was aborted. */
-	hasRetryPermit = false;
 	readonly #timers: TimerService;
-	readonly #served: ServedRequest;
-	readonly #options: Pick<AttemptOptions, 'silenceTimeoutMs' | 'tryTakeRetry'>;
+	readonly #signal: AbortSignal;
+	readonly #silenceTimeoutMs: number | undefined;
+	/** Called at the end of each silence timeout, with whether it is the first of a silence. */
+	readonly #onSilence: (isFirst: boolean) => void;
 	readonly #onAbort: () => void;
 	#timer: Timer | undefined;
+	#isStopped = false;
 
-	constructor(timers: TimerService, served: ServedRequest, options: Pick<AttemptOptions, 'silenceTimeoutMs' | 'tryTakeRetry'>) {
+	constructor(timers: TimerService, signal: AbortSignal, silenceTimeoutMs: number | undefined, onSilence: (isFirst: boolean) => void) {
 		this.#timers = timers;
-		this.#served = served;
-		this.#options = options;
+		this.#signal = signal;
+		this.#silenceTimeoutMs = silenceTimeoutMs;
+		this.#onSilence = onSilence;
 		this.#onAbort = () => {
 			this.controller.abort();
 		};
 
 		// A signal that is already aborted emits no event.
-		if (served.signal.aborted) {
+		if (signal.aborted) {
 			this.controller.abort();
 		}
 
-		served.signal.addEventListener('abort', this.#onAbort, {once: true});
+		signal.addEventListener('abort', this.#onAbort, {once: true});
 		this.reset();
 	}
 
-	reset(): void {
-		this.#timer?.cancel();
-		const {silenceTimeoutMs, tryTakeRetry} = this.#options;
-		if (silenceTimeoutMs !== undefined) {
-			this.#timer = this.#timers.startTimer(silenceTimeoutMs, () => {
-				this.hasRetryPermit = tryTakeRetry?.() ?? false;
-				if (tryTakeRetry && !this.hasRetryPermit) {
-					this.reset();
-					return;
-				}
+	/** Records progress. Returns whether it ended a silence. */
+	reset(): boolean {
+		const wasSilent = this.isSilent;
+		this.isSilent = false;
+		this.stopTimer();
+		this.#startTimer();
+		return wasSilent;
+	}
 
-				this.isSilent = true;
-				this.controller.abort();
-			});
-		}
+	/** Stops measuring until the next progress. */
+	stopTimer(): void {
+		this.#timer?.cancel();
 	}
 
 	stop(): void {
-		this.#timer?.cancel();
-		this.#served.signal.removeEventListener('abort', this.#onAbort);
+		this.#isStopped = true;
+		this.stopTimer();
+		this.#signal.removeEventListener('abort', this.#onAbort);
+	}
+
+	#startTimer(): void {
+		if (this.#silenceTimeoutMs === undefined || this.#isStopped) {
+			return;
+		}
+
+		this.#timer = this.#timers.startTimeout(this.#silenceTimeoutMs, () => {
+			const isFirst = !this.isSilent;
+			this.isSilent = true;
+			this.#startTimer();
+			this.#onSilence(isFirst);
+		});
 	}
 }
 
@@ -91,6 +107,8 @@
 	readonly #stopTracking: () => void;
 	readonly #startedAt: number;
 	readonly #requestId: string;
+	readonly #options: Pick<AttemptOptions, 'onSilence' | 'onSilenceChange'>;
+	#isCancelled = false;
 
 	constructor(dependencies: GatewayDependencies, served: ServedRequest, view: EngineView, options: AttemptOptions) {
 		this.#dependencies = dependencies;
@@ -99,12 +117,15 @@
 		this.trace = served.trace.onSend(view, options.purpose);
 		this.#stopTracking = trackSend(view);
 		this.#startedAt = dependencies.timers.getNow();
-		this.#watchdog = new SendWatchdog(dependencies.timers, served, options);
+		this.#options = options;
+		this.#watchdog = new SendWatchdog(dependencies.timers, served.signal, options.silenceTimeoutMs, isFirst => {
+			this.#recordSilence(isFirst);
+		});
 	}
 
-	/** Whether the permit of the retry budget for a further send was taken already. */
-	get hasRetryPermit(): boolean {
-		return this.#watchdog.hasRetryPermit;
+	/** Whether the engine has made no progress for the silence timeout or longer. */
+	get isSilent(): boolean {
+		return this.#watchdog.isSilent;
 	}
 
 	/** Whether the engine answered with a 2xx status. */
@@ -162,7 +183,14 @@
 
 	/** Records that the answer has made progress, so that the engine does not count as silent. A few bytes are none: a stalled engine may send them. */
 	onProgress(): void {
-		this.#watchdog.reset();
+		if (this.#watchdog.reset()) {
+			this.#recordResume();
+		}
+	}
+
+	/** Stops measuring the engine's silence until its next progress: the caller is slow to take what it has sent. */
+	stopSilenceTimer(): void {
+		this.#watchdog.stopTimer();
 	}
 
 	/** Yields chunks of the body as they arrive; throws when it breaks off, stays silent or is aborted. */
@@ -184,6 +212,12 @@
 		this.#settle(this.isSuccess ? engineOutcome.answered : engineOutcome.failed, undefined);
 	}
 
+	/** Closes the connection, as another engine has taken the request over or the answer is no longer wanted. */
+	cancel(): void {
+		this.#isCancelled = true;
+		this.#watchdog.controller.abort();
+	}
+
 	/** Closes the answer's connection and records the error. */
 	abort(error: unknown): void {
 		this.reply?.abort();
@@ -206,7 +240,7 @@
 		this.reply = reply;
 		this.#recordWishes(reply);
 		this.trace.framing = reply.framing;
-		this.#watchdog.reset();
+		this.onProgress();
 		if (reply.load) {
 			this.view.onLoad(reply.load, this.#dependencies.timers.getNow());
 		}
@@ -248,11 +282,37 @@
 		}
 	}
 
+	#recordSilence(isFirst: boolean): void {
+		if (isFirst) {
+			const {health} = this.view;
+			const wasSuspect = health.isSuspect;
+			this.trace.silences = (this.trace.silences ?? 0) + 1;
+			health.onOutcome(engineOutcome.silent, this.#dependencies.timers.getNow());
+			if (health.isSuspect && !wasSuspect) {
+				this.#dependencies.reporter.onSilence(this.view, this.#requestId);
+			}
+
+			this.#options.onSilenceChange?.(true);
+		}
+
+		this.#options.onSilence?.();
+	}
+
+	#recordResume(): void {
+		const {health} = this.view;
+		health.onResume(this.#dependencies.timers.getNow());
+		if (health.isSuspect) {
+			this.#dependencies.reporter.onResume(this.view, this.#requestId);
+		}
+
+		this.#options.onSilenceChange?.(false);
+	}
+
 	#onFailure(error: unknown): void {
 		this.error = error;
 		const detail = error instanceof Error ? `${error.name}: ${error.message}` : String(error);
-		if (this.#watchdog.isSilent) {
-			this.#settle(engineOutcome.silent, 'no byte in time');
+		if (this.#isCancelled) {
+			this.#settle(this.isSilent ? engineOutcome.silent : undefined, this.isSilent ? 'silent, taken over by another engine' : 'another engine answers');
 		} else if (this.#watchdog.controller.signal.aborted) {
 			// The caller has disconnected or its deadline has passed, which says nothing about the engine.
 			this.#settle(undefined, 'given up');
@@ -274,7 +334,8 @@
 		this.trace.detail = detail;
 		this.#watchdog.stop();
 		this.#stopTracking();
-		if (outcome) {
+		// A silence was recorded when it began.
+		if (outcome && outcome !== engineOutcome.silent) {
 			this.view.health.onOutcome(outcome, now);
 		} else {
 			this.view.health.onInconclusive();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -130,7 +130,7 @@
 			controller.abort();
 		};
 
-		const deadlineTimer = this.#dependencies.timers.startTimer(times.deadlineAt - this.#dependencies.timers.getNow(), onAbort);
+		const deadlineTimer = this.#dependencies.timers.startTimeout(times.deadlineAt - this.#dependencies.timers.getNow(), onAbort);
 		answer.signal.addEventListener('abort', onAbort, {once: true});
 		const served: ServedRequest = {
 			request, route, service, answer, trace, fleet: this.fleet, signal: controller.signal, model, ...times,
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -1,29 +1,36 @@
-import {engineStage, isPausedUntil} from '../dispatch/index.js';
-import type {EngineOutcome, EngineView, GenerationNeeds} from '../dispatch/index.js';
-import {refusalReason, retryReason} from '../errors/index.js';
-import type {Reservation} from '../places/index.js';
+import {engineOutcome, engineStage, isPausedUntil} from '../dispatch/index.js';
+import type {EngineView, GenerationNeeds} from '../dispatch/index.js';
+import {
+	BrokenAnswerError, NotRunError, refusalReason, retryReason,
+} from '../errors/index.js';
+import type {Reservation, ReservationRequest} from '../places/index.js';
 import {callStep} from '../procedures/index.js';
 import type {Procedure} from '../procedures/index.js';
-import {callEngine} from './attempt.js';
-import type {Attempt} from './attempt.js';
+import {Attempt} from './attempt.js';
+import type {AttemptOptions} from './attempt.js';
 import {
 	finishUnanswered, refuseNotRun, refusePaused, refuseQuarantined, refuseUnadmitted,
 } from './ending.js';
-import {EventSplitter} from './events.js';
 import type {KvCacheHandle} from './ports.js';
 import {selectRetryReason, RequestProgress} from './progress.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
+import {StreamSend} from './streamsend.js';
+import type {StreamSendOptions} from './streamsend.js';
+import {StreamTakeover} from './streamtakeover.js';
 import type {ModelEngineSpec, Prompt} from './types.js';
 
-/** Multiple of the route's target after which a silent prefill is aborted: the decode engine can run the prefill too. */
+/** Multiple of the route's target after which a silent prefill is given up: the decode engine can run the prefill too. */
 const prefillSilenceTargets = 2.5;
-/** Multiple of the route's target after which a silent stream that can be resumed is moved to another engine. */
+/** Multiple of the route's target after which a further engine is sought for a silent stream that can be resumed. */
 const decodeSilenceTargets = 3.3;
 /** Multiple of the expected time to the first token up to which a silent engine may still be at work. */
 const maxExpectedMultiple = 2.5;
-/** Shortest silence after which a send is aborted, in milliseconds: longer than the pauses between events that callers accept. */
+/** Shortest silence that counts, in milliseconds: longer than the pauses between events that callers accept. */
 const minSilenceTimeoutMs = 400;
 
+/** Interval at which a place or a permit is sought again for an answer that may still come, in milliseconds. */
+const retryIntervalMs = 50;
+
 /** KV cache of a prompt, and the id of the engine that prefilled it. */
 type PrefilledKvCache = KvCacheHandle & {readonly engineId: string};
 
@@ -71,7 +78,7 @@
 			continue;
 		}
 
-		if (!attempt || !decideNext(dependencies, served, progress, attempt)) {
+		if (!attempt || !(yield * decideNext(dependencies, served, progress, attempt))) {
 			return;
 		}
 	}
@@ -84,7 +91,7 @@
 	progress: GenerationProgress,
 	{reservation, decodeEngine}: {readonly reservation: Reservation; readonly decodeEngine: EngineView},
 ): Procedure<Attempt | 'again' | undefined> {
-	let outcome: EngineOutcome | undefined;
+	let hasSend = false;
 	try {
 		const prefillResult = yield * runPrefill(dependencies, served, progress, reservation);
 		if (prefillResult === 'rejected' && !dependencies.retryBudget.tryTake(served.service)) {
@@ -104,40 +111,108 @@
 			return 'again';
 		}
 
-		const mayResume = served.route.isResumable && progress.runs + 1 < served.route.maxRuns;
-		const attempt = yield * callStep('send to the engine that writes', async () => callEngine(dependencies, served, decodeEngine, {
-			purpose: progress.lastEventId === undefined ? 'run' : 'resume',
-			continueFrom: kvCacheHandle,
-			fetchFrom: kvCacheHandle ? undefined : findAddress(served, reservation.engines.prefixSource),
-			resumeAfter: progress.lastEventId,
-			silenceTimeoutMs: mayResume ? computeSilenceTimeoutMs(served, reservation, decodeSilenceTargets) : undefined,
-			tryTakeRetry: () => hasOtherEngine(dependencies, served, decodeEngine) && dependencies.retryBudget.tryTake(served.service),
-			mayReuseIdle: served.route.isResumable,
-		}));
-		const isDone = yield * callStep('pass the stream on', async () => relayStream(dependencies, served, {
-			progress, attempt, reservation, mayResume,
-		}));
-		yield * callStep('check the engine', async () => attempt.checkEngine());
-		outcome = attempt.trace.sign;
-		if (attempt.isNotRun && kvCacheHandle) {
+		const options = createSendOptions(served, progress, reservation, kvCacheHandle);
+		const first = new StreamSend(dependencies, served, {reservation, engine: decodeEngine}, options);
+		hasSend = true;
+		const attempt = yield * relayFrom(dependencies, served, progress, first);
+		if (first.attempt.isNotRun && kvCacheHandle) {
 			void releaseKvCache(dependencies, served, kvCacheHandle);
 		}
 
-		return isDone ? undefined : attempt;
+		return attempt;
 	} finally {
-		reservation.release(outcome);
+		if (!hasSend) {
+			reservation.release(undefined);
+		}
 	}
 }
 
+/**
+Sends a generation and relays its stream, and that of each further engine which takes it over from a silent one. Returns the last attempt if the
+caller's answer has not ended.
+*/
+function * relayFrom(dependencies: GatewayDependencies, served: ServedRequest, progress: GenerationProgress, first: StreamSend): Procedure<Attempt | undefined> {
+	let send = first;
+	for (;;) {
+		const takeover = createTakeover(dependencies, served, progress, send);
+		const current = send;
+		let isDone = false;
+		try {
+			if (current === first) {
+				yield * callStep('send to the engine that writes', async () => current.open());
+			}
+
+			isDone = yield * callStep('pass the stream on', async () => relayStream(dependencies, served, {
+				progress, send: current, takeover, mayResume: hasRunsLeft(served, progress),
+			}));
+			yield * callStep('check the engine', async () => current.attempt.checkEngine());
+		} finally {
+			current.close();
+		}
+
+		if (isDone) {
+			takeover.cancel();
+			return undefined;
+		}
+
+		const next = yield * callStep('wait for the further engine', async () => takeover.finish());
+		if (!next) {
+			return current.attempt;
+		}
+
+		countFailed(progress, current);
+		dependencies.reporter.onRetry(current.attempt.trace.sign === engineOutcome.silent ? retryReason.silentStream : retryReason.brokenStream);
+		send = next;
+	}
+}
+
+function createSendOptions(served: ServedRequest, progress: GenerationProgress, reservation: Reservation, kvCacheHandle: PrefilledKvCache | undefined): StreamSendOptions {
+	return {
+		purpose: progress.lastEventId === undefined ? 'run' : 'resume',
+		continueFrom: kvCacheHandle,
+		fetchFrom: kvCacheHandle ? undefined : findAddress(served, reservation.engines.prefixSource),
+		resumeAfter: progress.lastEventId,
+		silenceTimeoutMs: served.route.isResumable ? computeSilenceTimeoutMs(served, reservation, decodeSilenceTargets) : undefined,
+		mayReuseIdle: served.route.isResumable,
+	};
+}
+
+/** Creates the search for a further engine that begins when the engine of `send` is silent. */
+function createTakeover(dependencies: GatewayDependencies, served: ServedRequest, progress: GenerationProgress, send: StreamSend): StreamTakeover {
+	const takeover = new StreamTakeover(dependencies, served, send, {
+		isPermitted: () => hasRunsLeft(served, progress) && computeQuarantineMs(dependencies, progress) === 0 && hasOtherEngine(dependencies, served, send.attempt.view),
+		acquire: async signal => dependencies.reservations.acquire(createReservationRequest(dependencies, served, progress, [send.engineId]), signal),
+		createOptions: reservation => createSendOptions(served, progress, reservation, undefined),
+		onFailed(further) {
+			countFailed(progress, further);
+		},
+	});
+	send.onSilence = () => {
+		takeover.start();
+	};
+
+	return takeover;
+}
+
+/** Whether a stream may be resumed at a further engine while one is at work on it. */
+function hasRunsLeft({route}: ServedRequest, {runs}: GenerationProgress): boolean {
+	return route.isResumable && runs + 1 < route.maxRuns;
+}
+
+/** Counts an attempt that has failed, and excludes its engine. */
+function countFailed(progress: GenerationProgress, {engineId, attempt}: StreamSend): void {
+	progress.triedIds.add(engineId);
+	progress.countAttempt(attempt);
+}
+
 /** Returns whether to try another engine after a failed attempt; if not, ends the caller's answer. */
-function decideNext(dependencies: GatewayDependencies, served: ServedRequest, progress: GenerationProgress, attempt: Attempt): boolean {
+function * decideNext(dependencies: GatewayDependencies, served: ServedRequest, progress: GenerationProgress, attempt: Attempt): Procedure<boolean> {
 	progress.triedIds.add(attempt.view.record.id);
 	progress.countAttempt(attempt);
-	const mayResume = served.route.isResumable && progress.runs < served.route.maxRuns;
 	const isUnbudgeted = attempt.isNotSent && progress.hasConnectTriesLeft;
-	const mayRetry = !served.signal.aborted && (attempt.isNotRun || mayResume);
-	if (mayRetry && (isUnbudgeted || attempt.hasRetryPermit || (!attempt.isNotSent && dependencies.retryBudget.tryTake(served.service)))) {
-		dependencies.reporter.onRetry(selectRetryReason(attempt, attempt.trace.sign === 'silent' ? retryReason.silentStream : retryReason.brokenStream));
+	const mayRetry = !served.signal.aborted && (attempt.isNotRun || (served.route.isResumable && progress.runs < served.route.maxRuns));
+	if (mayRetry && (isUnbudgeted || (!attempt.isNotSent && (yield * callStep('take a permit to retry', async () => takeRetry(dependencies, served)))))) {
+		dependencies.reporter.onRetry(selectRetryReason(attempt, retryReason.brokenStream));
 		return true;
 	}
 
@@ -164,30 +239,72 @@
 		return undefined;
 	}
 
-	const decodeEngines = served.fleet.listServing(served.service).filter(view => view.record.stage !== engineStage.prefill);
+	const decodeEngines = served.fleet.listServing(served.service).filter(view => isDecodeEngine(view));
 	if (isPausedUntil(served.deadlineAt, decodeEngines, now)) {
 		refusePaused(dependencies, served, progress.runs > 0);
 		return undefined;
 	}
 
-	try {
-		const reservation = await dependencies.reservations.acquire({
-			...progress.needs,
-			service: served.service,
-			targetMs: served.targetAt - now,
-			deadlineMs: served.deadlineAt - now,
-			firstByteTimeoutMs: served.request.arrivedAt + served.route.firstByteTimeoutMs - now,
-			serviceMs: dependencies.serviceTimes.estimateMs(served.route.name),
-			excludedEngines: [...progress.triedIds, ...served.fleet.listUnavailable(served.service, now)],
-		}, served.signal);
-		served.trace.onAdmitted(reservation.engines.firstTokenMs);
-		return reservation;
-	} catch (error) {
-		refuseUnadmitted(served, error, progress.runs > 0);
-		return undefined;
+	for (;;) {
+		try {
+			const reservation = await dependencies.reservations.acquire(createReservationRequest(dependencies, served, progress), served.signal);
+			served.trace.onAdmitted(reservation.engines.firstTokenMs);
+			return reservation;
+		} catch (error) {
+			// An engine may have run a part of the answer: no refusal would be true, and the rest may still come.
+			const mayGoOn = progress.runs > 0 && error instanceof NotRunError && error.reason !== refusalReason.quarantined;
+			if (!mayGoOn || !(await waitToRetry(dependencies, served))) {
+				refuseUnadmitted(served, error, progress.runs > 0);
+				return undefined;
+			}
+
+			if (!served.fleet.listServing(served.service).some(view => isDecodeEngine(view) && !progress.triedIds.has(view.record.id))) {
+				// Those that failed may have recovered.
+				progress.triedIds.clear();
+			}
+		}
 	}
 }
 
+/** Waits for a permit to send a generation once more. One whose answer has not begun fails at once without it: its caller may retry. */
+async function takeRetry(dependencies: GatewayDependencies, served: ServedRequest): Promise<boolean> {
+	for (;;) {
+		if (dependencies.retryBudget.tryTake(served.service)) {
+			return true;
+		}
+
+		if (!served.answer.isStarted || !(await waitToRetry(dependencies, served))) {
+			return false;
+		}
+	}
+}
+
+/** Waits a little before a request that may have run is tried again; returns `false` when its answer would come too late. */
+async function waitToRetry({timers}: GatewayDependencies, served: ServedRequest): Promise<boolean> {
+	const {answer, request, route, deadlineAt} = served;
+	const endsAt = answer.isStarted ? deadlineAt : Math.min(deadlineAt, request.arrivedAt + route.firstByteTimeoutMs);
+	if (timers.getNow() + retryIntervalMs >= endsAt) {
+		return false;
+	}
+
+	await timers.sleep(retryIntervalMs, served.signal);
+	return !served.signal.aborted;
+}
+
+function createReservationRequest(dependencies: GatewayDependencies, served: ServedRequest, progress: GenerationProgress, excludedEngines: readonly string[] = []): ReservationRequest {
+	const now = dependencies.timers.getNow();
+	return {
+		...progress.needs,
+		service: served.service,
+		// The caller of an answer that has begun waits for its next event.
+		targetMs: served.answer.isStarted ? served.route.targetMs : served.targetAt - now,
+		deadlineMs: served.deadlineAt - now,
+		firstByteTimeoutMs: served.answer.isStarted ? served.route.firstByteTimeoutMs : served.request.arrivedAt + served.route.firstByteTimeoutMs - now,
+		serviceMs: dependencies.serviceTimes.estimateMs(served.route.name),
+		excludedEngines: [...progress.triedIds, ...excludedEngines, ...served.fleet.listUnavailable(served.service, now)],
+	};
+}
+
 /**
 Runs the prefill on the reservation's prefill engine. Returns `undefined` when there is none or it fails: the decode engine
 then runs the prefill itself. Returns `'rejected'` when the prefill engine refused the request: one more send then needs a
@@ -217,12 +334,18 @@
 	}
 
 	progress.prefillAttempts++;
-	const attempt = yield * callStep('send to the engine that reads', async () => callEngine(dependencies, served, prefillEngine, {
+	const options: AttemptOptions = {
 		purpose: 'prefill',
 		fetchFrom: findAddress(served, reservation.engines.prefixSource),
 		silenceTimeoutMs: computeSilenceTimeoutMs(served, reservation, prefillSilenceTargets),
+		// The decode engine, which has a place for the request, takes the prefill over.
+		onSilence() {
+			attempt.cancel();
+		},
 		mayReuseIdle: true,
-	}));
+	};
+	const attempt = new Attempt(dependencies, served, prefillEngine, options);
+	yield * callStep('send to the engine that reads', async () => attempt.send(served, options));
 	const handle = yield * callStep('read the handle', async () => readHandle(dependencies, attempt));
 	yield * callStep('check the engine', async () => attempt.checkEngine());
 	reservation.onPrefillEnd(attempt.trace.sign);
@@ -268,21 +391,22 @@
 /** A stream that is relayed from an engine to the caller. */
 type StreamRelay = {
 	readonly progress: GenerationProgress;
-	readonly attempt: Attempt;
-	readonly reservation: Reservation;
+	readonly send: StreamSend;
+	readonly takeover: StreamTakeover;
 	readonly mayResume: boolean;
 };
 
-/** Relays complete events; returns whether the caller's answer has ended. */
+/** Relays complete events until the stream ends or a further engine takes it over; returns whether the caller's answer has ended. */
 async function relayStream(dependencies: GatewayDependencies, served: ServedRequest, relay: StreamRelay): Promise<boolean> {
-	const {progress, attempt, mayResume} = relay;
+	const {progress, send, takeover} = relay;
+	const {attempt} = send;
 	const {reply} = attempt;
 	if (!reply || attempt.isNotRun) {
 		return false;
 	}
 
 	if (!attempt.isSuccess) {
-		return relayFailure(served, attempt, mayResume);
+		return relayFailure(served, attempt, relay.mayResume);
 	}
 
 	if (!reply.hasReceipt) {
@@ -290,25 +414,23 @@
 		return false;
 	}
 
-	const splitter = new EventSplitter();
 	try {
-		for await (const chunk of attempt.generateBody()) {
-			const events = splitter.add(chunk);
-			if (events) {
-				attempt.onProgress();
-				await writeEvents(dependencies, served, relay, events.bytes);
-				progress.lastEventId = events.lastId ?? progress.lastEventId;
-			}
-
-			attempt.trace.incompleteBytes = splitter.incompleteBytes || undefined;
+		for (let events = await send.readEvents(); events && !takeover.winner; events = await send.readEvents()) {
+			takeover.cancel();
+			await writeEvents(dependencies, served, send, events.bytes);
+			progress.lastEventId = events.lastId ?? progress.lastEventId;
 		}
-
-		await writeEvents(dependencies, served, relay, splitter.finish());
 	} catch (error) {
 		attempt.abort(error);
 		return false;
 	}
 
+	if (takeover.winner) {
+		attempt.abort(new BrokenAnswerError('Another engine has taken the stream over.'));
+		return false;
+	}
+
+	startAnswer(dependencies, served, send);
 	attempt.finish();
 	dependencies.quarantine.onPromptAnswered(progress.needs.prefixBlocks, dependencies.timers.getNow());
 	served.answer.finish();
@@ -316,18 +438,22 @@
 	return true;
 }
 
-async function writeEvents(dependencies: GatewayDependencies, served: ServedRequest, {attempt, reservation}: StreamRelay, bytes: Uint8Array): Promise<void> {
-	if (!served.answer.isStarted && attempt.reply) {
-		// The first event shows that the prefill has ended, whichever engine ran it.
-		reservation.onPrefillEnd('answered');
-		served.answer.start(attempt.reply.status, attempt.reply.headers, undefined);
-		served.trace.onFirstByte();
-		dependencies.serviceTimes.add(served.route.name, (served.trace.firstByteMs ?? 0) - (served.trace.waitedMs ?? 0));
-	}
+async function writeEvents(dependencies: GatewayDependencies, served: ServedRequest, send: StreamSend, bytes: Uint8Array): Promise<void> {
+	startAnswer(dependencies, served, send);
+	send.attempt.stopSilenceTimer();
+	await served.answer.write(bytes);
+	send.attempt.onProgress();
+}
 
-	if (bytes.length > 0) {
-		await served.answer.write(bytes);
+/** Sends the status and header of the first engine that answers; a further one goes on within its answer. */
+function startAnswer(dependencies: GatewayDependencies, served: ServedRequest, {attempt: {reply}}: StreamSend): void {
+	if (served.answer.isStarted || !reply) {
+		return;
 	}
+
+	served.answer.start(reply.status, reply.headers, undefined);
+	served.trace.onFirstByte();
+	dependencies.serviceTimes.add(served.route.name, (served.trace.firstByteMs ?? 0) - (served.trace.waitedMs ?? 0));
 }
 
 /** Relays an engine's error answer, unless the request may be resumed at another engine; returns whether the caller's answer has ended. */
@@ -350,9 +476,13 @@
 	return Math.max(minSilenceTimeoutMs, route.targetMs * targets, engines.firstTokenMs * maxExpectedMultiple);
 }
 
+function isDecodeEngine({record}: EngineView): boolean {
+	return record.stage !== engineStage.prefill;
+}
+
 /** Tells whether another engine than `view` could decode an answer now. */
 function hasOtherEngine({timers}: GatewayDependencies, {fleet, service}: ServedRequest, view: EngineView): boolean {
-	return fleet.listServing(service).some(other => other !== view && other.record.stage !== engineStage.prefill && other.isAvailable(timers.getNow()));
+	return fleet.listServing(service).some(other => other !== view && isDecodeEngine(other) && other.isAvailable(timers.getNow()));
 }
 
 function findAddress(served: ServedRequest, engineId: string | undefined): string | undefined {
--- /dev/null
+++ b/src/gateway/plainrace.ts
@@ -0,0 +1,139 @@
+import type {EngineView} from '../dispatch/index.js';
+import {retryReason} from '../errors/index.js';
+import {Attempt} from './attempt.js';
+import type {AttemptOptions} from './attempt.js';
+import {checkEvents} from './events.js';
+import type {PlainProgress} from './plainprogress.js';
+import type {GatewayDependencies, ServedRequest} from './served.js';
+import {requestKind} from './types.js';
+
+/** Share of the route's target after which a request that may be repeated is also sent to another engine, which can still answer on time. */
+const silenceTimeoutShare = 0.6;
+
+/** The end of a send: its whole answer, or a failure without a body. */
+export type EndedSend = {readonly attempt: Attempt; readonly body: Uint8Array | undefined};
+
+/**
+Sends a request of an application service to an engine, and to a further one if that is silent and the request may be repeated. The first successful
+answer counts, and the other send is then ended.
+*/
+export class PlainRace {
+	readonly #dependencies: GatewayDependencies;
+	readonly #served: ServedRequest;
+	readonly #progress: PlainProgress;
+	/** Called when a send has ended. */
+	readonly #onEnd: () => void;
+	readonly #open = new Set<Attempt>();
+	#settle: {readonly resolve: (ended: EndedSend) => void; readonly reject: (error: unknown) => void} | undefined;
+	/** An engine's failure with a body, which the caller gets when no other engine answers. */
+	#failure: EndedSend | undefined;
+	#isSearching = false;
+
+	constructor(dependencies: GatewayDependencies, served: ServedRequest, progress: PlainProgress, onEnd: () => void) {
+		this.#dependencies = dependencies;
+		this.#served = served;
+		this.#progress = progress;
+		this.#onEnd = onEnd;
+	}
+
+	/** Sends the request to an engine and waits for a successful answer, or the failure of the last send. */
+	async run(view: EngineView): Promise<EndedSend> {
+		return new Promise((resolve, reject) => {
+			this.#settle = {resolve, reject};
+			void this.#send(view);
+		});
+	}
+
+	async #send(view: EngineView): Promise<void> {
+		const {route} = this.#served;
+		const isRepeatable = route.kind === requestKind.idempotent;
+		const options: AttemptOptions = {
+			purpose: 'run',
+			silenceTimeoutMs: isRepeatable ? route.targetMs * silenceTimeoutShare : undefined,
+			onSilence: () => {
+				void this.#sendFurther();
+			},
+			mayReuseIdle: isRepeatable,
+		};
+		const attempt = new Attempt(this.#dependencies, this.#served, view, options);
+		this.#open.add(attempt);
+		this.#progress.openSends++;
+		try {
+			await attempt.send(this.#served, options);
+			const body = attempt.isNotRun ? undefined : await readAnswer(this.#served, attempt);
+			if (body) {
+				attempt.finish();
+			}
+
+			this.#open.delete(attempt);
+			this.#progress.onEnd(attempt);
+			this.#onEnd();
+			this.#handleEnd({attempt, body});
+		} catch (error) {
+			this.#settle?.reject(error);
+		}
+	}
+
+	#handleEnd(ended: EndedSend): void {
+		const isSuccess = ended.body !== undefined && ended.attempt.isSuccess;
+		if (!isSuccess && ended.body) {
+			this.#failure = ended;
+		}
+
+		if (!isSuccess && this.#open.size > 0) {
+			return;
+		}
+
+		this.#settle?.resolve(isSuccess ? ended : this.#failure ?? ended);
+		this.#settle = undefined;
+		for (const attempt of this.#open) {
+			attempt.cancel();
+		}
+	}
+
+	async #sendFurther(): Promise<void> {
+		const {permits, timers, retryBudget, reporter} = this.#dependencies;
+		const [silent] = this.#open;
+		if (this.#isSearching || !silent || !this.#settle || !this.#progress.hasRunsLeft(this.#served)) {
+			return;
+		}
+
+		const view = this.#progress.chooseFurtherEngine(this.#dependencies, this.#served, [...this.#open].map(attempt => attempt.view), timers.getNow());
+		if (!view) {
+			return;
+		}
+
+		if (permits.isLimited(view.record)) {
+			this.#isSearching = true;
+			const isPermitted = await permits.takePermit(view.record);
+			this.#isSearching = false;
+			if (!isPermitted) {
+				this.#progress.limitedEngines.add(view);
+				this.#served.trace.refusedPermits++;
+				return;
+			}
+		}
+
+		if (this.#settle && !this.#served.signal.aborted && retryBudget.tryTake(this.#served.service)) {
+			permits.onSend(view.record);
+			reporter.onTakeover(silent.view, view, this.#served.request.id);
+			reporter.onRetry(retryReason.repeatable);
+			void this.#send(view);
+		}
+	}
+}
+
+/** Reads the whole answer; returns `undefined` when it broke off. */
+async function readAnswer(served: ServedRequest, attempt: Attempt): Promise<Uint8Array | undefined> {
+	const body = await attempt.readBody();
+	if (body && attempt.isSuccess && served.route.kind === requestKind.stream) {
+		try {
+			checkEvents(body);
+		} catch (error) {
+			attempt.abort(error);
+			return undefined;
+		}
+	}
+
+	return body;
+}
--- a/src/gateway/reporter.ts
+++ b/src/gateway/reporter.ts
@@ -58,6 +58,22 @@
 		this.#logs.write('engine', {engine: id, service, request: requestId}, 'answer says that the engine leaves; it gets no more requests, whatever its registration says');
 	}
 
+	onSilence({record: {id, service}}: EngineView, requestId: string): void {
+		this.#metrics.count('silences', service);
+		this.#logs.write('engine', {engine: id, service, request: requestId}, 'engine sends nothing; it gets no further requests for a time, and its answers are awaited');
+	}
+
+	onResume({record: {id, service}}: EngineView, requestId: string): void {
+		this.#logs.write('engine', {engine: id, service, request: requestId}, 'engine goes on after a silence; it gets a trial request');
+	}
+
+	onTakeover({record: {id, service}}: EngineView, further: EngineView, requestId: string): void {
+		this.#metrics.count('furtherSends', service);
+		this.#logs.write('engine', {
+			engine: id, service, request: requestId, further: further.record.id,
+		}, 'engine is silent; its request is sent to a further engine, and the first to answer serves it');
+	}
+
 	onPause({record: {id, service}}: EngineView, requestId: string, durationMs: number): void {
 		this.#metrics.count('pauses', service);
 		this.#logs.write('engine', {
--- /dev/null
+++ b/src/gateway/streamsend.ts
@@ -0,0 +1,116 @@
+import {engineOutcome} from '../dispatch/index.js';
+import type {EngineView} from '../dispatch/index.js';
+import {BrokenAnswerError} from '../errors/index.js';
+import type {Reservation} from '../places/index.js';
+import {Attempt} from './attempt.js';
+import type {AttemptOptions} from './attempt.js';
+import {EventSplitter} from './events.js';
+import type {CompleteEvents} from './events.js';
+import type {GatewayDependencies, ServedRequest} from './served.js';
+
+/** Options of a {@link StreamSend}. */
+export type StreamSendOptions = Omit<AttemptOptions, 'onSilence' | 'onSilenceChange'>;
+
+/** One send of a generation to its reserved decode engine, whose stream is read event by event. */
+export class StreamSend {
+	readonly attempt: Attempt;
+	/** Called at the end of each silence timeout while the engine is silent. */
+	onSilence: (() => void) | undefined;
+	readonly #served: ServedRequest;
+	readonly #options: AttemptOptions;
+	readonly #reservation: Reservation;
+	readonly #splitter = new EventSplitter();
+	#hasEnded = false;
+	#chunks: AsyncGenerator<Uint8Array, void> | undefined;
+	#pendingRead: Promise<CompleteEvents | undefined> | undefined;
+
+	constructor(dependencies: GatewayDependencies, served: ServedRequest, {reservation, engine}: {readonly reservation: Reservation; readonly engine: EngineView}, options: StreamSendOptions) {
+		this.#served = served;
+		this.#reservation = reservation;
+		this.#options = {
+			...options,
+			onSilence: () => {
+				this.onSilence?.();
+			},
+			onSilenceChange(isSilent) {
+				reservation.onSilence(isSilent);
+			},
+		};
+		this.attempt = new Attempt(dependencies, served, engine, this.#options);
+	}
+
+	/** Id of the engine. */
+	get engineId(): string {
+		return this.attempt.view.record.id;
+	}
+
+	/** Whether the engine has accepted the request and answers it with a stream of its own. */
+	get isAccepted(): boolean {
+		return this.attempt.error === undefined && this.attempt.isSuccess && this.attempt.reply?.hasReceipt === true;
+	}
+
+	/** Sends the request and waits for the status and header of the answer. Never throws. */
+	async open(): Promise<void> {
+		await this.attempt.send(this.#served, this.#options);
+	}
+
+	/** Waits until the next events are complete, and leaves them to `readEvents`. Never throws; returns whether the stream goes on or has ended properly. */
+	async waitForEvents(): Promise<boolean> {
+		this.#pendingRead ??= this.#read();
+		try {
+			await this.#pendingRead;
+			return true;
+		} catch (error) {
+			this.attempt.abort(error);
+			return false;
+		}
+	}
+
+	/** Reads the next complete events; `undefined` once the stream has ended. Throws `BrokenAnswerError` when it breaks off. */
+	async readEvents(): Promise<CompleteEvents | undefined> {
+		const pending = this.#pendingRead ?? this.#read();
+		this.#pendingRead = undefined;
+		return pending;
+	}
+
+	/** Ends a send that is not needed or has failed, and releases its reservation. */
+	async cancel(): Promise<void> {
+		const {attempt} = this;
+		if (attempt.reply && attempt.error === undefined && !attempt.isNotRun && !attempt.isSuccess) {
+			attempt.finish();
+		}
+
+		attempt.cancel();
+		attempt.abort(new BrokenAnswerError('The send was ended, as another engine serves its request.'));
+		await attempt.checkEngine();
+		this.close();
+	}
+
+	/** Releases the reservation; call it once the attempt has ended. */
+	close(): void {
+		this.#reservation.release(this.attempt.trace.sign);
+	}
+
+	async #read(): Promise<CompleteEvents | undefined> {
+		this.#chunks ??= this.attempt.generateBody();
+		while (!this.#hasEnded) {
+			const {value: chunk, done} = await this.#chunks.next();
+			if (done) {
+				this.#hasEnded = true;
+				const bytes = this.#splitter.finish();
+				return bytes.length > 0 ? {bytes, lastId: undefined} : undefined;
+			}
+
+			const events = this.#splitter.add(chunk);
+			this.attempt.trace.incompleteBytes = this.#splitter.incompleteBytes || undefined;
+			if (events) {
+				// The first event shows that the prefill has ended, whichever engine ran it.
+				this.#reservation.onPrefillEnd(engineOutcome.answered);
+				this.attempt.onProgress();
+				return events;
+			}
+		}
+
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/gateway/streamtakeover.ts
@@ -0,0 +1,142 @@
+import type {EngineView} from '../dispatch/index.js';
+import {NotRunError} from '../errors/index.js';
+import type {Reservation} from '../places/index.js';
+import type {GatewayDependencies, ServedRequest} from './served.js';
+import {StreamSend} from './streamsend.js';
+import type {StreamSendOptions} from './streamsend.js';
+
+/** Time for which two engines may be at work on a request after the further one has accepted it, in milliseconds: it is paid for twice meanwhile. */
+const maxOverlapMs = 250;
+
+/** How a {@link StreamTakeover} finds an engine. */
+export type TakeoverSearch = {
+	/** Whether the request may be sent to a further engine now. */
+	readonly isPermitted: () => boolean;
+	/** Waits for a reservation on engines that don't serve the request yet. Throws `NotRunError` when there is none. */
+	readonly acquire: (signal: AbortSignal) => Promise<Reservation>;
+	/** Returns the options of the send from the events that have reached the caller by now. */
+	readonly createOptions: (reservation: Reservation) => StreamSendOptions;
+	/** Called when a further send has ended without taking over. */
+	readonly onFailed: (send: StreamSend) => void;
+};
+
+/**
+Looks for a further engine while the engine of a stream is silent. The stream stays open at the silent one: whichever sends the next events serves the
+request, and the other send is ended. An engine that falls silent for a moment thereby loses no answer, and neither does one that finds no place elsewhere.
+*/
+export class StreamTakeover {
+	/** The further send that has taken the request over. */
+	winner: StreamSend | undefined;
+	readonly #dependencies: GatewayDependencies;
+	readonly #served: ServedRequest;
+	readonly #current: StreamSend;
+	readonly #search: TakeoverSearch;
+	#controller: AbortController | undefined;
+	#pending: Promise<void> | undefined;
+
+	constructor(dependencies: GatewayDependencies, served: ServedRequest, current: StreamSend, search: TakeoverSearch) {
+		this.#dependencies = dependencies;
+		this.#served = served;
+		this.#current = current;
+		this.#search = search;
+	}
+
+	/** Starts to look for a further engine, unless that is in progress or not permitted. */
+	start(): void {
+		if (this.#pending ?? this.winner) {
+			return;
+		}
+
+		if (!this.#served.signal.aborted && this.#search.isPermitted()) {
+			this.#pending = this.#run();
+		}
+	}
+
+	/** Ends the further send, since the silent engine goes on; it may be started again. */
+	cancel(): void {
+		if (!this.winner) {
+			this.#controller?.abort();
+		}
+	}
+
+	/** Waits for the end of a search in progress, once the first engine's stream has ended; returns the send that serves the rest, if there is one. */
+	async finish(): Promise<StreamSend | undefined> {
+		await this.#pending;
+		return this.winner;
+	}
+
+	async #run(): Promise<void> {
+		const controller = new AbortController();
+		const onAbort = () => {
+			controller.abort();
+		};
+
+		this.#controller = controller;
+		this.#served.signal.addEventListener('abort', onAbort, {once: true});
+		try {
+			await this.#takeOver(controller.signal);
+		} finally {
+			this.#pending = undefined;
+			if (!this.winner) {
+				this.#served.signal.removeEventListener('abort', onAbort);
+			}
+		}
+	}
+
+	async #takeOver(signal: AbortSignal): Promise<void> {
+		const further = await this.#acquireFurther(signal);
+		if (!further) {
+			return;
+		}
+
+		const {view} = this.#current.attempt;
+		this.#dependencies.reporter.onTakeover(view, further.engine, this.#served.request.id);
+		const send = new StreamSend(this.#dependencies, {...this.#served, signal}, further, this.#search.createOptions(further.reservation));
+		await send.open();
+		if (send.isAccepted) {
+			const hasEvents = await Promise.race([send.waitForEvents(), this.#waitOverlap(signal)]);
+			if (hasEvents && !signal.aborted) {
+				this.winner = send;
+				this.#current.attempt.cancel();
+				return;
+			}
+		}
+
+		await send.cancel();
+		this.#search.onFailed(send);
+	}
+
+	/** Reserves a further engine and takes the permit to send to it; `undefined` when there is none, or the silent engine has gone on. */
+	async #acquireFurther(signal: AbortSignal): Promise<{readonly reservation: Reservation; readonly engine: EngineView} | undefined> {
+		let reservation: Reservation;
+		try {
+			reservation = await this.#search.acquire(signal);
+		} catch (error) {
+			if (error instanceof NotRunError) {
+				// The answer is awaited from the silent engine, and a place is sought again if it stays silent.
+				return undefined;
+			}
+
+			throw error;
+		}
+
+		const {fleet, service} = this.#served;
+		const engine = fleet.findAccepting(reservation.engines.decodeEngine, this.#dependencies.timers.getNow());
+		if (!engine || signal.aborted || !this.#dependencies.retryBudget.tryTake(service)) {
+			reservation.release(undefined);
+			return undefined;
+		}
+
+		if (reservation.engines.prefillEngine !== undefined) {
+			// A second prefill on an engine of its own would be a further retry: the decode engine runs it.
+			reservation.onPrefillEnd(undefined);
+		}
+
+		return {reservation, engine};
+	}
+
+	async #waitOverlap(signal: AbortSignal): Promise<boolean> {
+		await this.#dependencies.timers.sleep(maxOverlapMs, signal);
+		return true;
+	}
+}
--- a/src/gateway/trace.ts
+++ b/src/gateway/trace.ts
@@ -29,6 +29,8 @@
 	/** How the send ended; absent while it is in progress, and when the caller or the deadline ended it, which says nothing about the engine. */
 	sign?: EngineOutcome;
 	detail?: string;
+	/** Number of times that the engine was silent for too long while its answer was awaited; absent when it never was. */
+	silences?: number;
 	/** Whether the engine still accepted connections after its answer broke off; absent when it did not break off, and when that could not be told. */
 	isEngineListening?: boolean;
 	/** How the end of the answer's body is marked; absent without an answer. */
@@ -51,6 +53,15 @@
 	/** Called when an answer was the first to say that its engine leaves. */
 	abstract onLeaving(view: EngineView, requestId: string): void;
 
+	/** Called when an engine becomes suspect as it sends nothing; `requestId` is the latest of the requests that wait there. */
+	abstract onSilence(view: EngineView, requestId: string): void;
+
+	/** Called when a suspect engine sends again for a request after a silence. */
+	abstract onResume(view: EngineView, requestId: string): void;
+
+	/** Called when a request is sent to a further engine while its first one, `view`, is silent. */
+	abstract onTakeover(view: EngineView, further: EngineView, requestId: string): void;
+
 	/** Called when a refusal asks for no request of this process for `durationMs`, and the engine held nothing back before. */
 	abstract onPause(view: EngineView, requestId: string, durationMs: number): void;
 }
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -392,6 +392,8 @@
 	readonly #isAdopted: boolean;
 	#isPrefillPending = true;
 	#isHeld = true;
+	/** Whether the decode engine's silence was recorded before the end of its send. */
+	#isSilenceRecorded = false;
 
 	/** Takes whether another allocator granted the reservation; its prefill then tells nothing of the engine's speed. */
 	constructor(allocator: SlotAllocator, {placement, prefill, blocks, run}: Allocation, request: ReservationRequest, {timers, isAdopted}: {readonly timers: TimerService; readonly isAdopted: boolean}) {
@@ -431,6 +433,21 @@
 		this.#allocator.onCapacityFreed(this.#request.service);
 	}
 
+	onSilence(isSilent: boolean): void {
+		if (!this.#isHeld) {
+			return;
+		}
+
+		const {health} = this.#allocator.getUsage(this.#placement.decodeEngine);
+		this.#isSilenceRecorded = isSilent;
+		if (isSilent) {
+			health.onOutcome(engineOutcome.silent, this.#timers.getNow());
+		} else {
+			health.onResume(this.#timers.getNow());
+			this.#allocator.onCapacityFreed(this.#request.service);
+		}
+	}
+
 	release(outcome: EngineOutcome | undefined): void {
 		if (!this.#isHeld) {
 			return;
@@ -447,7 +464,7 @@
 
 		this.#allocator.getUsage(decodeEngine).releaseKv(this.#request);
 		this.#allocator.getUsage(decodeEngine).finishDecode(this.#request);
-		this.#onOutcome(this.#placement.decodeEngine, outcome);
+		this.#onOutcome(this.#placement.decodeEngine, outcome === engineOutcome.silent && this.#isSilenceRecorded ? undefined : outcome);
 		this.#allocator.onCapacityFreed(this.#request.service);
 	}
 
--- a/src/places/messages.ts
+++ b/src/places/messages.ts
@@ -8,7 +8,7 @@
 
 /** Number of each kind of message on the wire, where it is the first item. Add new kinds at the end. */
 export const allocatorMessageKind = {
-	request: 1, grant: 2, refuse: 3, prefillEnd: 4, release: 5, cancel: 6, ping: 7, pong: 8, adopt: 9, quarantine: 10, limits: 11, permitRequest: 12, permit: 13,
+	request: 1, grant: 2, refuse: 3, prefillEnd: 4, release: 5, cancel: 6, ping: 7, pong: 8, adopt: 9, quarantine: 10, limits: 11, permitRequest: 12, permit: 13, silence: 14,
 } as const;
 
 /** A message between an entry and a slot allocator. `id` identifies the reservation request, or the ping, on its connection. */
@@ -27,6 +27,8 @@
 	| {readonly kind: typeof allocatorMessageKind.permitRequest; readonly id: number; readonly engine: LimitedEngine; readonly priorCount: number}
 	/** Grants or refuses a permit; `waitMs` is the time after which another one may be asked for. */
 	| {readonly kind: typeof allocatorMessageKind.permit; readonly id: number; readonly isGranted: boolean; readonly waitMs: number}
+	/** Tells that the decode engine of a reservation sends nothing for its request, or goes on after that. */
+	| {readonly kind: typeof allocatorMessageKind.silence; readonly id: number; readonly isSilent: boolean}
 	| {readonly kind: typeof allocatorMessageKind.cancel; readonly id: number}
 	| {readonly kind: typeof allocatorMessageKind.ping; readonly id: number}
 	| {readonly kind: typeof allocatorMessageKind.pong; readonly id: number};
@@ -74,6 +76,10 @@
 			return [message.kind, message.id, message.isGranted, Math.round(message.waitMs)];
 		}
 
+		case allocatorMessageKind.silence: {
+			return [message.kind, message.id, message.isSilent];
+		}
+
 		case allocatorMessageKind.prefillEnd:
 		case allocatorMessageKind.release: {
 			return [message.kind, message.id, message.outcome ?? ''];
@@ -167,6 +173,10 @@
 			};
 		}
 
+		case allocatorMessageKind.silence: {
+			return {kind, id, isSilent: rest[0] === true};
+		}
+
 		case allocatorMessageKind.prefillEnd:
 		case allocatorMessageKind.release: {
 			return {kind, id, outcome: outcomes.find(known => known === rest[0])};
--- a/src/places/remoteallocator.ts
+++ b/src/places/remoteallocator.ts
@@ -320,7 +320,9 @@
 	}
 }
 
-type ReservationUpdate = {readonly kind: typeof allocatorMessageKind.prefillEnd | typeof allocatorMessageKind.release; readonly outcome: EngineOutcome | undefined};
+type ReservationUpdate =
+	| {readonly kind: typeof allocatorMessageKind.prefillEnd | typeof allocatorMessageKind.release; readonly outcome: EngineOutcome | undefined}
+	| {readonly kind: typeof allocatorMessageKind.silence; readonly isSilent: boolean};
 
 /** A reservation granted by the allocator of another entry. */
 export class RemoteReservation extends Reservation {
@@ -342,6 +344,12 @@
 		}
 	}
 
+	onSilence(isSilent: boolean): void {
+		if (this.#isHeld) {
+			this.#send({kind: allocatorMessageKind.silence, isSilent});
+		}
+	}
+
 	release(outcome: EngineOutcome | undefined): void {
 		if (this.#isHeld) {
 			this.#isHeld = false;
--- a/src/places/serve.ts
+++ b/src/places/serve.ts
@@ -109,6 +109,11 @@
 			return;
 		}
 
+		if (message.kind === allocatorMessageKind.silence) {
+			requests.get(message.id)?.reservation?.onSilence(message.isSilent);
+			return;
+		}
+
 		if (message.kind === allocatorMessageKind.release || message.kind === allocatorMessageKind.cancel) {
 			release(message.id, message.kind === allocatorMessageKind.release ? message.outcome : undefined);
 		}
--- a/src/places/tracked.ts
+++ b/src/places/tracked.ts
@@ -60,6 +60,12 @@
 		}
 	}
 
+	onSilence(isSilent: boolean): void {
+		for (const holder of this.#holders.values()) {
+			holder.onSilence(isSilent);
+		}
+	}
+
 	release(outcome: EngineOutcome | undefined): void {
 		this.#onRelease(this);
 		for (const holder of this.#holders.values()) {
--- a/src/places/types.ts
+++ b/src/places/types.ts
@@ -52,6 +52,9 @@
 	*/
 	abstract onPrefillEnd(outcome: EngineOutcome | undefined): void;
 
+	/** Records that the decode engine sends nothing for the request, or that it goes on after that. */
+	abstract onSilence(isSilent: boolean): void;
+
 	/**
 	Releases the reservation. `outcome` is how the send to the decode engine ended, `undefined` when that says nothing about
 	the engine. Further calls have no effect.
--- a/src/timers/test/system.test.ts
+++ b/src/timers/test/system.test.ts
@@ -7,7 +7,7 @@
 import {SystemTimers} from '../index.js';
 
 /** Keeps the event loop busy. */
-function blockEventLoop(durationMs: number): void {
+function runBusyLoop(durationMs: number): void {
 	const endsAt = performance.now() + durationMs;
 	while (performance.now() < endsAt) {
 		// No other callback runs meanwhile.
@@ -32,7 +32,7 @@
 			timeout.cancel();
 		});
 		peer.write('answer');
-		blockEventLoop(200);
+		runBusyLoop(200);
 		await sleep(50);
 		expect(events).to.deep.equal(['data']);
 		socket.destroy();
