Soak: sound engines that fall silent, and answers cut or ended with 502 while no engine broke off

Cause: LOST flagged only calls without any answer. An answer that began and was cut, and a 502 or 504 well before the deadline, passed unseen.

Fault: one engine, several or all of a service fall silent for 0.5 to 1.5 s, up to four times in a row, at times with a configuration or a SIGHUP in the middle; a random source of its own, so that a seed keeps its other faults. Silences of several faults don't join. By its seed a run gives callers 1.5 or 6 s (routes too) and brings them near the engines' capacity or not.

Check: such an end is LOST unless the process was paused, killed, about to exit or in the last sixth of its stop; the engine that ran the request last broke off, ended, or gave what may not be passed on, or its link was cut, reset or silent up to contact_ms before; or the deadline was reached. Silences, pauses and slow links excuse nothing.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -11,9 +11,6 @@
 import {crashingBlock} from './world.js';
 import type {SoakWorld} from './world.js';
 
-/** Time that callers give for an answer, as they say in a header, in milliseconds. */
-export const callerDeadlineMs = 1500;
-
 /** Kinds of requests that callers send; at most `maxRuns` engines may run a request of the kind. */
 export const callKinds = [
 	{path: '/lookup/', maxRuns: 2, isStream: false},
@@ -30,6 +27,8 @@
 	readonly vm: SoakVm;
 	readonly incarnation: Incarnation;
 	readonly sentAt: number;
+	/** Time that the caller gives for the answer, as it says in a header, in milliseconds. */
+	readonly deadlineMs: number;
 	/** 0 while the call is in progress. */
 	endedAt: number;
 	/** HTTP status; 0 if no answer began. */
@@ -49,9 +48,9 @@
 const lastUsedAt = new WeakMap<Socket, number>();
 
 /** Sends one request over the keep-alive connections to a VM; resolves when the call has ended, also if it failed. */
-export async function sendCall(vm: SoakVm, path: string, isStream: boolean, promptHeaders: Readonly<Record<string, string>> = createPromptHeaders()): Promise<ObservedCall> {
+export async function sendCall({vm, path, isStream, deadlineMs}: Pick<ObservedCall, 'vm' | 'path' | 'isStream' | 'deadlineMs'>, promptHeaders: Readonly<Record<string, string>> = createPromptHeaders()): Promise<ObservedCall> {
 	const call: ObservedCall = {
-		id: randomUUID(), path, isStream, vm, incarnation: vm.incarnation!, sentAt: performance.now(), endedAt: 0, status: 0, hasReceipt: false, body: '', isComplete: false, error: '', connectionIdleMs: undefined,
+		id: randomUUID(), path, isStream, vm, incarnation: vm.incarnation!, sentAt: performance.now(), deadlineMs, endedAt: 0, status: 0, hasReceipt: false, body: '', isComplete: false, error: '', connectionIdleMs: undefined,
 	};
 	return new Promise(resolve => {
 		const finish = (error: string) => {
@@ -72,11 +71,11 @@
 			path: `${path}${call.id}`,
 			method: 'POST',
 			agent: vm.agent,
-			timeout: callerDeadlineMs * 4,
+			timeout: deadlineMs * 4,
 			headers: {
 				Host: callersHost,
 				[header.requestId]: call.id,
-				[header.remainingMs]: String(callerDeadlineMs),
+				[header.remainingMs]: String(deadlineMs),
 				...isStream && promptHeaders,
 			},
 		}, response => {
@@ -115,7 +114,9 @@
 		const vm = world.vms[random.pickIndex(world.vms.length)]!;
 		const kind = callKinds[random.pickIndex(callKinds.length)]!;
 		if (vm.isRunning && vm.incarnation) {
-			onCall(await sendCall(vm, kind.path, kind.isStream));
+			onCall(await sendCall({
+				vm, path: kind.path, isStream: kind.isStream, deadlineMs: world.shape.deadlineMs,
+			}));
 		}
 
 		await sleep(random.pickBetween(5, 60));
@@ -128,7 +129,9 @@
 		const vm = world.vms[random.pickIndex(world.vms.length)]!;
 		const {path, isStream} = callKinds[2 + random.pickIndex(2)]!;
 		if (vm.isRunning && vm.incarnation) {
-			onCall(await sendCall(vm, path, isStream, createPromptHeaders(`aa:2000,${crashingBlock}:300`, uniqueTokens)));
+			onCall(await sendCall({
+				vm, path, isStream, deadlineMs: world.shape.deadlineMs,
+			}, createPromptHeaders(`aa:2000,${crashingBlock}:300`, uniqueTokens)));
 		}
 
 		await sleep(random.pickBetween(50, 300));
@@ -141,7 +144,9 @@
 		for (const vm of world.vms) {
 			for (const {version} of world.versions.slice(-2)) {
 				if (vm.isRunning && vm.incarnation) {
-					onProbe(version, await sendCall(vm, `/probe-${version}/`, false));
+					onProbe(version, await sendCall({
+						vm, path: `/probe-${version}/`, isStream: false, deadlineMs: world.shape.deadlineMs,
+					}));
 				}
 			}
 		}
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,3 +1,4 @@
+import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {linkState} from '../rigs/link.js';
 import {engineFault, storeMode} from '../standins/fleet/index.js';
@@ -22,6 +23,11 @@
 		return false;
 	}
 
+	/** Whether the fault may end a VM's connections to an engine, or lose bytes on them; a delay does neither. */
+	isBreakingEngine(_vm: SoakVm, _engineName: string): boolean {
+		return false;
+	}
+
 	/** Whether the fault may change what a VM learns from other VMs. */
 	isCuttingVms(_vm: SoakVm): boolean {
 		return false;
@@ -127,6 +133,10 @@
 		return this.#from === vm.name && this.#to === engineName;
 	}
 
+	override isBreakingEngine(vm: SoakVm, engineName: string): boolean {
+		return this.#kind !== linkFaultKind.slow && this.isCuttingEngine(vm, engineName);
+	}
+
 	override isCuttingVms(vm: SoakVm): boolean {
 		return this.#from === vm.name || this.#to === vm.name;
 	}
@@ -293,6 +303,54 @@
 	}
 }
 
+/** Bounds of the time between two silences of an engine, in milliseconds. */
+const minSoundMs = 200;
+const maxSoundMs = 1000;
+
+/** What an operator does while engines are silent. */
+type OperatorAct = {readonly name: string; readonly start: (world: SoakWorld) => void};
+
+/** How long engines are silent, the time from the start of one silence to that of the next, both in milliseconds, and the number of silences. */
+type SilenceTimes = {readonly silenceMs: number; readonly intervalMs: number; readonly count: number};
+
+/** Sound engines fall silent at once, once or several times in a row, and go on each time; an operator may act in the middle of each silence. */
+class SilentEngines extends SoakFault {
+	readonly #engineHosts: readonly EngineHost[];
+	readonly #silenceMs: number;
+	readonly #intervalMs: number;
+	readonly #acts: readonly OperatorAct[];
+
+	constructor(engineHosts: readonly EngineHost[], acts: readonly OperatorAct[], {silenceMs, intervalMs, count}: SilenceTimes) {
+		const silences = `${engineHosts.map(({name}) => name).join(', ')} silent ${count === 1 ? 'once' : `${count} times`} for ${Math.round(silenceMs)} ms`;
+		super([silences, ...acts.map(({name}) => name)].join(', '), ((count - 1) * intervalMs) + silenceMs);
+		this.#engineHosts = engineHosts;
+		this.#silenceMs = silenceMs;
+		this.#intervalMs = intervalMs;
+		this.#acts = acts;
+	}
+
+	start(world: SoakWorld): void {
+		for (let delayMs = 0; delayMs < this.durationMs; delayMs += this.#intervalMs) {
+			setTimeout(() => {
+				// Silences of several faults must not join into a longer one.
+				const now = performance.now();
+				for (const {engine} of this.#engineHosts.filter(({engine}) => now > (engine.silences.at(-1)?.to ?? Number.NEGATIVE_INFINITY) + minSoundMs)) {
+					engine.startSilence(this.#silenceMs);
+				}
+			}, delayMs);
+			setTimeout(() => {
+				for (const act of this.#acts) {
+					act.start(world);
+				}
+			}, delayMs + (this.#silenceMs / 2));
+		}
+	}
+
+	close(): void {
+		// A silence ends by itself.
+	}
+}
+
 /** The next answers of an engine are faulty, one for each of the given faults. */
 class BadAnswers extends SoakFault {
 	readonly #engineHost: EngineHost;
@@ -415,3 +473,41 @@
 	const engineHost = world.engineHosts[random.pickIndex(world.engineHosts.length)]!;
 	return new LimitedEngine(engineHost, [random.pickBetween(minLimit, maxLimit), random.pickBetween(minLimit, maxLimit)], random.pickBetween(minLimitedMs, maxLimitedMs));
 }
+
+/** Share of the picked faults with which engines also fall silent, bounds of a silence, in milliseconds, and the largest number of silences in a row. */
+const silenceShare = 0.25;
+const minSilenceMs = 500;
+const maxSilenceMs = 1500;
+const maxSilences = 4;
+
+/** Picks whether sound engines also fall silent, one, several, or all of a service, with a source of its own. */
+export function pickSilence(world: SoakWorld, random: RandomSource): SoakFault | undefined {
+	if (random.getRandom() >= silenceShare) {
+		return undefined;
+	}
+
+	const pick = <Value>(values: readonly Value[]): Value => values[random.pickIndex(values.length)]!;
+	const first = pick(world.engineHosts);
+	const vm = pick(world.vms);
+	const engineHosts = pick([
+		[first],
+		world.engineHosts.filter(engineHost => engineHost === first || random.getRandom() < 0.5),
+		world.engineHosts.filter(({options}) => options.service === first.options.service),
+	]);
+	const silenceMs = random.pickBetween(minSilenceMs, maxSilenceMs);
+	const acts: OperatorAct[] = [
+		{
+			name: 'a configuration', start(world) {
+				world.writeConfiguration();
+			},
+		},
+		{
+			name: `SIGHUP ${vm.name}`, start() {
+				vm.reload();
+			},
+		},
+	];
+	return new SilentEngines(engineHosts, acts.filter(() => random.getRandom() < 0.5), {
+		silenceMs, intervalMs: silenceMs + random.pickBetween(minSoundMs, maxSoundMs), count: random.getRandom() < 0.5 ? 1 : 1 + random.pickIndex(maxSilences),
+	});
+}
--- a/soak/invariantchecker.ts
+++ b/soak/invariantchecker.ts
@@ -1,8 +1,8 @@
 import {header} from '../platform/wire.js';
 import {refusalReason} from '../src/errors/index.js';
-import {findLimitBreach, listBlocks} from '../standins/fleet/index.js';
-import type {Arrival} from '../standins/fleet/index.js';
-import {callerDeadlineMs, callKinds} from './callers.js';
+import {engineFault, findLimitBreach, listBlocks} from '../standins/fleet/index.js';
+import type {Arrival, EngineFault, FleetEngine} from '../standins/fleet/index.js';
+import {callKinds} from './callers.js';
 import type {ObservedCall} from './callers.js';
 import type {SoakFault} from './faults.js';
 import {configurationApplyMs, stopTimeoutMs} from './vm.js';
@@ -29,6 +29,17 @@
 /** Statuses that promise that no engine ran the request. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
+/** Statuses with which an entry ends a request that may have run. */
+const brokenOffStatuses = new Set([502, 504]);
+/** Faults with which an engine breaks off, or gives what may not be passed on; a silence, a pause and a refusal are none of them. A prefill meets the first only. */
+const breakingPrefillFaults: readonly EngineFault[] = ['reset', 'endlessHead', 'endlessInformation', 'endlessBody', 'endlessTrailer'];
+const breakingFaults: readonly EngineFault[] = [
+	...breakingPrefillFaults, 'foreign', 'cutBody', 'failure', 'noReceipt', 'cutEvent', 'answerTwice', 'resetUnframed', 'closeInEvent', 'endInEvent',
+];
+/** Time of a stop, in milliseconds from SIGTERM, from which requests may be cut that were sent no later than {@link maxSentInStopMs} after it: the last sixth. */
+const cutInStopMs = stopTimeoutMs * 5 / 6;
+const maxSentInStopMs = 3000;
+
 /** Time after an answer which says that its engine leaves in which requests may still be sent to it, in milliseconds; the `drain_ms` of the sites. */
 const leavingMs = 2000;
 /** Time after a 503 with a time to come back in which requests may still arrive, in milliseconds, and how many may arrive later. */
@@ -114,7 +125,7 @@
 	}
 
 	/**
-	Checks the calls that ended before a monotonic time, in milliseconds: none may be lost or late. A call without an answer
+	Checks the calls that ended before a monotonic time, in milliseconds: none may be late, or lost without an answer. A call without an answer
 	from a process that is stopping is checked once its exit is known.
 	*/
 	checkEndings(before: number): void {
@@ -130,6 +141,7 @@
 	/** Checks the guarantees that need the observations of the whole run; to be called once, when it is over. */
 	checkFinal(): void {
 		this.checkEndings(Number.POSITIVE_INFINITY);
+		this.#checkBrokenOff();
 		const ran = new Set(this.#world.listArrivals().filter(({hasRun}) => hasRun).map(({id}) => id));
 		for (const call of this.calls) {
 			if (notRunStatuses.has(call.status) && ran.has(call.id)) {
@@ -172,19 +184,59 @@
 		}
 	}
 
-	/** Checks that a call was neither lost nor late. A call may fail whose process was paused or killed, refused the connection, or exited within {@link stopLossMs} after the request was sent. */
+	/** Checks that a call was neither late nor lost without an answer. A call may fail whose process was paused or killed, refused the connection, or exited within {@link stopLossMs} after the request was sent. */
 	#checkEnding(call: ObservedCall): void {
-		const {incarnation, vm, sentAt, endedAt, status, error} = call;
-		if (vm.hasPauseBetween(sentAt - stopLossMs, endedAt + stopLossMs) || (incarnation.sigkillAt !== undefined && incarnation.sigkillAt <= endedAt + stopLossMs)) {
+		const {incarnation, sentAt, endedAt, status, error, deadlineMs} = call;
+		if (isProcessHeldUp(call)) {
 			return;
 		}
 
-		const isSentAtExit = incarnation.exitedAt !== undefined && sentAt > incarnation.exitedAt - stopLossMs;
-		if (status === 0 && error !== 'ECONNREFUSED' && !isSentAtExit) {
+		if (status === 0 && error !== 'ECONNREFUSED' && !isSentAtExit(call)) {
 			this.#addViolation(call, `LOST: no answer; connection error: ${error}; ${this.#describeSend(call)}; ${this.#describeEnd(incarnation)}`);
-		} else if (endedAt - sentAt > callerDeadlineMs + maxLatenessMs) {
-			this.#addViolation(call, `LATE: ended after ${Math.round(endedAt - sentAt)} ms, deadline ${callerDeadlineMs} ms`);
+		} else if (endedAt - sentAt > deadlineMs + maxLatenessMs) {
+			this.#addViolation(call, `LATE: ended after ${Math.round(endedAt - sentAt)} ms, deadline ${deadlineMs} ms`);
+		}
+	}
+
+	/**
+	Checks that no entry cut an answer or ended a request with 502 or 504 before its deadline while no engine that had it broke off; a silent engine does not.
+	To be called when the run is over: an engine that is silent counts its arrivals only later.
+	*/
+	#checkBrokenOff(): void {
+		const sendsById = new Map<string, EngineSend[]>();
+		for (const {name, engine} of this.#world.startedEngines) {
+			for (const arrival of engine.arrivals) {
+				sendsById.set(arrival.id, [...sendsById.get(arrival.id) ?? [], {name, engine, arrival}]);
+			}
+		}
+
+		for (const call of this.calls) {
+			const {status, isComplete, sentAt, endedAt, deadlineMs, incarnation} = call;
+			const isBrokenOff = status !== 0 && (!isComplete || brokenOffStatuses.has(status));
+			const isCutInStop = incarnation.sigtermAt !== undefined && sentAt <= incarnation.sigtermAt + maxSentInStopMs && endedAt >= incarnation.sigtermAt + cutInStopMs;
+			const sends = (sendsById.get(call.id) ?? []).toSorted((left, right) => left.arrival.reachedAt - right.arrival.reachedAt);
+			if (isBrokenOff && endedAt - sentAt < deadlineMs && !isProcessHeldUp(call) && !isSentAtExit(call) && !isCutInStop && !this.#hasBreakingEngine(call, sends)) {
+				this.#addViolation(call, `LOST: ${isComplete ? `status ${status}` : `status ${status}, answer cut`} after ${Math.round(endedAt - sentAt)} of ${deadlineMs} ms, and no engine broke off: ${formatSends(call, sends)}; ${this.#describeEnd(incarnation)}`);
+			}
+		}
+	}
+
+	/**
+	Whether the engine that ran a call last broke off, or its link was harmed up to {@link contactMs} before the call; if none is known to have run it,
+	whether that holds for one that had its prefill, or for any engine of the service.
+	*/
+	#hasBreakingEngine(call: ObservedCall, sends: readonly EngineSend[]): boolean {
+		const from = call.sentAt - contactMs;
+		const isLinkHarmed = (name: string) => this.faults.some(({fault, startedAt, endedAt}) => fault.isBreakingEngine(call.vm, name) && startedAt < call.endedAt && endedAt > from);
+		const isBreaking = ({name, engine, arrival}: EngineSend) => hasBreakingFault(arrival) || engine.endedAt < call.endedAt || isLinkHarmed(name);
+		const lastRun = sends.findLast(({arrival}) => arrival.hasRun);
+		if (lastRun) {
+			return isBreaking(lastRun);
 		}
+
+		const names = this.#world.listEngineNames(call.isStream ? 'llm' : 'app');
+		return sends.some(send => !isRefused(send.arrival) && isBreaking(send)) || names.some(name => isLinkHarmed(name))
+			|| this.#world.startedEngines.some(({name, engine}) => names.includes(name) && engine.endedAt > from && engine.endedAt < call.endedAt);
 	}
 
 	/** Checks that no request ran at more engines than it may; engines keep every arrival, so that one check at the end suffices. */
@@ -228,7 +280,7 @@
 		for (const {engine, name} of this.#world.startedEngines) {
 			for (const told of engine.arrivals) {
 				const call = callsById.get(told.id);
-				if (call && call.status !== 0 && told.isLeavingTold) {
+				if (call && call.status !== 0 && told.isLeavingTold && told.isHeadSent) {
 					// An earlier incarnation at the address was not the one that leaves.
 					const late = engine.arrivals.filter(({id, isForOther}) => !isForOther && isSameIncarnation(callsById.get(id), call) && callsById.get(id)!.sentAt > call.endedAt + leavingMs);
 					this.#checkLateArrivals('DRAIN', late, {
@@ -236,9 +288,9 @@
 					});
 				}
 
-				if (call && told.retryAfterMs > 0) {
+				if (call && told.retryAfterMs > 0 && told.isHeadSent) {
 					const until = told.at + told.retryAfterMs;
-					const early = engine.arrivals.filter(({id, at}) => isSameIncarnation(callsById.get(id), call) && at > told.at + pauseGraceMs && at < until);
+					const early = engine.arrivals.filter(({id, reachedAt}) => isSameIncarnation(callsById.get(id), call) && reachedAt > told.at + pauseGraceMs && reachedAt < until);
 					this.#checkLateArrivals('BUDGET', early, {
 						name, call, until, maxCount: maxArrivalsInPause,
 					});
@@ -251,7 +303,7 @@
 	#checkCrashing(): void {
 		const callsById = new Map(this.calls.map(call => [call.id, call]));
 		const knownAt = (this.#world.crashes.toSorted((left, right) => left - right)[maxCrashes - 1] ?? Number.POSITIVE_INFINITY) + contactMs;
-		const late = this.#world.listArrivals().filter(arrival => listBlocks(arrival).includes(crashingBlock) && arrival.at > knownAt).map(({id}) => callsById.get(id))
+		const late = this.#world.listArrivals().filter(arrival => listBlocks(arrival).includes(crashingBlock) && arrival.reachedAt > knownAt).map(({id}) => callsById.get(id))
 			.filter(call => call !== undefined && this.#isInTouch(call));
 		if (late.length > maxArrivalsAfterCrashes) {
 			this.#addViolation(late.at(-1)!, `BUDGET: ${late.length} requests with a block on which ${maxCrashes} engines had crashed reached engines, ${this.#world.crashes.length} crashed in all`);
@@ -263,18 +315,19 @@
 		const callsById = new Map(this.calls.map(call => [call.id, call]));
 		for (const {engine, name} of this.#world.startedEngines) {
 			const toldAt = new Map<Incarnation, number>();
-			for (const {id, at, namedLimit} of engine.arrivals) {
+			for (const {id, at, namedLimit, isHeadSent} of engine.arrivals) {
 				const incarnation = callsById.get(id)?.incarnation;
-				if (incarnation && namedLimit !== undefined) {
-					toldAt.set(incarnation, Math.min(at, toldAt.get(incarnation) ?? at));
+				if (incarnation && namedLimit !== undefined && isHeadSent) {
+					const answeredAt = findAnsweredAt(engine, at);
+					toldAt.set(incarnation, Math.min(answeredAt, toldAt.get(incarnation) ?? answeredAt));
 				}
 			}
 
-			const counted = engine.arrivals.filter(({id, at}) => {
+			const counted = engine.arrivals.filter(({id, reachedAt}) => {
 				const call = callsById.get(id);
-				return call !== undefined && at > (toldAt.get(call.incarnation) ?? Number.POSITIVE_INFINITY) + toldMs && this.#isInTouch({...call, sentAt: at});
+				return call !== undefined && reachedAt > (toldAt.get(call.incarnation) ?? Number.POSITIVE_INFINITY) + toldMs && this.#isInTouch({...call, sentAt: reachedAt});
 			});
-			const breach = findLimitBreach(engine.limits, counted.map(({at}) => at));
+			const breach = findLimitBreach(engine.limits, counted.map(({reachedAt}) => reachedAt).sort((left, right) => left - right));
 			if (breach) {
 				this.violations.push(`LIMIT: ${breach.count} requests reached ${name} in 4 s, ${Math.round(breach.allowed)} allowed (${engine.limits.map(({from, perSecond}) => `${perSecond.toFixed(1)} from ${Math.round(from - this.startedAt)} ms`).join(', ')}; at ${Math.round(breach.at - this.startedAt)} ms)`);
 			}
@@ -321,6 +374,44 @@
 	}
 }
 
+/** Formats when a call reached engines, for which stage, how each met it, and when it was silent meanwhile. */
+function formatSends({sentAt, endedAt}: ObservedCall, sends: readonly EngineSend[]): string {
+	const format = (at: number) => Math.round(at - sentAt);
+	return sends.map(({name, engine, arrival}) => [
+		`${name} ${String(arrival.headers[header.stage.toLowerCase()] ?? '')} at ${format(arrival.reachedAt)} ms`,
+		...engine.silences.filter(({from, to}) => from < endedAt && to > sentAt).map(({from, to}) => `silent ${format(from)} to ${format(to)} ms`),
+		...arrival.fault ? [arrival.fault] : [],
+		...arrival.isForOther ? ['for an earlier incarnation'] : [],
+	].join(', ')).join('; ') || 'reached no engine';
+}
+
+/** A request that reached an engine, which may have refused it; by the engine's name. */
+type EngineSend = {readonly name: string; readonly engine: FleetEngine; readonly arrival: Arrival};
+
+/** Whether an engine refused a request as not run. */
+function isRefused({isForOther, fault}: Arrival): boolean {
+	return isForOther || fault === engineFault.refuse || fault === engineFault.retryAfter;
+}
+
+function hasBreakingFault({fault, headers}: Arrival): boolean {
+	return fault !== undefined && (headers[header.stage.toLowerCase()] === 'prefill' ? breakingPrefillFaults : breakingFaults).includes(fault);
+}
+
+/** Finds by when the answer to an arrival of the time `at` has left, but for the engine's work: an engine that falls silent meanwhile sends nothing. */
+function findAnsweredAt({silences}: FleetEngine, at: number): number {
+	return Math.max(at, ...silences.filter(({from, to}) => from < at + toldMs && to > at).map(({to}) => to));
+}
+
+/** Whether the process of a call was paused or killed. */
+function isProcessHeldUp({vm, incarnation, sentAt, endedAt}: ObservedCall): boolean {
+	return vm.hasPauseBetween(sentAt - stopLossMs, endedAt + stopLossMs) || (incarnation.sigkillAt !== undefined && incarnation.sigkillAt <= endedAt + stopLossMs);
+}
+
+/** Whether a call was sent within {@link stopLossMs} before the exit of its process, or after it. */
+function isSentAtExit({incarnation, sentAt}: ObservedCall): boolean {
+	return incarnation.exitedAt !== undefined && sentAt > incarnation.exitedAt - stopLossMs;
+}
+
 function isSameIncarnation(call: ObservedCall | undefined, other: ObservedCall): boolean {
 	return call?.incarnation === other.incarnation;
 }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -19,7 +19,7 @@
 let failed = 0;
 for (const {seed, seconds} of runs) {
 	const report = await runSoak(seed, seconds, values.vms === undefined ? undefined : Number(values.vms));
-	console.log(`seed ${seed}, ${seconds} s: ${report.violations.length === 0 ? 'kept' : 'BROKEN'}, ${report.calls} calls, ${report.answered} answered well, ${report.faults.length} faults, ${report.crashes} crashes on requests`);
+	console.log(`seed ${seed}, ${seconds} s, deadline ${report.shape.deadlineMs} ms${report.shape.isNarrow ? ', near capacity' : ''}: ${report.violations.length === 0 ? 'kept' : 'BROKEN'}, ${report.calls} calls, ${report.answered} answered well, ${report.faults.length} faults, ${report.crashes} crashes on requests`);
 	if (report.violations.length > 0) {
 		failed++;
 		console.log([...report.faults, ...report.violations.slice(0, 20)].map(line => `  ${line}`).join('\n'));
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -3,12 +3,13 @@
 import {RandomSource} from '../src/rates/index.js';
 import {runCaller, runCrashingCaller, runProbes} from './callers.js';
 import {
-	pickEndlessFault, pickEngineFault, pickFault, pickLimit, pickReplacedStore,
+	pickEndlessFault, pickEngineFault, pickFault, pickLimit, pickReplacedStore, pickSilence,
 } from './faults.js';
 import type {SoakFault} from './faults.js';
 import {InvariantChecker} from './invariantchecker.js';
 import type {StartedFault} from './invariantchecker.js';
-import {defaultVmCount, SoakWorld} from './world.js';
+import type {RunShape} from './world.js';
+import {defaultVmCount, pickShape, SoakWorld} from './world.js';
 
 /** Concurrent callers; together they send a few hundred requests a second. */
 const callerCount = 10;
@@ -30,12 +31,17 @@
 const endlessSeedOffset = 3_000_000;
 /** The same for the seed that decides when engines name limits. */
 const limitSeedOffset = 4_000_000;
+/** The same for the seed that decides when engines fall silent. */
+const silenceSeedOffset = 5_000_000;
+/** The same for the seed that decides the shape of the run. */
+const shapeSeedOffset = 6_000_000;
 /** Longest time from the close of a process's connections until its `exit` event arrives here, in milliseconds. */
 const exitReportDelayMs = 1000;
 
 /** Result of a soak run. */
 export type SoakReport = {
 	readonly seed: number;
+	readonly shape: RunShape;
 	/** Guarantees that did not hold, one message each; empty if the run passed. */
 	readonly violations: readonly string[];
 	/** Injected faults, each with its start, in milliseconds since faults began, and its duration. */
@@ -54,7 +60,7 @@
 export async function runSoak(seed: number, seconds: number, vmCount = defaultVmCount): Promise<SoakReport> {
 	const random = new RandomSource(seed);
 	const exitHook: {checker?: InvariantChecker} = {};
-	const world = new SoakWorld((vm, incarnation) => {
+	const world = new SoakWorld(pickShape(new RandomSource(seed + shapeSeedOffset)), (vm, incarnation) => {
 		exitHook.checker?.onExit(vm, incarnation);
 	}, vmCount);
 	const checker = new InvariantChecker(world);
@@ -83,7 +89,7 @@
 			}, hasEnded),
 		];
 		await startFaults(world, checker, {
-			random, storeRandom: new RandomSource(seed + storeSeedOffset), engineRandom: new RandomSource(seed + engineSeedOffset), endlessRandom, limitRandom: new RandomSource(seed + limitSeedOffset),
+			random, storeRandom: new RandomSource(seed + storeSeedOffset), engineRandom: new RandomSource(seed + engineSeedOffset), endlessRandom, limitRandom: new RandomSource(seed + limitSeedOffset), silenceRandom: new RandomSource(seed + silenceSeedOffset),
 		}, seconds * 1000);
 		await sleep(recoveryMs);
 		crashingState.hasEnded = true;
@@ -96,6 +102,7 @@
 		checker.checkFinal();
 		return {
 			seed,
+			shape: world.shape,
 			violations: checker.violations,
 			faults: checker.faults.map(({fault, startedAt: faultStartedAt}) => `${Math.round(faultStartedAt - startedAt)} ms ${fault.name} for ${Math.round(fault.durationMs)} ms`),
 			crashes: world.crashes.length,
@@ -108,11 +115,11 @@
 	}
 }
 
-type FaultSources = {readonly random: RandomSource; readonly storeRandom: RandomSource; readonly engineRandom: RandomSource; readonly endlessRandom: RandomSource; readonly limitRandom: RandomSource};
+type FaultSources = {readonly random: RandomSource; readonly storeRandom: RandomSource; readonly engineRandom: RandomSource; readonly endlessRandom: RandomSource; readonly limitRandom: RandomSource; readonly silenceRandom: RandomSource};
 
 /** Injects faults for `durationMs` and ends each when its time is up; returns when all have ended. */
 async function startFaults(world: SoakWorld, checker: InvariantChecker, {
-	random, storeRandom, engineRandom, endlessRandom, limitRandom,
+	random, storeRandom, engineRandom, endlessRandom, limitRandom, silenceRandom,
 }: FaultSources, durationMs: number): Promise<void> {
 	const startedAt = performance.now();
 	const endings: Array<Promise<void>> = [];
@@ -126,7 +133,7 @@
 	while (performance.now() - startedAt < durationMs) {
 		await sleep(random.pickBetween(minPauseMs, maxPauseMs));
 		await startFault(pickFault(world, random));
-		for (const further of [pickReplacedStore(storeRandom), pickEngineFault(world, engineRandom), pickEndlessFault(world, endlessRandom), pickLimit(world, limitRandom)]) {
+		for (const further of [pickReplacedStore(storeRandom), pickEngineFault(world, engineRandom), pickEndlessFault(world, endlessRandom), pickLimit(world, limitRandom), pickSilence(world, silenceRandom)]) {
 			if (further) {
 				await startFault(further);
 			}
--- a/soak/test/soak.test.ts
+++ b/soak/test/soak.test.ts
@@ -8,11 +8,17 @@
 const timeoutMs = 180_000;
 
 describe('the soak run', () => {
+	const faults: string[] = [];
 	for (const {seed, seconds} of [shortRun, ...soakCases]) {
 		it(`finds no violated guarantee of real processes under the faults of seed ${seed}`, async () => {
 			const report = await runSoak(seed, seconds);
+			faults.push(...report.faults);
 			expect(report.violations, report.faults.join('\n')).to.deep.equal([]);
 			expect(report.answered).to.be.above(report.calls / 2);
 		}).timeout(timeoutMs);
 	}
+
+	it('has played engines that fall silent', () => {
+		expect(faults.some(fault => / silent (?:once|\d+ times) /v.test(fault)), faults.join('\n')).to.equal(true);
+	});
 });
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -10,6 +10,7 @@
 	createConfiguration, FleetEngine, FleetStore,
 } from '../standins/fleet/index.js';
 import type {Arrival, FleetEngineOptions, StoreCopy} from '../standins/fleet/index.js';
+import type {RandomSource} from '../src/rates/index.js';
 import {SoakVm, ports} from './vm.js';
 import type {Incarnation} from './vm.js';
 
@@ -28,6 +29,29 @@
 		name: 'decode2', service: 'llm', stage: 'decode', eventCount: 4, eventIntervalMs: 8,
 	},
 ];
+/** What the engines have in runs in which callers come near their capacity: a silent engine then leaves too little room. */
+const narrowShapes: Readonly<Record<string, Partial<FleetEngineOptions>>> = {
+	app: {workMs: 100, slots: 3},
+	decode: {eventIntervalMs: 100, slots: 5},
+};
+/** Times that callers may give, in milliseconds: shorter than the longest silence, and long enough to outlast several. */
+const deadlinesMs = [1500, 6000] as const;
+
+/** What stays the same through a run, and differs between runs. */
+export type RunShape = {
+	/** Time that callers and routes give for an answer, in milliseconds. */
+	readonly deadlineMs: number;
+	/** Whether callers come near the engines' capacity. */
+	readonly isNarrow: boolean;
+};
+
+/** Picks the shape of a run, with a source of its own. */
+export function pickShape(random: RandomSource): RunShape {
+	// The first number of a source differs little between seeds that differ little.
+	random.getRandom();
+	return {deadlineMs: deadlinesMs[random.pickIndex(deadlinesMs.length)]!, isNarrow: random.getRandom() < 0.5};
+}
+
 /** Block of prompts on which the engines crash that decode. */
 export const crashingBlock = 'crash';
 /** Time after which an engine that crashed on a request is started again, in milliseconds. */
@@ -86,7 +110,7 @@
 	readonly #folder = mkdtempSync(path.join(tmpdir(), 'crocus-soak-'));
 	readonly #addressPrefix = `127.${64 + (process.pid % 128)}.${Math.floor(process.pid / 128) % 256}`;
 
-	constructor(onExit: (vm: SoakVm, incarnation: Incarnation) => void, vmCount = defaultVmCount) {
+	constructor(readonly shape: RunShape, onExit: (vm: SoakVm, incarnation: Incarnation) => void, vmCount = defaultVmCount) {
 		for (let index = 0; index < vmCount; index++) {
 			this.vms.push(new SoakVm(`vm${index + 1}`, `${this.#addressPrefix}.${index + 1}`, this.#folder, onExit));
 		}
@@ -97,7 +121,8 @@
 		await this.store.start();
 		this.store.rewriteRead = (key, text, caller) => this.#replaceAddress(key, text, caller);
 		this.writeConfiguration();
-		for (const {name, ...options} of engineShapes) {
+		for (const {name, ...plainOptions} of engineShapes) {
+			const options = {...plainOptions, ...this.shape.isNarrow && narrowShapes[plainOptions.stage ?? plainOptions.service]};
 			const engineHost: EngineHost = {
 				name, options, nextNumber: 0, id: '', address: '', engine: new FleetEngine({...options, id: ''}), isUp: false,
 			};
@@ -169,7 +194,7 @@
 	writeConfiguration(): void {
 		const version = this.versions.length + 1;
 		const configuration = createConfiguration(version);
-		const routes = configuration.routes as Array<Record<string, unknown>>;
+		const routes = (configuration.routes as Array<Record<string, unknown>>).map(route => ({...route, timeout_ms: this.shape.deadlineMs}));
 		this.#configuration = {...configuration, routes: [...routes, {...routes[0], name: `probe-${version}`, path_prefix: `/probe-${version}/`}]};
 		this.store.write('op/config', this.#configuration);
 		this.versions.push({version, writtenAt: performance.now()});
@@ -203,6 +228,11 @@
 		return this.#links.get(`${from}>${to}`)!;
 	}
 
+	/** Lists the engines that serve a service, by name. */
+	listEngineNames(service: string): string[] {
+		return this.engineHosts.filter(({options}) => options.service === service).map(({name}) => name);
+	}
+
 	/** Lists all requests that arrived at engines, ended incarnations included. */
 	listArrivals(): Arrival[] {
 		return this.startedEngines.flatMap(({engine}) => engine.arrivals);
--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -65,10 +65,16 @@
 	readonly path: string;
 	readonly headers: IncomingMessage['headers'];
 	readonly body: string;
-	/** Time at which its body was read, monotonic, in milliseconds. */
+	/** Time at which it had reached the engine, monotonic, in milliseconds. */
+	readonly reachedAt: number;
+	/** Time at which the engine took it up: later than {@link reachedAt} if the engine was silent. */
 	readonly at: number;
+	/** Fault with which the engine meets it, or which it finds on its connection. */
+	readonly fault: EngineFault | undefined;
 	/** Whether the connection closed before the answer was complete. */
 	isCut: boolean;
+	/** Whether the head of an answer was sent while the connection was open; known once the answer has ended. */
+	isHeadSent: boolean;
 	/** Whether the engine began to run it; never set for a prefill. */
 	hasRun: boolean;
 	/** Whether it was for another incarnation, and refused as such. */
@@ -129,6 +135,10 @@
 	readonly limits: LimitChange[] = [];
 	/** Whether the engine has crashed. */
 	hasCrashed = false;
+	/** Monotonic time at which the engine ended, also by a crash, in milliseconds; infinite while it runs. */
+	endedAt = Number.POSITIVE_INFINITY;
+	/** Times at which the engine was silent, monotonic, in milliseconds. */
+	readonly silences: Array<{readonly from: number; readonly to: number}> = [];
 	/** Requests that run now. */
 	running = 0;
 	/** Largest number of requests that ran at once. */
@@ -138,6 +148,8 @@
 	/** Monotonic time until which the engine neither reads nor sends, in milliseconds. */
 	#silentUntil = Number.NEGATIVE_INFINITY;
 	#nextHandleNumber = 0;
+	/** Connections with an answer that no request has asked for. */
+	readonly #disturbedSockets = new WeakSet<Socket>();
 
 	constructor(options: FleetEngineOptions) {
 		this.#options = options;
@@ -180,6 +192,7 @@
 
 	/** Stops listening and closes every connection. */
 	async stop(): Promise<void> {
+		this.endedAt = Math.min(this.endedAt, performance.now());
 		await new Promise<void>(resolve => {
 			this.#server.close(() => {
 				resolve();
@@ -198,7 +211,9 @@
 
 	/** Falls silent for `durationMs`: keeps all connections, accepts new ones, and neither reads nor sends anything; then it goes on where it was. */
 	startSilence(durationMs: number): void {
-		this.#silentUntil = Math.max(this.#silentUntil, performance.now() + durationMs);
+		const from = performance.now();
+		this.#silentUntil = Math.max(this.#silentUntil, from + durationMs);
+		this.silences.push({from, to: this.#silentUntil});
 	}
 
 	/** Counts the open connections. */
@@ -226,8 +241,9 @@
 	}
 
 	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		await this.#waitForSilence();
 		const body = new TextDecoder().decode(await readBody(request));
+		const reachedAt = performance.now();
+		await this.#waitForSilence();
 		if (request.method === 'DELETE') {
 			this.deletedPaths.push(request.url ?? '');
 			sendJson(response, 200, {});
@@ -240,11 +256,16 @@
 		}
 
 		const {headers} = request;
+		const isForOther = headers['crocusworks-expect-instance'] !== this.#options.id;
+		const fault = isForOther ? undefined : this.faults.shift();
 		const arrival: Arrival = {
-			id: String(headers['crocusworks-request-id']), method: request.method ?? '', path: request.url ?? '', headers, body, at: performance.now(), isCut: false, hasRun: false, isForOther: headers['crocusworks-expect-instance'] !== this.#options.id, isLeavingTold: false, retryAfterMs: 0, namedLimit: undefined,
+			id: String(headers['crocusworks-request-id']), method: request.method ?? '', path: request.url ?? '', headers, body, reachedAt, at: performance.now(), fault: fault ?? (this.#disturbedSockets.has(request.socket) ? engineFault.answerTwice : undefined), isCut: response.destroyed, isHeadSent: false, hasRun: false, isForOther, isLeavingTold: false, retryAfterMs: 0, namedLimit: undefined,
 		};
 		this.arrivals.push(arrival);
-		const fault = arrival.isForOther ? undefined : this.faults.shift();
+		response.on('close', () => {
+			arrival.isCut = !response.writableFinished;
+			arrival.isHeadSent ||= response.headersSent;
+		});
 		this.isLeaving ||= fault === engineFault.leave;
 		arrival.isLeavingTold = this.isLeaving && !arrival.isForOther;
 		if (!arrival.isForOther && Number.isFinite(this.requestLimit)) {
@@ -270,9 +291,6 @@
 			return;
 		}
 
-		response.on('close', () => {
-			arrival.isCut = !response.writableFinished;
-		});
 		this.running++;
 		this.maxRunning = Math.max(this.maxRunning, this.running);
 		try {
@@ -284,7 +302,7 @@
 
 	async #run(arrival: Arrival, response: ServerResponse, commonHeaders: Record<string, string>, fault: EngineFault | undefined): Promise<void> {
 		if (arrival.headers['crocusworks-stage'] === 'prefill') {
-			await this.#runPrefill(response, commonHeaders, fault);
+			await this.#runPrefill(arrival, response, commonHeaders, fault);
 			return;
 		}
 
@@ -305,6 +323,7 @@
 		}
 
 		if (isEndless(fault)) {
+			arrival.isHeadSent = fault !== engineFault.endlessInformation && isOpen(response.socket ?? undefined);
 			await sendEndless(response.socket ?? undefined, commonHeaders, fault);
 			return;
 		}
@@ -330,6 +349,7 @@
 		}
 
 		if (fault === engineFault.unframed || fault === engineFault.resetUnframed) {
+			arrival.isHeadSent = isOpen(response.socket ?? undefined);
 			await sendWithoutLength(response.socket ?? undefined, headers, fault === engineFault.unframed ? text : text.slice(0, 4), fault === engineFault.unframed);
 			return;
 		}
@@ -344,13 +364,14 @@
 
 		const {socket} = response;
 		response.end(text, () => {
-			if (fault === engineFault.answerTwice) {
-				sendUnrequestedAnswer(socket ?? undefined, text);
+			if (fault === engineFault.answerTwice && socket) {
+				this.#disturbedSockets.add(socket);
+				sendUnrequestedAnswer(socket, text);
 			}
 		});
 	}
 
-	async #runPrefill(response: ServerResponse, commonHeaders: Record<string, string>, fault: EngineFault | undefined): Promise<void> {
+	async #runPrefill(arrival: Arrival, response: ServerResponse, commonHeaders: Record<string, string>, fault: EngineFault | undefined): Promise<void> {
 		if (fault === engineFault.silent) {
 			return;
 		}
@@ -361,6 +382,7 @@
 		}
 
 		if (isEndless(fault)) {
+			arrival.isHeadSent = fault !== engineFault.endlessInformation && isOpen(response.socket ?? undefined);
 			await sendEndless(response.socket ?? undefined, commonHeaders, fault);
 			return;
 		}
@@ -376,6 +398,7 @@
 		if (fault === engineFault.unframed || fault === engineFault.resetUnframed || fault === engineFault.closeInEvent) {
 			const events = Array.from({length: Math.max(0, eventCount - firstId + 1)}, (_, index) => formatEvent(firstId + index, arrival.id));
 			const text = fault === engineFault.unframed ? events.join('') : events.slice(0, 1).join('') + (events[1] ?? '').slice(0, 9);
+			arrival.isHeadSent = isOpen(response.socket ?? undefined);
 			await sendWithoutLength(response.socket ?? undefined, {...headers, 'Content-Type': 'text/event-stream'}, text, fault !== engineFault.resetUnframed);
 			return;
 		}
@@ -489,6 +512,6 @@
 }
 
 /** Sends a further answer on a connection whose request is answered already. */
-function sendUnrequestedAnswer(socket: Socket | undefined, text: string): void {
-	socket?.write(`HTTP/1.1 200 OK\r\nCrocusworks-Request-Id: late\r\nContent-Length: ${text.length}\r\n\r\n${text}`);
+function sendUnrequestedAnswer(socket: Socket, text: string): void {
+	socket.write(`HTTP/1.1 200 OK\r\nCrocusworks-Request-Id: late\r\nContent-Length: ${text.length}\r\n\r\n${text}`);
 }
