Stand-in engine of the own interface: silent for a while, then goes on

EngineCore.silence keeps the engine from reading and sending for a time: connections stay, new ones are accepted, events are held back in order and sent after it, closed connections are seen after it. LocalEngine does so in virtual time, EngineServer by the control field silentMs.

--- a/standins/engine/core.ts
+++ b/standins/engine/core.ts
@@ -19,11 +19,13 @@
 import {Scheduler} from './scheduler.js';
 import {Sequence} from './sequence.js';
 import type {EventSink} from './sequence.js';
+import {Silence} from './silence.js';
 
 /** Model engine's stand-in without network: all durations are run by the timer service, and every answer is a function of its request. */
 export class EngineCore {
 	readonly journal = new Journal<EngineRow>();
 	readonly kv: KvStore;
+	readonly silence: Silence;
 	/** Factor on all durations of the engine's work; a test raises it to slow the engine down. */
 	slowFactor = 1;
 	/** When set, the engine crashes this many milliseconds after the next `configure` order arrives; used once. */
@@ -41,6 +43,7 @@
 		this.#timers = timers;
 		this.#options = options;
 		this.#incarnation = timers.getWallTime();
+		this.silence = new Silence(timers);
 		this.kv = new KvStore(timers, options.kvHoldMs);
 		this.#cache = new PrefixCache(timers, options.maxCacheBlocks, options.cacheLagMs);
 		this.#orders = new OrderHandler({
--- a/standins/engine/local.ts
+++ b/standins/engine/local.ts
@@ -54,8 +54,12 @@
 
 	async * generate(request: GenerateRequest, signal: AbortSignal): AsyncGenerator<GenerateEvent> {
 		this.#checkReachable();
+		if (this.core.silence.isActive) {
+			await this.#waitUntilHeard();
+		}
+
 		const events = new EventQueue();
-		const detach = this.core.startRequest(request, this.faults.wrapSink(events));
+		const detach = this.core.startRequest(request, this.faults.wrapSink(this.core.silence.wrapSink(events)));
 		const onAbort = () => {
 			events.onCut('the caller closed the connection');
 		};
@@ -78,37 +82,37 @@
 			}
 		} finally {
 			signal.removeEventListener('abort', onAbort);
-			detach();
+			void this.#closeConnection(detach);
 		}
 	}
 
 	async cancel(id: string): Promise<void> {
-		this.#checkReachable();
+		await this.#waitUntilHeard();
 		this.core.cancelRequest(id);
 	}
 
 	async readLoad(): Promise<LoadReport> {
-		this.#checkReachable();
+		await this.#waitUntilHeard();
 		return this.core.getLoad();
 	}
 
 	async readState(): Promise<EngineState> {
-		this.#checkReachable();
+		await this.#waitUntilHeard();
 		return this.core.getState();
 	}
 
 	async sendOrder(order: Order): Promise<EngineState> {
-		this.#checkReachable();
+		await this.#waitUntilHeard();
 		return this.core.applyOrder(order);
 	}
 
 	async exportKv(request: GenerateRequest): Promise<KvHandle> {
-		this.#checkReachable();
+		await this.#waitUntilHeard();
 		return this.core.exportKv(request);
 	}
 
 	async importKv(source: string, handle: string): Promise<KvHandle> {
-		this.#checkReachable();
+		await this.#waitUntilHeard();
 		const record = this.findEngine(source)?.kv.findRecord(handle);
 		if (!record) {
 			throw new NotRunError(`${source} does not hold ${handle}`);
@@ -118,10 +122,26 @@
 	}
 
 	async readCacheEvents(afterSequence: number): Promise<CacheEvents> {
-		this.#checkReachable();
+		await this.#waitUntilHeard();
 		return this.core.listCacheEvents(afterSequence);
 	}
 
+	/** Waits until the engine reads the call. */
+	async #waitUntilHeard(): Promise<void> {
+		this.#checkReachable();
+		await this.core.silence.wait();
+		this.#checkReachable();
+	}
+
+	/** Lets the engine see that the connection is closed, which it does not while it is silent. */
+	async #closeConnection(detach: () => void): Promise<void> {
+		if (this.core.silence.isActive) {
+			await this.core.silence.wait();
+		}
+
+		detach();
+	}
+
 	#checkReachable(): void {
 		if (this.isUnreachable) {
 			throw new NotRunError('no connection');
--- a/standins/engine/server.ts
+++ b/standins/engine/server.ts
@@ -25,6 +25,8 @@
 	readonly streams?: readonly StreamFaults[];
 	/** Never answers again on connections that are open now; later connections work. */
 	readonly silence?: boolean;
+	/** Neither reads nor sends for this many milliseconds, keeps all connections, and goes on afterwards where it was. */
+	readonly silentMs?: number;
 	/** Factor on all durations of the engine's work. */
 	readonly slowFactor?: number;
 	/** The engine crashes this many milliseconds after the next `configure` order arrives. */
@@ -52,7 +54,8 @@
 				sendRefusal(response, error);
 			},
 		});
-		app.use((request, _response, next) => {
+		app.use(async (request, _response, next) => {
+			await this.core.silence.wait();
 			// A request on a silenced connection is accepted and never answered.
 			if (!this.#silencedSockets.has(request.socket)) {
 				void next();
@@ -94,6 +97,7 @@
 		this.faults.streams.push(...control.streams ?? []);
 		this.core.slowFactor = control.slowFactor ?? this.core.slowFactor;
 		this.core.crashInChangeMs = control.crashInChangeMs ?? this.core.crashInChangeMs;
+		this.core.silence.start(control.silentMs ?? 0);
 		if (control.silence) {
 			for (const socket of this.#sockets) {
 				this.#silencedSockets.add(socket);
@@ -107,11 +111,14 @@
 
 	async #serveGenerate(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const generateRequest = await readJson(request) as GenerateRequest;
-		const sink = this.faults.wrapSink(this.#createSink(response));
+		const sink = this.faults.wrapSink(this.core.silence.wrapSink(this.#createSink(response)));
 		try {
 			const detach = this.core.startRequest(generateRequest, sink);
 			openStream(response);
-			response.on('close', detach);
+			response.on('close', async () => {
+				await this.core.silence.wait();
+				detach();
+			});
 		} catch (error) {
 			sendRefusal(response, error);
 		}
