Read a silent answer on until another attempt has delivered the next event

Cause: EventReader ended the answer at its silence timeout; onFailure then closed the connection and cancelled at the engine before any other engine had the request, and a refusal or a spent budget after that ended the request. The relaying entry did the same on its own account, so the entry that asked saw a broken answer. A newer attempt at the same engine stays, since the engine moves the request to it. The wait for a probe and for a KV transfer ends as soon as an open attempt delivers. A relaying entry has no say in it. Health: Router.onSilent reports the silence when the engine answers no probe, as the outcome silent did; the attempt itself then ends as cancelled or done. InFlightTable tells two attempts at one engine apart by their placement. Counted as crocus_answer_silences_total (went_on, replaced, waits) and recorded in the history as request/<id>.

--- a/src/entry/placements.ts
+++ b/src/entry/placements.ts
@@ -15,6 +15,7 @@
 		router: dependencies.router,
 		timers: dependencies.timers,
 		metrics: dependencies.metrics,
+		history: dependencies.history,
 		getConnection: (placement, isFresh) => openEngine(dependencies, placement, isFresh),
 		getTimeouts(placement, isAgain) {
 			const role = dependencies.facts.get('upstream', placement.upstream.id)?.value.setup?.role;
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -7,6 +7,8 @@
 const counterDefinitions = {
 	refusals: {name: 'crocus_refusals_total', help: 'Requests refused, by reason', label: 'reason'},
 	retries: {name: 'crocus_retries_total', help: 'Further attempts, by reason', label: 'reason'},
+	/** Answers whose engine was silent for too long. */
+	silences: {name: 'crocus_answer_silences_total', help: 'Answers of engines that fell silent, by what became of them', label: 'outcome'},
 	/** Responses, events and frames that were dropped because they were late, out of order, or meant for another receiver. */
 	dropped: {name: 'crocus_dropped_total', help: 'Late, crossed or malformed messages dropped, by kind', label: 'kind'},
 	requests: {name: 'crocus_requests_total', help: 'Requests ended, by outcome', label: 'outcome'},
--- a/src/routing/inflight.ts
+++ b/src/routing/inflight.ts
@@ -102,8 +102,14 @@
 
 	/** Removes a request that ended; if it was answered completely, its length and duration update the estimates. */
 	remove(request: RoutingRequest, placement: Placement, isDone: boolean): void {
+		const key = this.#getKey(request, placement);
+		if (this.#requests.get(key)?.placement !== placement) {
+			// A later attempt at the same engine has taken its place.
+			return;
+		}
+
 		const decodeCountAtEnd = this.#computeDecodeCount(placement.upstream.id);
-		const inFlightRequest = this.#removeKey(this.#getKey(request, placement), this.#dependencies.timers.getNow());
+		const inFlightRequest = this.#removeKey(key, this.#dependencies.timers.getNow());
 		if (inFlightRequest && isDone) {
 			this.#onDone(inFlightRequest, decodeCountAtEnd);
 		}
--- a/src/routing/latencyrouter.ts
+++ b/src/routing/latencyrouter.ts
@@ -91,6 +91,10 @@
 		this.#dependencies.inFlight.onTokens(request, placement, count);
 	}
 
+	override onSilent(placement: Placement): void {
+		this.#onOutcome(placement.upstream.id, placementOutcome.silent);
+	}
+
 	onEnd(request: RoutingRequest, placement: Placement, outcome: PlacementOutcome): void {
 		this.#count(placement, -1);
 		this.#dependencies.inFlight.remove(request, placement, outcome === placementOutcome.done);
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -59,6 +59,11 @@
 		// A router without limits on callers lets every call pass.
 	}
 
+	/** Records that nothing was received in time from an engine that is waited for all the same. The request stays in progress until `onEnd`. */
+	onSilent(_placement: Placement): void {
+		// A router without health of engines has no use for it.
+	}
+
 	/**
 	Admits a request and chooses the engines that serve it; the upstreams with the ids in `excluded` are not chosen.
 	Throws `NotRunError` with the reason and the time after which to retry.
--- a/src/serving/attempt.ts
+++ b/src/serving/attempt.ts
@@ -34,6 +34,21 @@
 		return this.#connection.client;
 	}
 
+	/** Whether {@link takeEvents} has events or an error. */
+	get hasNews(): boolean {
+		return this.#reader?.hasNews ?? false;
+	}
+
+	/** Whether {@link takeEvents} has events. */
+	get hasEvents(): boolean {
+		return this.#reader?.hasEvents ?? false;
+	}
+
+	/** Whether the engine was silent for too long and has sent nothing since. */
+	get isSilent(): boolean {
+		return this.#reader?.isSilent ?? false;
+	}
+
 	/** Whether the request was handed to the connection. */
 	get isSent(): boolean {
 		return this.#reader !== undefined;
@@ -42,9 +57,10 @@
 	/**
 	Checks once more that the engine is open and hands the request to the connection, in one turn of the event loop:
 	whoever closes the engine sees either no send or a request that is counted as running.
-	Throws `NotRunError` when the engine has closed meanwhile, `CallerGoneError` when the caller has disconnected.
+	`onNews` is called when there is something to take. Throws `NotRunError` when the engine has closed meanwhile, `CallerGoneError` when the
+	caller has disconnected.
 	*/
-	start(offset: number, kvHandle: string | undefined): void {
+	start(offset: number, kvHandle: string | undefined, onNews: () => void): void {
 		const {router, timers, signal} = this.#dependencies;
 		const {request} = this.#job;
 		if (signal.aborted) {
@@ -60,16 +76,25 @@
 			this.#dependencies.metrics.count('dropped', 'late_event');
 		});
 		this.#reader = new EventReader(events[Symbol.asyncIterator](), {
-			timers, signal, deadlineAt: request.deadlineAt, timeouts: this.#dependencies.getTimeouts(this.placement, this.#isResume),
+			timers, signal, deadlineAt: request.deadlineAt, timeouts: this.#dependencies.getTimeouts(this.placement, this.#isResume), onNews,
 		});
 		router.onSent(request, this.placement);
 		this.#reader.start();
 	}
 
-	/** Waits for events and returns those that come next in this request's answer; none when all were repeated. */
-	async readEvents(): Promise<readonly GenerateEvent[]> {
-		const events = await this.#reader?.readBatch() ?? [];
-		const newEvents = this.#check?.selectNext(events) ?? [];
+	/** Notes that the next events are waited for, so that the engine can be silent for too long. */
+	startWaiting(): void {
+		this.#reader?.startWaiting();
+	}
+
+	/**
+	Returns the received events that come next in this request's answer, from `offset` on; none when all were repeated. Throws the error that ended the
+	answer, and `SilentAnswerError` once for each silence; after a silence the answer may go on.
+	*/
+	takeEvents(offset: number): readonly GenerateEvent[] {
+		const events = this.#reader?.takeBatch() ?? [];
+		// An attempt that was sent earlier or later to the same engine may have delivered events of this one already.
+		const newEvents = (this.#check?.selectNext(events) ?? []).filter(event => event.offset >= offset);
 		const tokenCount = newEvents.at(-1)?.kind === 'end' ? newEvents.length - 1 : newEvents.length;
 		if (tokenCount > 0) {
 			this.#dependencies.router.onTokens(this.#job.request, this.placement, tokenCount);
@@ -93,8 +118,8 @@
 		}
 	}
 
-	/** Whether the engine answers a probe on a separate connection. An engine behind a relay is assumed to answer. */
-	async isAnswering(): Promise<boolean> {
+	/** Whether the engine answers a probe on a separate connection; false when `endSignal` is aborted first. An engine behind a relay is assumed to answer. */
+	async isAnswering(endSignal: AbortSignal): Promise<boolean> {
 		if (this.placement.relayAddress !== undefined) {
 			return true;
 		}
@@ -103,7 +128,7 @@
 		const {client, close} = this.#dependencies.getConnection(this.placement, true);
 		const controller = new AbortController();
 		try {
-			return await Promise.race([probeEngine(client), waitForTimeout(timers, AbortSignal.any([controller.signal, signal]))]);
+			return await Promise.race([probeEngine(client), waitForTimeout(timers, AbortSignal.any([controller.signal, signal, endSignal]))]);
 		} finally {
 			controller.abort();
 			close();
--- a/src/serving/job.ts
+++ b/src/serving/job.ts
@@ -1,3 +1,4 @@
+import type {History} from '../history/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {Placement, Router, RoutingRequest} from '../routing/index.js';
 import type {TimerService} from '../timers/index.js';
@@ -30,6 +31,8 @@
 	readonly router: Router;
 	readonly timers: TimerService;
 	readonly metrics: Metrics;
+	/** Records decisions on silent answers, if set. */
+	readonly history?: Pick<History, 'record'>;
 	/** Returns a connection to the placement's engine; with `isDedicated`, one that is opened for this request alone. */
 	readonly getConnection: (placement: Placement, isDedicated: boolean) => EngineConnection;
 	/** Returns the timeouts of an attempt; `isResume` when the request is sent again to an engine that may still hold it. */
--- a/src/serving/kv.ts
+++ b/src/serving/kv.ts
@@ -6,12 +6,15 @@
 import type {Attempt} from './attempt.js';
 import type {StreamDependencies, StreamJob} from './job.js';
 
+/** `endSignal` is aborted when the transfer is no longer wanted. */
+type KvContext = {readonly dependencies: StreamDependencies; readonly endSignal: AbortSignal};
+
 /**
 Has the placement's prefill engine compute the KV cache of the prompt and its decode engine fetch it. Returns the handle
 of the imported cache, or `undefined` when there is no prefill engine or the transfer failed; the decode engine then
 prefills the prompt itself.
 */
-export function * importPrefilledKv(attempt: Attempt, job: StreamJob, dependencies: StreamDependencies): Procedure<string | undefined> {
+export function * importPrefilledKv(attempt: Attempt, job: StreamJob, {dependencies, endSignal}: KvContext): Procedure<string | undefined> {
 	const {prefillEngine: prefill, upstream, relayAddress: via} = attempt.placement;
 	if (!prefill || via !== undefined) {
 		return undefined;
@@ -23,7 +26,14 @@
 	};
 
 	const timer = dependencies.timers.startTimer(dependencies.getTimeouts(attempt.placement, false).firstEventTimeoutMs, onAbort);
-	dependencies.signal.addEventListener('abort', onAbort, {once: true});
+	const signals = [dependencies.signal, endSignal];
+	for (const signal of signals) {
+		signal.addEventListener('abort', onAbort, {once: true});
+		if (signal.aborted) {
+			onAbort();
+		}
+	}
+
 	try {
 		const exported = yield * callStep('export the KV cache', async () => waitUnlessAborted(controller.signal, runTracked(dependencies, prefill.id, async () =>
 			dependencies.getConnection({upstream: prefill}, false).client.exportKv(createRequest(job), controller.signal))));
@@ -35,16 +45,23 @@
 		return undefined;
 	} finally {
 		timer.cancel();
-		dependencies.signal.removeEventListener('abort', onAbort);
+		for (const signal of signals) {
+			signal.removeEventListener('abort', onAbort);
+		}
 	}
 }
 
 /** Waits for a result until `signal` is aborted. The call itself stays counted as running until it ends. */
 async function waitUnlessAborted<Result>(signal: AbortSignal, result: Promise<Result>): Promise<Result> {
 	const aborted = new Promise<never>((_resolve, reject) => {
-		signal.addEventListener('abort', () => {
-			reject(new SilentAnswerError('KV cache transfer aborted: it timed out or the caller disconnected'));
-		}, {once: true});
+		const onAbort = () => {
+			reject(new SilentAnswerError('KV cache transfer aborted: it timed out or is no longer wanted'));
+		};
+
+		signal.addEventListener('abort', onAbort, {once: true});
+		if (signal.aborted) {
+			onAbort();
+		}
 	});
 	return Promise.race([result, aborted]);
 }
--- a/src/serving/reader.ts
+++ b/src/serving/reader.ts
@@ -16,16 +16,21 @@
 	readonly deadlineAt: number;
 	/** Aborted when the caller disconnects. */
 	readonly signal: AbortSignal;
+	/** Called when there is something to take: events, a silence, or the error that ended the answer. */
+	readonly onNews: () => void;
 };
 
 /**
 Reads an engine's answer ahead into a bounded buffer and returns it in batches. One timer covers both silence and the
-deadline, so that no timer has to be started for each token.
+deadline, so that no timer has to be started for each token. A silence ends nothing: the answer is read on after it.
 */
 export class EventReader {
 	#buffer: GenerateEvent[] = [];
 	#failure: Error | undefined;
-	#resolveRead: (() => void) | undefined;
+	/** Whether the events so far were taken and more are waited for. */
+	#isAwaited = false;
+	#isSilent = false;
+	#isSilenceTaken = false;
 	#resolveSpace: (() => void) | undefined;
 	#timer: Timer | undefined;
 	#silentSince = 0;
@@ -43,6 +48,21 @@
 		};
 	}
 
+	/** Whether {@link takeBatch} has events or an error. */
+	get hasNews(): boolean {
+		return this.hasEvents || this.#failure !== undefined || (this.#isSilent && !this.#isSilenceTaken);
+	}
+
+	/** Whether {@link takeBatch} has events. */
+	get hasEvents(): boolean {
+		return this.#buffer.length > 0;
+	}
+
+	/** Whether the engine was silent for too long and has sent nothing since. */
+	get isSilent(): boolean {
+		return this.#isSilent;
+	}
+
 	/** Requests the first event, which hands the request to the connection in the same turn of the event loop. */
 	start(): void {
 		const {signal, timeouts, timers} = this.#options;
@@ -57,18 +77,27 @@
 		void this.#readAhead();
 	}
 
-	/** Waits for events and returns all that are buffered. Once they are used up, throws the error that ended the answer. */
-	async readBatch(): Promise<readonly GenerateEvent[]> {
-		if (this.#buffer.length === 0 && !this.#failure) {
+	/** Notes that the next events are waited for. Only from then on can the engine be silent for too long. */
+	startWaiting(): void {
+		if (!this.#isAwaited && !this.hasEvents) {
 			// The time that a slow caller took for the previous batch does not count as silence of the engine.
 			this.#silentSince = Math.max(this.#silentSince, this.#options.timers.getNow());
-			await new Promise<void>(resolve => {
-				this.#resolveRead = resolve;
-			});
+			this.#isAwaited = true;
+		}
+	}
+
+	/**
+	Returns all events that are buffered. When there are none, throws the error that ended the answer; or `SilentAnswerError`, once for each silence,
+	after which events may still come.
+	*/
+	takeBatch(): readonly GenerateEvent[] {
+		if (!this.hasEvents && this.#failure) {
+			throw this.#failure;
 		}
 
-		if (this.#buffer.length === 0) {
-			throw this.#failure ?? new BrokenAnswerError('the answer broke off');
+		if (!this.hasEvents && this.#isSilent && !this.#isSilenceTaken) {
+			this.#isSilenceTaken = true;
+			throw new SilentAnswerError(`no event within ${this.#silenceTimeoutMs} ms`);
 		}
 
 		const batch = this.#buffer;
@@ -114,14 +143,17 @@
 
 		this.#buffer.push(event);
 		this.#silentSince = this.#options.timers.getNow();
-		if (!this.#hasFirstEvent) {
+		this.#isAwaited = false;
+		if (!this.#hasFirstEvent || this.#isSilent) {
 			this.#hasFirstEvent = true;
+			this.#isSilent = false;
+			this.#isSilenceTaken = false;
 			this.#silenceTimeoutMs = this.#options.timeouts.betweenEventsTimeoutMs;
 			this.#timer?.cancel();
 			this.#watch();
 		}
 
-		this.#notifyReader();
+		this.#options.onNews();
 	}
 
 	#watch(): void {
@@ -130,16 +162,22 @@
 		const timeoutAt = this.#silentSince + this.#silenceTimeoutMs;
 		if (now >= deadlineAt) {
 			this.#fail(new DeadlineError('the deadline has passed'));
-		} else if (now >= timeoutAt && this.#resolveRead) {
-			this.#fail(new SilentAnswerError(`no event within ${this.#silenceTimeoutMs} ms`));
+		} else if (now >= timeoutAt && this.#isAwaited) {
+			this.#isSilent = true;
+			this.#startTimer(deadlineAt - now);
+			this.#options.onNews();
 		} else {
 			const checkAt = timeoutAt > now ? timeoutAt : now + this.#silenceTimeoutMs;
-			this.#timer = timers.startTimer(Math.min(checkAt, deadlineAt) - now, () => {
-				this.#watch();
-			});
+			this.#startTimer(Math.min(checkAt, deadlineAt) - now);
 		}
 	}
 
+	#startTimer(delayMs: number): void {
+		this.#timer = this.#options.timers.startTimer(delayMs, () => {
+			this.#watch();
+		});
+	}
+
 	#fail(error: Error): void {
 		if (this.#failure) {
 			return;
@@ -149,11 +187,6 @@
 		this.#timer?.cancel();
 		this.#options.signal.removeEventListener('abort', this.#onAbort);
 		this.#resolveSpace?.();
-		this.#notifyReader();
-	}
-
-	#notifyReader(): void {
-		this.#resolveRead?.();
-		this.#resolveRead = undefined;
+		this.#options.onNews();
 	}
 }
