Look for an engine until the deadline for an answer that may have begun

What callers saw: a stream that ended midway (502 in it) some 0.2 to 0.6 s after its engine broke it off, though the deadline was 29 s away, because every engine refused or could not be reached for a moment. Cause: one second round after 200 ms, and refusals counted as attempts, so that eight of them ended the answer. Now engines are looked for again after 0.2 s, doubling to 2 s, until the deadline; refusals of an answer that may have begun don't count as attempts. Attempts that engines took are still at most 8, crashes 2, and the retry budget ends an answer of which the caller has nothing. When the deadline comes in such a wait the error stays unknown_outcome, as it was.

--- a/src/serving/stream.ts
+++ b/src/serving/stream.ts
@@ -14,6 +14,7 @@
 import {importPrefilledKv} from './kv.js';
 import {OpenAttempts} from './openattempts.js';
 
+/** Attempts at one request. Refusals of an answer that may have begun don't count. */
 const maxAttempts = 8;
 /** Engines that may crash under one request: the next one would probably crash too, and take the requests of others with it. */
 const maxCrashes = 2;
@@ -194,12 +195,19 @@
 	try {
 		return yield * callStep('choose a placement', () => dependencies.router.choosePlacement(job.request, progress.excludedIds));
 	} catch (error) {
-		const isOver = progress.open.size === 0 && (progress.rounds > 0 || dependencies.timers.getNow() >= job.request.deadlineAt);
-		if (!(error instanceof NotRunError) || !progress.mayHaveRun || !progress.hasChosen || isOver) {
+		if (!(error instanceof NotRunError) || !progress.mayHaveRun || !progress.hasChosen) {
 			throw error;
 		}
+
+		yield * waitForEngine(error, serving);
+		return undefined;
 	}
+}
 
+/** Has engines looked for again after a delay, which it waits for if no answer is open. Throws `error` when that is at the deadline. */
+function * waitForEngine(error: unknown, serving: Serving): Procedure<void> {
+	const {job, dependencies, progress} = serving;
+	const {timers, signal} = dependencies;
 	// The caller may already have a part of this answer, so it does not fail yet: the engines that failed may have recovered and are allowed again.
 	progress.excludedIds.clear();
 	progress.resumedIds.clear();
@@ -207,14 +215,16 @@
 	if (progress.open.size > 0) {
 		countWaits(serving);
 	} else {
-		const remainingMs = job.request.deadlineAt - dependencies.timers.getNow();
-		yield * callStep('wait for an engine', async () => dependencies.timers.sleep(Math.min(delayMs, remainingMs), dependencies.signal));
-		if (dependencies.signal.aborted) {
+		const remainingMs = Math.max(0, job.request.deadlineAt - timers.getNow());
+		yield * callStep('wait for an engine', async () => timers.sleep(Math.min(delayMs, remainingMs), signal));
+		if (signal.aborted) {
 			throw new CallerGoneError('the caller has gone');
 		}
-	}
 
-	return undefined;
+		if (timers.getNow() >= job.request.deadlineAt) {
+			throw error;
+		}
+	}
 }
 
 /** Sets the time at which a further attempt is tried again. Returns the time until then, in milliseconds. */
@@ -304,6 +314,7 @@
 	progress.resumePlacement = undefined;
 	progress.retryReason = undefined;
 	progress.isRetryUnpaid = false;
+	progress.rounds = 0;
 	if (progress.silent.delete(attempt)) {
 		countSilence(serving, attempt, silenceOutcome.wentOn);
 	}
@@ -384,6 +395,7 @@
 	const {job, dependencies, progress} = serving;
 	const {upstream} = attempt.placement;
 	const isSilent = failure.retryReason === retryReason.silentStream;
+	progress.attempts -= failure.outcome === placementOutcome.notRun && progress.mayHaveRun ? 1 : 0;
 	progress.crashes += failure.retryReason === retryReason.connectFailed && progress.resumedIds.has(upstream.id) ? 1 : 0;
 	const isLast = progress.crashes >= maxCrashes || dependencies.signal.aborted || progress.attempts >= maxAttempts;
 	const mayResume = !isLast && failure.mayBeHeld && (yield * isResumable(failure, attempt, serving));
@@ -399,10 +411,16 @@
 
 	if (isLast) {
 		checkOpen(error, serving);
-		return;
+	} else {
+		checkDeadline(job, dependencies, {progress, cause: error});
+		scheduleRetry(error, {failure, attempt, mayResume}, serving);
 	}
+}
 
-	checkDeadline(job, dependencies, {progress, cause: error});
+/** Has the next attempt made, at the engine of the failed one if it may be resumed there; later when the retry budget is spent and an answer is open. */
+function scheduleRetry(error: unknown, {failure, attempt, mayResume}: FailedAttempt & {readonly mayResume: boolean}, serving: Serving): void {
+	const {dependencies, progress} = serving;
+	const {upstream} = attempt.placement;
 	progress.retryReason = failure.retryReason;
 	if (mayResume) {
 		progress.resumedIds.add(upstream.id);
@@ -414,7 +432,8 @@
 	progress.attemptDueAt = dependencies.timers.getNow();
 	progress.isRetryUnpaid = false;
 	// An engine that is silent but answers a probe may have queued the request: it keeps the request, and the retry is not charged.
-	if (!(isSilent && mayResume) && !tryRetry(failure.retryReason, serving)) {
+	const isFree = mayResume && failure.retryReason === retryReason.silentStream;
+	if (!isFree && !tryRetry(failure.retryReason, serving)) {
 		checkOpen(error, serving);
 		progress.isRetryUnpaid = true;
 		scheduleAttempt(serving);
--- a/src/serving/test/silence.test.ts
+++ b/src/serving/test/silence.test.ts
@@ -24,6 +24,7 @@
 	readonly cores = new Map<string, EngineCore>();
 	override readonly router = new FakeRouter(['e1', 'e2', 'e3'].map(id => createUpstream(id)));
 	readonly #clients = new Map<string, LocalEngine>();
+	#orders = 0;
 	readonly #connections = {
 		getTimeouts: () => timeouts,
 		getConnection: ({upstream}: Placement) => ({client: this.getClient(upstream.id), close() {/* Has no connection. */}}),
@@ -61,6 +62,20 @@
 		return this.cores.get(id)!;
 	}
 
+	setReachable(isReachable: boolean): void {
+		for (const client of this.#clients.values()) {
+			client.isUnreachable = !isReachable;
+		}
+	}
+
+	/** Has every engine refuse new work as not run, or take it again. */
+	setDraining(kind: 'drain' | 'resume'): void {
+		for (const core of this.cores.values()) {
+			this.#orders++;
+			core.applyOrder({id: `o${this.#orders}`, fence: 1, kind});
+		}
+	}
+
 	startSilence(silentMs: number, ids: readonly string[]): void {
 		for (const id of ids) {
 			this.getCore(id).silence.start(silentMs);
@@ -245,3 +260,55 @@
 		});
 	});
 }
+
+describe('serveStream, while no engine takes an answer that has begun', () => {
+	it('resumes it as soon as one does, before the deadline', async () => {
+		const world = new SilenceWorld();
+		const record = world.startStream('r');
+		await world.timers.advance(300);
+		world.setReachable(false);
+		world.getCore('e1').reset();
+		await world.timers.advance(10_000);
+		expect(record.isSettled).to.equal(false);
+		world.setReachable(true);
+		checkWhole(await world.settle(record));
+		await world.checkEnd();
+	});
+
+	it('resumes it where every engine refuses for a second, also with the retry budget spent', async () => {
+		for (const retriesLeft of [Number.POSITIVE_INFINITY, 0]) {
+			const world = new SilenceWorld();
+			world.router.retriesLeft = retriesLeft;
+			const record = world.startStream('r');
+			await world.timers.advance(300);
+			world.setDraining('drain');
+			world.getCore('e1').reset();
+			world.setDraining('drain');
+			await world.timers.advance(1100);
+			expect(record.isSettled).to.equal(false);
+			world.setDraining('resume');
+			checkWhole(await world.settle(record));
+			await world.checkEnd();
+		}
+	});
+
+	it('fails at the deadline when none does, and at once when the caller leaves', async () => {
+		for (const isLeaving of [false, true]) {
+			const world = new SilenceWorld();
+			const record = world.startStream('r', 8000);
+			await world.timers.advance(300);
+			world.setReachable(false);
+			world.getCore('e1').reset();
+			await world.timers.advance(7000);
+			expect(record.isSettled).to.equal(false);
+			if (isLeaving) {
+				world.abort.abort();
+			}
+
+			await world.timers.advance(isLeaving ? 0 : 700);
+			expect(record.error).to.have.property('name', isLeaving ? 'CallerGoneError' : 'UnknownOutcomeError');
+			expect(world.timers.getNow()).to.be.at.most(8000);
+			await world.checkEnd();
+		}
+	});
+});
