Don't admit an answer anew when engines are looked for again

What callers saw: an answer that had begun ended with unknown_outcome because its further attempt was refused as caller_limit, fair_share, overload or late; and the caller's tokens were charged once more for each look, as was the demand that roles are planned by. Cause: the router took a choice without excluded engines for a new request. serveStream makes such choices after a round, in which the excluded ones are allowed again, and when an engine that was to be resumed has closed. Router.choosePlacement is told now whether it is a further attempt; without that, excluded engines tell it as before.

--- a/src/routing/latencyrouter.ts
+++ b/src/routing/latencyrouter.ts
@@ -27,7 +27,7 @@
 /**
 Routes each request to the engines where its expected latency is lowest. It checks the caller's limits, chooses a placement
 in this failure domain, or in another one when the request would be late here, and then checks the caller's equal share
-and whether the answer is expected by its deadline. A retry, which has excluded upstreams, is not checked again.
+and whether the answer is expected by its deadline. A further attempt is not checked again.
 */
 export class LatencyRouter extends Router {
 	readonly #dependencies: LatencyRouterDependencies;
@@ -44,9 +44,8 @@
 		this.#instanceSelector = new InstanceSelector({...dependencies, countInFlight: upstream => this.countInFlight(upstream)});
 	}
 
-	choosePlacement(request: RoutingRequest, excluded: ReadonlySet<string>): Placement {
-		const isFirstAttempt = excluded.size === 0;
-		if (isFirstAttempt) {
+	choosePlacement(request: RoutingRequest, excluded: ReadonlySet<string>, isFurtherAttempt = excluded.size > 0): Placement {
+		if (!isFurtherAttempt) {
 			this.#checkCaller(request);
 		}
 
@@ -56,7 +55,7 @@
 			throw this.#createNoEngineRefusal(request);
 		}
 
-		if (isFirstAttempt) {
+		if (!isFurtherAttempt) {
 			this.#checkAdmission(request, chosen);
 		}
 
--- a/src/routing/test/latencyrouter.test.ts
+++ b/src/routing/test/latencyrouter.test.ts
@@ -169,6 +169,19 @@
 		expect(router.choosePlacement(createRequest({caller: 'clerk'}), nothingExcluded).upstream.id).to.equal('e1');
 	});
 
+	it('takes a further attempt at an admitted request for one also when no engine is excluded', () => {
+		const {router, createRequest, timers} = createHarness([createUpstream('e1')], 2);
+		const request = createRequest();
+		for (let index = 0; index < 4; index++) {
+			router.choosePlacement(request, nothingExcluded);
+		}
+
+		expect(router.choosePlacement(request, nothingExcluded, true).upstream.id).to.equal('e1');
+		const late = createRequest({deadlineAt: timers.getNow() + 1});
+		expect(router.choosePlacement(late, nothingExcluded, true).upstream.id).to.equal('e1');
+		expect(() => router.choosePlacement(request, nothingExcluded)).to.throw(NotRunError).with.property('reason', refusalReason.callerLimit);
+	});
+
 	it('counts its requests in progress back down to 0', () => {
 		const {router, createRequest} = createHarness([createUpstream('e1')]);
 		const request = createRequest();
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -66,9 +66,10 @@
 
 	/**
 	Admits a request and chooses the engines that serve it; the upstreams with the ids in `excluded` are not chosen.
+	A further attempt at an admitted request is not checked again; by default it is one if upstreams are excluded.
 	Throws `NotRunError` with the reason and the time after which to retry.
 	*/
-	abstract choosePlacement(request: RoutingRequest, excluded: ReadonlySet<string>): Placement;
+	abstract choosePlacement(request: RoutingRequest, excluded: ReadonlySet<string>, isFurtherAttempt?: boolean): Placement;
 	/** Takes one retry from the service's retry budget; returns whether there was one. */
 	abstract tryRetry(service: string): boolean;
 	/** Records that a request is sent. Called in the same turn as the request is handed to the connection. */
--- a/src/serving/stream.ts
+++ b/src/serving/stream.ts
@@ -193,7 +193,7 @@
 	}
 
 	try {
-		return yield * callStep('choose a placement', () => dependencies.router.choosePlacement(job.request, progress.excludedIds));
+		return yield * callStep('choose a placement', () => dependencies.router.choosePlacement(job.request, progress.excludedIds, progress.hasChosen));
 	} catch (error) {
 		if (!(error instanceof NotRunError) || !progress.mayHaveRun || !progress.hasChosen) {
 			throw error;
--- a/src/serving/test/silence.test.ts
+++ b/src/serving/test/silence.test.ts
@@ -8,7 +8,7 @@
 } from '../../../standins/engine/index.js';
 import type {EngineOptions} from '../../../standins/engine/index.js';
 import {runProcedure} from '../../procedures/index.js';
-import type {Placement} from '../../routing/index.js';
+import type {Placement, RoutingRequest} from '../../routing/index.js';
 import type {EndEvent} from '../../upstreams/index.js';
 import {serveRelayed} from '../index.js';
 import type {StreamDependencies} from '../index.js';
@@ -19,10 +19,20 @@
 const maxTokens = 400;
 const timeouts = {firstEventTimeoutMs: 500, betweenEventsTimeoutMs: 500};
 
+class CountingRouter extends FakeRouter {
+	/** Choices that a router with admission would have checked as those of a new request. */
+	admitted = 0;
+
+	override choosePlacement(request: RoutingRequest, excluded: ReadonlySet<string>, isFurtherAttempt = excluded.size > 0): Placement {
+		this.admitted += isFurtherAttempt ? 0 : 1;
+		return super.choosePlacement(request, excluded);
+	}
+}
+
 /** Three stand-ins of engines, which can fall silent and go on. */
 class SilenceWorld extends StreamWorld {
 	readonly cores = new Map<string, EngineCore>();
-	override readonly router = new FakeRouter(['e1', 'e2', 'e3'].map(id => createUpstream(id)));
+	override readonly router = new CountingRouter(['e1', 'e2', 'e3'].map(id => createUpstream(id)));
 	readonly #clients = new Map<string, LocalEngine>();
 	#orders = 0;
 	readonly #connections = {
@@ -292,6 +302,18 @@
 		}
 	});
 
+	it('is not admitted anew when no engine is excluded any more', async () => {
+		const world = new SilenceWorld();
+		const record = world.startStream('r');
+		await world.timers.advance(300);
+		world.setReachable(false);
+		world.getCore('e1').reset();
+		await world.timers.advance(2000);
+		world.setReachable(true);
+		checkWhole(await world.settle(record));
+		expect(world.router.admitted).to.equal(1);
+	});
+
 	it('fails at the deadline when none does, and at once when the caller leaves', async () => {
 		for (const isLeaving of [false, true]) {
 			const world = new SilenceWorld();
