Read what has arrived before a silence, a deadline or a probe of the own interface times out

What callers saw: an engine taken for silent (a probe and a second send, at times an answer generated twice), a call answered 504 at its deadline, and a call refused as not run because the instance seemed dead, when this process had been held up and the bytes lay in its sockets. Cause: Node runs due timers before it reads sockets. EventReader, the deadline of calls, the probes of engines and instances, the KV transfer, the claim of a key and the slow-caller limit used plain timers (or AbortSignal.timeout). They use TimerService.startTimeout now. Left on plain timers: AbortSignal.timeout of readLoad and of the relayed cancel, and undici's own limits (control calls 1 s, headers 30 s, body 300 s): no answer ends by the first three, since a silent answer stays open while its probe fails.

--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -158,7 +158,7 @@
 				reject(createStoreDownError(cause));
 			};
 
-			const timer = this.#dependencies.timers.startTimer(claimTimeoutMs, onFailure);
+			const timer = this.#dependencies.timers.startTimeout(claimTimeoutMs, onFailure);
 			this.#addChange(claim.bucketIndex, {
 				apply: bucket => {
 					decision = decideClaim(bucket, claim, this.#dependencies.timers.getWallTime());
--- a/src/entry/callerstream.ts
+++ b/src/entry/callerstream.ts
@@ -52,7 +52,7 @@
 	/** Writes the error and destroys the connection without ending the response, so that the caller can't take the answer for complete. */
 	abort(text: string): void {
 		const response = this.#response;
-		const timer = this.#timers.startTimer(errorFlushTimeoutMs, () => {
+		const timer = this.#timers.startTimeout(errorFlushTimeoutMs, () => {
 			response.destroy();
 		});
 		response.write(text, () => {
@@ -83,7 +83,7 @@
 				onEnd(new CallerGoneError('the caller closed the connection'));
 			};
 
-			const timer = this.#timers.startTimer(slowCallerTimeoutMs, () => {
+			const timer = this.#timers.startTimeout(slowCallerTimeoutMs, () => {
 				this.#metrics.count('dropped', 'slow_caller');
 				onEnd(new SlowCallerError(`the caller took nothing for ${slowCallerTimeoutMs} ms`));
 			});
--- a/src/serving/attempt.ts
+++ b/src/serving/attempt.ts
@@ -175,6 +175,18 @@
 }
 
 async function waitForTimeout(timers: TimerService, signal: AbortSignal): Promise<false> {
-	await timers.sleep(probeTimeoutMs, signal);
+	if (signal.aborted) {
+		return false;
+	}
+
+	await new Promise<void>(resolve => {
+		const timer = timers.startTimeout(probeTimeoutMs, onEnd);
+		function onEnd() {
+			timer.cancel();
+			resolve();
+		}
+
+		signal.addEventListener('abort', onEnd, {once: true});
+	});
 	return false;
 }
--- a/src/serving/call.ts
+++ b/src/serving/call.ts
@@ -194,7 +194,7 @@
 		controller.abort();
 	};
 
-	const timer = timers.startTimer(Math.max(0, job.deadlineAt - timers.getNow()), onAbort);
+	const timer = timers.startTimeout(Math.max(0, job.deadlineAt - timers.getNow()), onAbort);
 	callerSignal?.addEventListener('abort', onAbort, {once: true});
 	return {
 		signal: controller.signal,
--- a/src/serving/kv.ts
+++ b/src/serving/kv.ts
@@ -25,7 +25,7 @@
 		controller.abort();
 	};
 
-	const timer = dependencies.timers.startTimer(dependencies.getTimeouts(attempt.placement, false).firstEventTimeoutMs, onAbort);
+	const timer = dependencies.timers.startTimeout(dependencies.getTimeouts(attempt.placement, false).firstEventTimeoutMs, onAbort);
 	const signals = [dependencies.signal, endSignal];
 	for (const signal of signals) {
 		signal.addEventListener('abort', onAbort, {once: true});
--- a/src/serving/reader.ts
+++ b/src/serving/reader.ts
@@ -173,7 +173,7 @@
 	}
 
 	#startTimer(delayMs: number): void {
-		this.#timer = this.#options.timers.startTimer(delayMs, () => {
+		this.#timer = this.#options.timers.startTimeout(delayMs, () => {
 			this.#watch();
 		});
 	}
--- a/src/upstreams/httpservice.ts
+++ b/src/upstreams/httpservice.ts
@@ -4,6 +4,8 @@
 import {
 	BrokenAnswerError, ForeignAnswerError, NotRunError, UnknownOutcomeError,
 } from '../errors/index.js';
+import {SystemTimers} from '../timers/index.js';
+import type {TimerService} from '../timers/index.js';
 import {LiveConnection} from './liveconnection.js';
 import {isConnectError} from './connecterror.js';
 import {createConnector} from './connector.js';
@@ -31,11 +33,13 @@
 	readonly #address: string;
 	readonly #relay: ServiceRelay | undefined;
 	readonly #pool: Pool;
+	readonly #timers: TimerService;
 	readonly #idleConnections: LiveConnection[] = [];
 
 	/** `address` is `host:port` of the instance or, with `relay`, of the entry that relays to it. */
-	constructor(address: string, relay?: ServiceRelay) {
+	constructor(address: string, relay?: ServiceRelay, timers: TimerService = new SystemTimers()) {
 		super();
+		this.#timers = timers;
 		this.#address = address;
 		this.#relay = relay;
 		// The deadline of the call limits the time for an answer, so no timeout is set here.
@@ -58,7 +62,7 @@
 			idle.close();
 		}
 
-		const opened = new LiveConnection(this.#address);
+		const opened = new LiveConnection(this.#address, this.#timers);
 		try {
 			await opened.probe(probePath, signal);
 		} catch (error) {
--- a/src/upstreams/liveconnection.ts
+++ b/src/upstreams/liveconnection.ts
@@ -1,6 +1,7 @@
 import type {Socket} from 'node:net';
 import {Client} from 'undici';
 import {NotRunError} from '../errors/index.js';
+import type {TimerService} from '../timers/index.js';
 import {createConnector} from './connector.js';
 
 const connectTimeoutMs = 1000;
@@ -17,8 +18,10 @@
 	readonly client: Client;
 	#socket: Socket | undefined;
 	#isLost = false;
+	readonly #timers: TimerService;
 
-	constructor(address: string) {
+	constructor(address: string, timers: TimerService) {
+		this.#timers = timers;
 		const connect = createConnector(connectTimeoutMs);
 		this.client = new Client(`http://${address}`, {
 			pipelining: 1,
@@ -53,12 +56,17 @@
 
 	/** Requests `path` and waits for the whole answer. Throws `NotRunError` on failure, since nothing but the probe was sent. */
 	async probe(path: string, signal: AbortSignal): Promise<void> {
+		const timeout = new AbortController();
+		const timer = this.#timers.startTimeout(probeTimeoutMs, () => {
+			timeout.abort();
+		});
 		try {
-			const probeSignal = AbortSignal.any([signal, AbortSignal.timeout(probeTimeoutMs)]);
-			const response = await this.client.request({method: 'GET', path, signal: probeSignal});
+			const response = await this.client.request({method: 'GET', path, signal: AbortSignal.any([signal, timeout.signal])});
 			await response.body.dump();
 		} catch (error) {
 			throw new NotRunError('the connection does not answer', {cause: error, props: {isUnreached: true}});
+		} finally {
+			timer.cancel();
 		}
 	}
 
