--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -59,11 +59,17 @@
 		// A router without limits on callers lets every call pass.
 	}
 
+	/** Records that nothing was received in time from an engine that is waited for all the same. The request stays in progress until `onEnd`. */
+	onSilent(_placement: Placement): void {
+		// A router without health of engines has no use for it.
+	}
+
 	/**
 	Admits a request and chooses the engines that serve it; the upstreams with the ids in `excluded` are not chosen.
+	A further attempt at an admitted request is not checked again; by default it is one if upstreams are excluded.
 	Throws `NotRunError` with the reason and the time after which to retry.
 	*/
-	abstract choosePlacement(request: RoutingRequest, excluded: ReadonlySet<string>): Placement;
+	abstract choosePlacement(request: RoutingRequest, excluded: ReadonlySet<string>, isFurtherAttempt?: boolean): Placement;
 	/** Takes one retry from the service's retry budget; returns whether there was one. */
 	abstract tryRetry(service: string): boolean;
 	/** Records that a request is sent. Called in the same turn as the request is handed to the connection. */
