Plain calls take turns among engines, so that none is left out for one estimate

Cause: choosePlainEngine took the engine of the lowest average duration for every call while it was below half of its slots. An engine that was a little slower by its last answers got nothing, so its average was never measured again.

Now engines take turns (stride scheduling): between two turns of an engine lies the square of how many times as long as the fastest one its requests take, at most 100. Alike engines share; one four times as slow gets 1 of 33 of three. Load beyond half of the slots and failures count as before, squared as well, so that the same ratios prefer the same engine. An engine that was out joins within a round and makes up for nothing: 200 entries would otherwise send to it all at once. A duration after a time without calls weighs more than the average before it. Each entry needs only its own measurements; a random source is optional, and spreads the first turns of entries that start together.

Ruled out: power of two choices (the slowest of three engines by any margin never wins a pair, so its estimate stays old); ageing the estimate by time (200 entries that each look again every few seconds send most of 90 a second to a slow engine).

The test failed before: 34 of 43 cases; shares of alike engines 0.10 to 0.70 (0.22 to 0.45 expected), 0 of the calls after the end of the limit in 6 of 12 cases. With the change all 43 pass, with 1, 9 and 200 entries, with and without random turns.

--- a/src/dispatch/engine.ts
+++ b/src/dispatch/engine.ts
@@ -33,8 +33,10 @@
 const freshReportMs = 100;
 /** Half-life of a load report beyond that age, in milliseconds: about the time in which a batch of application calls ends. */
 const reportHalfLifeMs = 100;
-/** Weight of the newest request in the average duration. */
-const durationWeight = 0.1;
+/** Minimum weight of the newest request in the average duration. */
+const minDurationWeight = 0.1;
+/** Time without a request after which the duration of the next one weighs as much as the average before it, in milliseconds. */
+const durationHalfLifeMs = 1000;
 
 /** Time until which the process at an address wants no request of this process: whichever registration a request is for, that process gets it. */
 export type AddressPause = {endsAt: number};
@@ -46,6 +48,10 @@
 	localRequests = 0;
 	/** Average duration of a request at this engine, in milliseconds; `undefined` before the first one ended. */
 	averageDurationMs: number | undefined;
+	/** Position of the latest choice of this engine in the turns of its service's engines: see `choosePlainEngine`. */
+	turn = Number.NEGATIVE_INFINITY;
+	#chosenAt = Number.NEGATIVE_INFINITY;
+	#nextDurationWeight = minDurationWeight;
 	#remoteRequestsAtReport = 0;
 	#reportedAt = Number.NEGATIVE_INFINITY;
 	#hasSaidLeaving = false;
@@ -84,9 +90,18 @@
 		this.#reportedAt = now;
 	}
 
+	/** Records that the engine was chosen at `now`, and the turn that it took. After a time without requests, the next duration weighs more than the older ones. */
+	onChosen(turn: number, now: number): void {
+		const staleness = 1 - (0.5 ** ((now - this.#chosenAt) / durationHalfLifeMs));
+		this.#nextDurationWeight = Math.max(this.#nextDurationWeight, staleness);
+		this.#chosenAt = now;
+		this.turn = turn;
+	}
+
 	/** Adds the duration of a request to the average. */
 	onDuration(durationMs: number): void {
-		this.averageDurationMs = this.averageDurationMs === undefined ? durationMs : this.averageDurationMs + ((durationMs - this.averageDurationMs) * durationWeight);
+		this.averageDurationMs = this.averageDurationMs === undefined ? durationMs : this.averageDurationMs + ((durationMs - this.averageDurationMs) * this.#nextDurationWeight);
+		this.#nextDurationWeight = minDurationWeight;
 	}
 
 	/** Estimates how many requests the engine has at `now`: those of this process, and those of other entries by its latest load report. */
--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -52,33 +52,54 @@
 const awaitingPrefillWeight = 0.25;
 /** Maximum number of requests for each slot of an engine of an application service. */
 const maxLoadPerSlot = 1;
-/** Request duration assumed of an engine that has none measured, in milliseconds. */
+/** Request duration assumed while no engine has one measured, in milliseconds. */
 const assumedDurationMs = 50;
+/** Durations below this count as this long, in milliseconds: their differences come from the entry and the network rather than the engine. */
+const minDurationMs = 5;
+/** Maximum interval between two turns of an engine: however slow it seems, it gets a request now and then by which its recovery is seen. */
+const maxTurnInterval = 100;
 /** Weight of failures: an engine's cost is multiplied by 1 plus this many times the share of its requests that failed. */
 const failurePenalty = 8;
 
+/** An engine that may get a plain call, and its place in the turns. */
+type PlainCandidate = {
+	readonly view: EngineView;
+	/** Earliest turn that it may take. */
+	readonly turn: number;
+	/** The same, later by what its load beyond half of its slots costs. */
+	readonly rank: number;
+};
+
 /**
-Chooses the engine of an application service that is expected to answer first. Skips the engines in `tried`; returns
-`undefined` when no other is available and has room.
+Chooses the engine of an application service for a plain call. Skips the engines in `tried`; returns `undefined` when no
+other is available and has room.
+
+The engines take turns. Between two turns of an engine lies the square of how many times as long as the fastest one its
+requests take: alike engines share the load, a slow one gets few requests, by which its estimate stays fresh. One that got
+nothing for a while joins within a round and does not make up for missed turns, as all other entries send to it as well.
+With `getRandom`, a uniform random number in [0, 1), entries that know of an engine since the same moment don't choose it
+at the same moment.
 */
-export function choosePlainEngine(views: readonly EngineView[], tried: ReadonlySet<EngineView>, now: number): EngineView | undefined {
-	let best: EngineView | undefined;
-	let bestCost = Number.POSITIVE_INFINITY;
-	for (const view of views) {
-		const load = view.computeLoad(now);
-		if (!view.isAvailable(now) || tried.has(view) || load >= view.record.slots * maxLoadPerSlot) {
-			continue;
-		}
-
-		const excessLoad = Math.max(0, load - (view.record.slots / 2));
-		const cost = (view.averageDurationMs ?? assumedDurationMs) * (1 + excessLoad) * (1 + (view.health.failureShare * failurePenalty));
-		if (cost < bestCost) {
-			best = view;
-			bestCost = cost;
+export function choosePlainEngine(views: readonly EngineView[], tried: ReadonlySet<EngineView>, now: number, getRandom?: () => number): EngineView | undefined {
+	const open = views.filter(view => view.isAvailable(now) && !tried.has(view) && view.computeLoad(now) < view.record.slots * maxLoadPerSlot);
+	const lowestMs = Math.min(...open.map(view => view.averageDurationMs ?? Number.POSITIVE_INFINITY));
+	const fallbackMs = Number.isFinite(lowestMs) ? lowestMs : assumedDurationMs;
+	const costs = open.map(view => Math.max(minDurationMs, view.averageDurationMs ?? fallbackMs) * (1 + (view.health.failureShare * failurePenalty)));
+	const lowestCost = Math.min(...costs);
+	const latestTurn = Math.max(0, ...views.map(({turn}) => turn));
+	const candidates = open.map((view, index): PlainCandidate => {
+		const interval = Math.min(maxTurnInterval, (costs[index]! / lowestCost) ** 2);
+		if (view.turn + interval < latestTurn) {
+			view.turn = latestTurn - (interval * (1 - (getRandom?.() ?? 1)));
 		}
-	}
 
-	return best;
+		const turn = view.turn + interval;
+		const excessLoad = Math.max(0, view.computeLoad(now) - (view.record.slots / 2));
+		return {view, turn, rank: turn + (interval * (((1 + excessLoad) ** 2) - 1))};
+	});
+	const chosen = findLowest(candidates, ({rank}) => rank);
+	chosen?.view.onChosen(chosen.turn, now);
+	return chosen?.view;
 }
 
 /**
