--- a/src/places/remoteallocator.ts
+++ b/src/places/remoteallocator.ts
@@ -185,7 +185,7 @@
 				return;
 			}
 
-			const timer = this.#timers.startTimer(permitTimeoutMs, () => {
+			const timer = this.#timers.startTimeout(permitTimeoutMs, () => {
 				this.#pendingPermits.delete(id);
 				resolve({isGranted: false, waitMs: permitTimeoutMs});
 			});
