Look for an instance until the deadline for a repeatable call that may have run, and never tell it as not run

What callers saw: 503 with ran: no for a call that an instance had run before its answer was lost, as soon as no other instance was open for a moment or the next one refused it with the retry budget spent; although the call may be repeated and its deadline was far. Cause: serveRepeatable returned the last error alone, and a choice without instances ended it. Now it looks again after 0.2 s, doubling to 2 s, until the deadline once an attempt may have run, and reports unknown then. Refusals of such a call don't count as attempts; at most 4 that instances took, and the retry budget holds. Calls that may not be repeated are unchanged.

--- a/src/serving/call.ts
+++ b/src/serving/call.ts
@@ -14,6 +14,9 @@
 import type {WholeAnswer} from './wholeanswer.js';
 
 const maxAttempts = 4;
+/** Delay before instances are looked for again, in milliseconds; it doubles with each time. */
+const minRoundDelayMs = 200;
+const maxRoundDelayMs = 2000;
 
 /** How a call ended. */
 export const callOutcome = {
@@ -51,32 +54,73 @@
 	readonly signal: AbortSignal;
 };
 
+/** How far a call that may be repeated has come. */
+type RepeatableProgress = {
+	readonly excludedIds: Set<string>;
+	/** Attempts; refusals of a call that may have run don't count. */
+	attempts: number;
+	/** Times that no instance was found. */
+	rounds: number;
+	/** Error of the last attempt that may have run the call. */
+	lostError: unknown;
+};
+
 /**
 Serves a call that may be repeated. After a failed attempt it tries another instance, within the retry budget and until
-the deadline. A failure is returned as an outcome.
+the deadline; a call that may have run waits for an instance that takes it. A failure is returned as an outcome.
 */
 export function * serveRepeatable(job: CallJob, dependencies: CallDependencies): Procedure<CallOutcome> {
-	const excluded = new Set<string>();
-	for (let attempt = 1; ; attempt++) {
+	const progress: RepeatableProgress = {
+		excludedIds: new Set(), attempts: 0, rounds: 0, lostError: undefined,
+	};
+	for (;;) {
 		let upstream: Upstream | undefined;
 		try {
-			upstream = yield * callStep('choose an instance', () => dependencies.router.chooseInstance(job.service, excluded));
+			upstream = yield * callStep('choose an instance', () => dependencies.router.chooseInstance(job.service, progress.excludedIds));
 			const chosen = upstream;
 			const answer = yield * callStep('send the call', async () => sendRepeatable(job, chosen, dependencies));
 			return {kind: callOutcome.done, answer};
 		} catch (error) {
 			const reason = decideRetryReason(error);
-			const isLast = attempt >= maxAttempts || dependencies.signal.aborted || dependencies.timers.getNow() >= job.deadlineAt;
-			if (isLast || reason === undefined || !upstream || !dependencies.router.tryRetry(job.service)) {
-				return createFailedOutcome(error);
+			progress.lostError = error instanceof NotRunError ? progress.lostError : error;
+			progress.attempts += error instanceof NotRunError && progress.lostError !== undefined ? 0 : 1;
+			const isLast = progress.attempts >= maxAttempts || dependencies.signal.aborted || dependencies.timers.getNow() >= job.deadlineAt;
+			if (isLast || reason === undefined || !isRetryAllowed(upstream, job, {dependencies, progress})) {
+				return createRepeatableOutcome(error, progress);
 			}
 
-			dependencies.metrics.countRetry(reason);
-			excluded.add(upstream.id);
+			if (upstream) {
+				dependencies.metrics.countRetry(reason);
+				progress.excludedIds.add(upstream.id);
+			} else {
+				yield * waitForInstance(job, dependencies, progress);
+			}
 		}
 	}
 }
 
+type RepeatableContext = {readonly dependencies: CallDependencies; readonly progress: RepeatableProgress};
+
+/** Whether a call is tried further: within the retry budget after an attempt, and only if it may have run when no instance was found. */
+function isRetryAllowed(upstream: Upstream | undefined, job: CallJob, {dependencies, progress}: RepeatableContext): boolean {
+	return upstream ? dependencies.router.tryRetry(job.service) : progress.lostError !== undefined;
+}
+
+/** Waits until instances are looked for again, at most until the deadline. All of them are allowed then. */
+function * waitForInstance(job: CallJob, {timers, signal}: CallDependencies, progress: RepeatableProgress): Procedure<void> {
+	const delayMs = Math.min(maxRoundDelayMs, minRoundDelayMs * (2 ** progress.rounds), Math.max(0, job.deadlineAt - timers.getNow()));
+	progress.rounds++;
+	progress.excludedIds.clear();
+	yield * callStep('wait for an instance', async () => timers.sleep(delayMs, signal));
+}
+
+/** Returns the outcome of a call that is not tried further. It is unknown if an earlier attempt may have run the call. */
+function createRepeatableOutcome(error: unknown, {lostError}: RepeatableProgress): CallOutcome {
+	return error instanceof NotRunError && lostError !== undefined
+		? {kind: callOutcome.unknown, error: new UnknownOutcomeError('the answer was lost and no instance took the call again', {cause: lostError})}
+		: createFailedOutcome(error);
+}
+
 /**
 Serves a call that may not be repeated, so that it runs at most once: it is sent on a connection that has just answered
 a probe, and tried at another instance only if it is known not to have run. It continues when the caller disconnects.
--- a/src/serving/test/call.test.ts
+++ b/src/serving/test/call.test.ts
@@ -3,6 +3,7 @@
 import {CallWorld} from '../../../faults/fakes/callworld.js';
 import {createServiceAnswer, serviceFault} from '../../../faults/fakes/services.js';
 import type {ServiceFault} from '../../../faults/fakes/services.js';
+import type {StepHooks} from '../../procedures/index.js';
 import {isRepeatable} from '../index.js';
 
 const ranFaults: readonly ServiceFault[] = [serviceFault.answerLost, serviceFault.answerCut, serviceFault.foreign, serviceFault.silent];
@@ -92,6 +93,52 @@
 		});
 	}
 
+	/** Closes both instances once the call has run at the first. */
+	function createClosingHooks(world: CallWorld): StepHooks {
+		return {
+			onBefore(step) {
+				if (step.name === 'choose an instance' && world.runs.length === 1) {
+					world.first.publish('s1', 'closing', 1);
+					world.first.publish('s2', 'closing', 1);
+				}
+			},
+		};
+	}
+
+	it('that may have run is sent again as soon as an instance takes it, before the deadline', async () => {
+		const world = new CallWorld();
+		world.getService('s1').faults.push(serviceFault.answerLost);
+		const record = world.first.start({isRepeatable: true, hooks: createClosingHooks(world)});
+		await world.timers.advance(1100);
+		expect(record.isSettled).to.equal(false);
+		world.first.publish('s2', 'serving', 2);
+		await world.settle(record);
+		expect(record.outcome?.kind).to.equal('done');
+		expect(world.runs).to.have.lengthOf(2);
+	});
+
+	it('that may have run is reported as unknown when no instance takes it until the deadline', async () => {
+		const world = new CallWorld();
+		world.getService('s1').faults.push(serviceFault.answerLost);
+		const record = world.first.start({isRepeatable: true, hooks: createClosingHooks(world)});
+		await world.timers.advance(4999);
+		expect(record.isSettled).to.equal(false);
+		await world.timers.advance(1);
+		expect(record.outcome?.kind).to.equal('unknown');
+		expect(world.runs).to.have.lengthOf(1);
+		expect(world.timers.countPending()).to.equal(0);
+	});
+
+	it('that may have run is reported as unknown when the next instance refuses it and the retry budget is spent', async () => {
+		const world = new CallWorld();
+		world.first.router.retriesLeft = 1;
+		world.getService('s1').faults.push(serviceFault.answerLost);
+		world.getService('s2').faults.push(serviceFault.refuse);
+		const record = await world.settle(world.first.start({isRepeatable: true}));
+		expect(record.outcome?.kind).to.equal('unknown');
+		expect(world.runs).to.have.lengthOf(1);
+	});
+
 	it('ends at its deadline, reported as unknown', async () => {
 		const world = new CallWorld();
 		world.getService('s1').faults.push(serviceFault.silent);
