Test silences over HTTP and through a relaying entry; bound refusals of an engine that is chosen again

Three tests of entries over HTTP: the engine is silent for 2.5 s and goes on, while it is closed for new work and taken from the deployment, and behind an entry of another failure domain. The relayed one hung on the first try of the new code: the test's router chooses a closed, excluded engine again, whose refusals before the send didn't count as attempts, so that serveStream asked it without end and without a turn of the event loop.

--- a/src/entry/test/chat.test.ts
+++ b/src/entry/test/chat.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {APIError} from 'openai';
 import {request as sendRequest} from 'undici';
@@ -5,7 +6,7 @@
 import {EntryRig} from './rig.js';
 import type {RigEntry} from './rig.js';
 import {
-	chat, content, getFinishReason, malformedChat, maxTokens, otherChat, parseStream, sendChat,
+	chat, content, getFinishReason, longChat, malformedChat, maxTokens, otherChat, parseStream, sendChat,
 } from './wire.js';
 
 const stream = {...chat, stream: true} as const;
@@ -13,9 +14,9 @@
 	'a broken connection': {breakAfter: 5}, silence: {silentAfter: 5}, 'an event of another request': {foreignAfter: 5}, 'a repeated event': {repeatAfter: 5},
 };
 
-function createExpectedText(): string {
+function createExpectedText(tokens = maxTokens): string {
 	const answer = new Answer({
-		id: '', model: 'contracts', version: '1', prompt: `user: ${content}`, promptTokens: 1, maxTokens, offset: 0, priority: 0,
+		id: '', model: 'contracts', version: '1', prompt: `user: ${content}`, promptTokens: 1, maxTokens: tokens, offset: 0, priority: 0,
 	});
 	return Array.from({length: answer.tokenCount}, (_, offset) => {
 		const event = answer.getEvent(offset);
@@ -126,6 +127,44 @@
 		expect(maxInProgress).to.equal(1);
 	});
 
+	for (const [description, engineId, isClosing] of [
+		['its engine, closed for new work and taken from the deployment meanwhile,', 'e1', true],
+		['the engine of another failure domain, closed for new work meanwhile,', 'e2', true],
+		['the engine of another failure domain', 'e2', false],
+	] as const) {
+		it(`gives the complete answer when ${description} is silent for 2.5 s and goes on`, async () => {
+			const {rig, first} = setup;
+			const engine = rig.engines.get(engineId)!;
+			first.router.onlyUpstream = engineId === 'e2' ? rig.getUpstream('e2') : undefined;
+			engine.applyControl({slowFactor: 3});
+			const pending = sendChat(first.address, {...longChat, stream: true});
+			while (engine.core.journal.list().every(row => row.event !== engineEvent.requestStarted)) {
+				await sleep(5);
+			}
+
+			await sleep(100);
+			engine.applyControl({silentMs: 2500});
+			if (isClosing) {
+				first.dependencies.facts.merge({
+					kind: 'upstream', key: engineId, version: 1, value: {state: 'closing'},
+				});
+			}
+
+			if (engineId === 'e1') {
+				rig.upstreams.splice(0, 1);
+			}
+
+			const {status, text} = await pending;
+			const answer = parseStream(text);
+			expect(status).to.equal(200);
+			expect(answer.isWhole).to.equal(true);
+			expect(answer.text).to.equal(createExpectedText(400));
+			const events = engine.core.journal.list().map(row => row.event);
+			expect(events.filter(event => event === engineEvent.requestStarted)).to.have.lengthOf(1);
+			expect(events).to.not.include(engineEvent.requestCancelled);
+		});
+	}
+
 	it('reports a relayed request as not run when its engine is closing in the other domain', async () => {
 		const {rig, first, second} = setup;
 		first.router.onlyUpstream = rig.getUpstream('e2');
--- a/src/serving/stream.ts
+++ b/src/serving/stream.ts
@@ -395,7 +395,9 @@
 	const {job, dependencies, progress} = serving;
 	const {upstream} = attempt.placement;
 	const isSilent = failure.retryReason === retryReason.silentStream;
-	progress.attempts -= failure.outcome === placementOutcome.notRun && progress.mayHaveRun ? 1 : 0;
+	// A router that chooses excluded engines again would have them asked without end.
+	const isUncounted = failure.outcome === placementOutcome.notRun && progress.mayHaveRun && !progress.excludedIds.has(upstream.id);
+	progress.attempts -= isUncounted ? 1 : 0;
 	progress.crashes += failure.retryReason === retryReason.connectFailed && progress.resumedIds.has(upstream.id) ? 1 : 0;
 	const isLast = progress.crashes >= maxCrashes || dependencies.signal.aborted || progress.attempts >= maxAttempts;
 	const mayResume = !isLast && failure.mayBeHeld && (yield * isResumable(failure, attempt, serving));
