Test of the graceful stop: hold the wait for the balancer instead of racing it

Cause, in the test: the entry of the rig waits 50 ms for the balancer, and the test sent three requests one after another that had to be answered within them. Shown beside four busy loops: 6 of 10 runs failed, each with the code `draining` and the entry in the phase draining, which is what the product has to answer then.

The test now holds the stop after its step "wait for the balancer" until the request has been answered, so that no time limit runs meanwhile. Stricter than before: the wait takes at least its time, the entry takes requests up to its very end, and the stream is still in progress when the entry drains.

--- a/src/entry/test/stop.test.ts
+++ b/src/entry/test/stop.test.ts
@@ -11,8 +11,10 @@
 import {waitForOk} from '../../../rigs/processgroup.js';
 import {defaultEngineOptions, EngineServer} from '../../../standins/engine/index.js';
 import {PlatformServer} from '../../../standins/platform/index.js';
+import type {Step, StepHooks} from '../../procedures/index.js';
 import {storeKey} from '../../store/index.js';
 import {SystemTimers} from '../../timers/index.js';
+import {stopPhase} from '../stop.js';
 import {EntryRig} from './rig.js';
 import type {RigEntry} from './rig.js';
 import {
@@ -62,6 +64,34 @@
 	}
 }
 
+/** Holds a procedure after one of its steps until it is released: no time limit of the procedure runs meanwhile. */
+class HeldStep implements StepHooks {
+	isDone = false;
+	isReleased = false;
+	readonly #name: string;
+	readonly #timers: SystemTimers;
+
+	constructor(name: string, timers: SystemTimers) {
+		this.#name = name;
+		this.#timers = timers;
+	}
+
+	readonly onAfter = async ({name}: Step): Promise<void> => {
+		if (name === this.#name) {
+			this.isDone = true;
+			while (!this.isReleased) {
+				await this.#timers.sleep(1);
+			}
+		}
+	};
+
+	async waitUntilDone(): Promise<void> {
+		while (!this.isDone) {
+			await this.#timers.sleep(1);
+		}
+	}
+}
+
 describe('graceful stop over HTTP', () => {
 	const timers = new SystemTimers();
 	let rig: EntryRig;
@@ -79,14 +109,24 @@
 	});
 
 	it('reports not ready first, then refuses requests as not run, and cuts off no stream', async () => {
+		const {stop, settings} = entry.dependencies;
 		const running = sendChat(entry.address, stream);
 		await timers.sleep(50);
-		const stopped = entry.dependencies.stop.onSignal();
+		const signalledAt = timers.getNow();
+		const held = new HeldStep('wait for the balancer', timers);
+		const stopped = stop.onSignal(held);
 		expect(await readStatus(entry.address, '/readyz')).to.equal(503);
 		expect(await readStatus(entry.address, '/healthz')).to.equal(200);
+		await held.waitUntilDone();
+		expect(timers.getNow() - signalledAt).to.be.at.least(settings.balancerWaitMs - 1);
 		const lateResponse = await sendChat(entry.address, chat);
 		expect(lateResponse.status).to.equal(200);
-		await timers.sleep(100);
+		held.isReleased = true;
+		while (stop.phase === stopPhase.notReady) {
+			await timers.sleep(1);
+		}
+
+		expect([stop.phase, stop.countInProgress()]).to.deep.equal([stopPhase.draining, 1]);
 		const refused = await sendChat(entry.address, chat);
 		expect([refused.status, refused.error?.code, refused.error?.ran, refused.headers.connection]).to.deep.equal([503, 'draining', 'no', 'close']);
 		await entry.dependencies.stop.onSignal();
--- a/src/entry/test/wire.ts
+++ b/src/entry/test/wire.ts
@@ -11,8 +11,8 @@
 /** Body of a chat request. */
 export const chat = {model: 'contracts', messages: [{role: 'user' as const, content}], max_completion_tokens: maxTokens};
 
-/** Body of a chat request whose answer is ten times as long. */
-export const longChat = {...chat, max_completion_tokens: 400};
+/** Body of a chat request whose answer goes on for about a second at the rig's engines. */
+export const longChat = {...chat, max_completion_tokens: 2000};
 
 /** Body of a chat request in which three fields are malformed. */
 export const malformedChat = {model: 7, messages: [{role: 'robot', content: 'x'}], max_tokens: -1};
