Fakes: each request of the stream world has its own caller's signal

Seen: MaxListenersExceededWarning once in a full `npm test` (11 abort listeners added to [AbortSignal]).

The fake world gave its one signal to all requests, and that test has 100 of them at once. The product has a signal for each request; every listener is removed when its request ends, so nothing leaks.

Each request of the fake has its own signal now.

--- a/faults/fakes/streamworld.ts
+++ b/faults/fakes/streamworld.ts
@@ -24,8 +24,12 @@
 	end: EndEvent | undefined;
 	error: unknown;
 	isSettled: boolean;
+	/** Aborted when the caller disconnects; each request has its own, as in the product. */
+	readonly signal: AbortSignal;
 };
 
+type StartedRequest = {readonly hooks: StepHooks; readonly parts: StreamDependencies; readonly record: CallerRecord; readonly caller: AbortController};
+
 /** Makes an upstream of the model service. */
 export function createUpstream(id: string, domain = 'd1'): Upstream {
 	return {
@@ -39,11 +43,11 @@
 	readonly metrics = new Metrics();
 	readonly engines = new Map(['e1', 'e2'].map(id => [id, new FakeEngine(id)]));
 	readonly router = new FakeRouter([...this.engines.keys()].map(id => createUpstream(id)));
-	readonly abort = new AbortController();
 	/** Connections opened for one request alone. */
 	freshConnections = 0;
 	closedConnections = 0;
 	version = 0;
+	readonly #callers = new Set<AbortController>();
 
 	/** Gives one of the world's engines. */
 	getEngine(id: string): FakeEngine {
@@ -75,8 +79,10 @@
 
 	/** Starts a request; the record fills as it is served. */
 	start(job: StreamJob, hooks: StepHooks = {}, changes: Partial<StreamDependencies> = {}): CallerRecord {
+		const caller = new AbortController();
+		this.#callers.add(caller);
 		const record: CallerRecord = {
-			text: '', events: [], end: undefined, error: undefined, isSettled: false,
+			text: '', events: [], end: undefined, error: undefined, isSettled: false, signal: caller.signal,
 		};
 		const parts: StreamDependencies = {
 			router: this.router,
@@ -88,13 +94,22 @@
 				record.events.push(...events);
 				record.text += events.map(event => event.kind === 'token' ? event.text : '').join('');
 			},
-			signal: this.abort.signal,
+			signal: caller.signal,
 			...changes,
 		};
-		void this.#run(job, {hooks, parts, record});
+		void this.#run(job, {
+			hooks, parts, record, caller,
+		});
 		return record;
 	}
 
+	/** Disconnects the callers of all requests in progress. */
+	abortCallers(): void {
+		for (const caller of this.#callers) {
+			caller.abort();
+		}
+	}
+
 	/** Moves time until the request has ended, at most `limitMs`. */
 	async settle(record: CallerRecord, limitMs = 60_000): Promise<CallerRecord> {
 		for (let passed = 0; passed < limitMs && !record.isSettled; passed += stepMs) {
@@ -117,7 +132,7 @@
 		return [...this.engines.values()].reduce((sum, engine) => sum + engine.countStarted(), 0);
 	}
 
-	async #run(job: StreamJob, {hooks, parts, record}: {hooks: StepHooks; parts: StreamDependencies; record: CallerRecord}): Promise<void> {
+	async #run(job: StreamJob, {hooks, parts, record, caller}: StartedRequest): Promise<void> {
 		try {
 			record.end = await runProcedure(serveStream(job, parts), hooks);
 		} catch (error) {
@@ -125,6 +140,7 @@
 		}
 
 		record.isSettled = true;
+		this.#callers.delete(caller);
 	}
 
 	#getConnection(placement: Placement, isFresh: boolean) {
--- a/src/serving/test/longrun.test.ts
+++ b/src/serving/test/longrun.test.ts
@@ -1,3 +1,4 @@
+import {getEventListeners} from 'node:events';
 import process from 'node:process';
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
@@ -24,6 +25,19 @@
 }
 
 describe('a long run with faults', () => {
+	const warnings: string[] = [];
+	const onWarning = ({name}: Error) => {
+		warnings.push(name);
+	};
+
+	before(() => {
+		process.on('warning', onWarning);
+	});
+
+	after(() => {
+		process.off('warning', onWarning);
+	});
+
 	it('leaks no stream, timer or memory', async () => {
 		const random = new RandomSource(3);
 		const pick = <Item>(items: readonly Item[]) => items[random.pickIndex(items.length)]!;
@@ -41,6 +55,7 @@
 			for (const record of records) {
 				await world.settle(record);
 				expect(record.end === undefined || record.text === createAnswer('p', answerTokens)).to.equal(true);
+				expect(getEventListeners(record.signal, 'abort')).to.have.lengthOf(0);
 				wholeCount += record.end ? 1 : 0;
 			}
 
@@ -57,6 +72,7 @@
 		}
 
 		expect(wholeCount).to.be.greaterThan(rounds * batchSize / 2);
+		expect(warnings).to.not.include('MaxListenersExceededWarning');
 		expect(measureHeap() - startHeapBytes).to.be.below(maxGrowthBytes);
 	});
 
--- a/src/serving/test/stream.test.ts
+++ b/src/serving/test/stream.test.ts
@@ -88,7 +88,7 @@
 		});
 		await world.timers.advance(100);
 		expect(world.getEngine('e1').open).to.equal(1);
-		world.abort.abort();
+		world.abortCallers();
 		await world.settle(record);
 		expect(world.getEngine('e1').open).to.equal(0);
 	});
@@ -171,7 +171,7 @@
 		const world = new StreamWorld();
 		world.getEngine('e1').onToken = offset => {
 			if (offset === 4) {
-				world.abort.abort();
+				world.abortCallers();
 			}
 		};
 
