--- a/src/serving/test/silence.test.ts
+++ b/src/serving/test/silence.test.ts
@@ -1,4 +1,3 @@
-import {setMaxListeners} from 'node:events';
 import {expect} from 'chai';
 import {createUpstream, StreamWorld} from '../../../faults/fakes/streamworld.js';
 import type {CallerRecord} from '../../../faults/fakes/streamworld.js';
@@ -42,8 +41,6 @@
 
 	constructor(options: Partial<EngineOptions> = {}) {
 		super();
-		// Each of many requests listens to the one caller of this world.
-		setMaxListeners(0, this.abort.signal);
 		for (const id of ['e1', 'e2', 'e3']) {
 			const core = new EngineCore(this.timers, {...defaultEngineOptions, ...options});
 			this.cores.set(id, core);
@@ -60,7 +57,7 @@
 	/** Creates the dependencies of a stream whose events go to `onEvents`. */
 	createDependencies(onEvents: StreamDependencies['onEvents']): StreamDependencies {
 		return {
-			router: this.router, timers: this.timers, metrics: this.metrics, signal: this.abort.signal, onEvents, ...this.#connections,
+			router: this.router, timers: this.timers, metrics: this.metrics, signal: new AbortController().signal, onEvents, ...this.#connections,
 		};
 	}
 
@@ -324,7 +321,7 @@
 			await world.timers.advance(7000);
 			expect(record.isSettled).to.equal(false);
 			if (isLeaving) {
-				world.abort.abort();
+				world.abortCallers();
 			}
 
 			await world.timers.advance(isLeaving ? 0 : 700);
