Give the gateway's counter of silent engines a key of its own

The bundle, which doesn't check it, would count the answers of the own interface under the name and label of the engines' counter. The exported names don't change. The comment on pauses stands at its counter again.

--- a/src/gateway/reporter.ts
+++ b/src/gateway/reporter.ts
@@ -59,7 +59,7 @@
 	}
 
 	onSilence({record: {id, service}}: EngineView, requestId: string): void {
-		this.#metrics.count('silences', service);
+		this.#metrics.count('engineSilences', service);
 		this.#logs.write('engine', {engine: id, service, request: requestId}, 'engine sends nothing; it gets no further requests for a time, and its answers are awaited');
 	}
 
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -19,9 +19,9 @@
 	configurations: {name: 'crocus_configurations_total', help: 'Configurations read, by outcome', label: 'outcome'},
 	/** Changes of engines' registrations. */
 	registrations: {name: 'crocus_registrations_total', help: 'Changes of registrations, by kind', label: 'kind'},
-	/** Refusals of engines that named a time in which they want no request of this process. */
-	silences: {name: 'crocus_engine_silences_total', help: 'Engines that became suspect as they sent nothing, by service', label: 'service'},
+	engineSilences: {name: 'crocus_engine_silences_total', help: 'Engines that became suspect as they sent nothing, by service', label: 'service'},
 	furtherSends: {name: 'crocus_further_sends_total', help: 'Requests sent to a further engine while their first one was silent, by service', label: 'service'},
+	/** Refusals of engines that named a time in which they want no request of this process. */
 	pauses: {name: 'crocus_engine_pauses_total', help: 'Pauses that engines asked for, by service', label: 'service'},
 	/** Crashes of engines with requests on them, as the slot allocator sees them. */
 	engineCrashes: {name: 'crocus_engine_crashes_total', help: 'Engines that crashed with requests on them, by service', label: 'service'},
