End a further send that takes a stream over as the first engine ends it

Callers see nothing of it, but the further engine keeps a run that nobody reads, and its place, until it has sent everything: nothing ends the send, as the deadline's timer is stopped with the answer.

Cause: the first engine's stream ended while the further one's first event arrived. The takeover was only cancelled then, which does nothing to one that has a winner. The further send is ended and awaited now. A search that fails otherwise than for want of an engine no longer ends the process by an unhandled rejection: the answer is awaited, and the error is thrown if it doesn't come.

Evidence: src/gateway/test/takeover.test.ts.

--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -151,7 +151,7 @@
 		}
 
 		if (isDone) {
-			takeover.cancel();
+			yield * callStep('end the further send', async () => takeover.stop());
 			return undefined;
 		}
 
--- a/src/gateway/streamtakeover.ts
+++ b/src/gateway/streamtakeover.ts
@@ -33,6 +33,8 @@
 	readonly #search: TakeoverSearch;
 	#controller: AbortController | undefined;
 	#pending: Promise<void> | undefined;
+	/** Why the latest search failed, if it did so otherwise than for want of an engine. */
+	#error: Error | undefined;
 
 	constructor(dependencies: GatewayDependencies, served: ServedRequest, current: StreamSend, search: TakeoverSearch) {
 		this.#dependencies = dependencies;
@@ -59,9 +61,19 @@
 		}
 	}
 
-	/** Waits for the end of a search in progress, once the first engine's stream has ended; returns the send that serves the rest, if there is one. */
+	/** Ends the further send, also one that has taken over: the first engine's stream was complete before that was noticed. */
+	async stop(): Promise<void> {
+		this.#controller?.abort();
+		await this.winner?.cancel();
+	}
+
+	/** Waits for the end of a search in progress, once the first engine's stream has broken off; returns the send that serves the rest, if there is one. Throws the error of a search that failed. */
 	async finish(): Promise<StreamSend | undefined> {
 		await this.#pending;
+		if (this.#error) {
+			throw this.#error;
+		}
+
 		return this.winner;
 	}
 
@@ -72,9 +84,13 @@
 		};
 
 		this.#controller = controller;
+		this.#error = undefined;
 		this.#served.signal.addEventListener('abort', onAbort, {once: true});
 		try {
 			await this.#takeOver(controller.signal);
+		} catch (error) {
+			// The answer may still come from the silent engine.
+			this.#error = error instanceof Error ? error : new Error(String(error));
 		} finally {
 			this.#pending = undefined;
 			if (!this.winner) {
--- /dev/null
+++ b/src/gateway/test/takeover.test.ts
@@ -0,0 +1,421 @@
+import process from 'node:process';
+import {setImmediate as waitTurn} from 'node:timers/promises';
+import {expect} from 'chai';
+import {Fleet} from '../../dispatch/index.js';
+import {BrokenAnswerError, NotRunError, refusalReason} from '../../errors/index.js';
+import {
+	PermitProvider, Reservation, ReservationProvider,
+} from '../../places/index.js';
+import type {ReservationRequest, ReservedEngines} from '../../places/index.js';
+import {BlockQuarantine} from '../../quarantine/index.js';
+import {RequestLimits} from '../../requestlimits/index.js';
+import {WindowRetryBudget} from '../../retries/index.js';
+import {ManualTimers} from '../../timers/index.js';
+import {
+	answerFraming, CallerAnswer, EngineLink, EngineReply, Gateway, RequestReporter, ServiceTimes,
+} from '../index.js';
+import type {EngineCall, HeaderList} from '../index.js';
+
+const encoder = new TextEncoder();
+const formatEvent = (id: number, engineId: string) => `id: ${id}\ndata: ${engineId}\n\n`;
+
+/** A send whose answer a test writes. */
+class ScriptedSend extends EngineReply {
+	status = 200;
+	readonly framing = answerFraming.chunked;
+	readonly headers: HeaderList = [];
+	isNotRun = false;
+	isOtherEngine = false;
+	isLeaving = false;
+	readonly retryAfterMs = undefined;
+	readonly requestLimit = undefined;
+	hasReceipt = true;
+	readonly load = undefined;
+	/** Whether the connection was closed before the end of the answer. */
+	isClosed = false;
+	hasEnded = false;
+	readonly #chunks: Uint8Array[] = [];
+	#error: Error | undefined;
+	#wake: (() => void) | undefined;
+	#open: {readonly resolve: (reply: EngineReply) => void; readonly reject: (error: unknown) => void} | undefined;
+
+	constructor(readonly call: EngineCall) {
+		super();
+		call.signal.addEventListener('abort', () => {
+			if (!this.hasEnded) {
+				this.isClosed = true;
+				this.fail(new BrokenAnswerError('request aborted'));
+			}
+		});
+	}
+
+	get engineId(): string {
+		return this.call.target.id;
+	}
+
+	async waitHeader(): Promise<EngineReply> {
+		return new Promise((resolve, reject) => {
+			this.#open = {resolve, reject};
+		});
+	}
+
+	/** Sends the status and header. */
+	open(status = 200, isNotRun = false): this {
+		this.status = status;
+		this.isNotRun = isNotRun;
+		this.#open?.resolve(this);
+		return this;
+	}
+
+	send(id: number): this {
+		this.#chunks.push(encoder.encode(formatEvent(id, this.engineId)));
+		this.#wake?.();
+		return this;
+	}
+
+	finish(): this {
+		this.hasEnded = true;
+		this.#wake?.();
+		return this;
+	}
+
+	fail(error: Error): this {
+		this.#error = error;
+		this.#open?.reject(error);
+		this.#wake?.();
+		return this;
+	}
+
+	async * generateBody(): AsyncGenerator<Uint8Array, void> {
+		for (;;) {
+			if (this.#error) {
+				throw this.#error;
+			}
+
+			const chunk = this.#chunks.shift();
+			if (chunk) {
+				yield chunk;
+			} else if (this.hasEnded) {
+				return;
+			} else {
+				await new Promise<void>(resolve => {
+					this.#wake = resolve;
+				});
+			}
+		}
+	}
+
+	abort(): void {
+		if (!this.hasEnded) {
+			this.isClosed = true;
+		}
+	}
+}
+
+class ScriptedLink extends EngineLink {
+	readonly sends: ScriptedSend[] = [];
+
+	async send(call: EngineCall): Promise<EngineReply> {
+		const send = new ScriptedSend(call);
+		this.sends.push(send);
+		return send.waitHeader();
+	}
+
+	releaseKvCache(): void {
+		// No cache is held.
+	}
+
+	async isListening(): Promise<boolean> {
+		return true;
+	}
+
+	async listHeldBlocks(): Promise<undefined> {
+		return undefined;
+	}
+
+	async readHandle(): Promise<string> {
+		return 'handle';
+	}
+}
+
+class CountedReservation extends Reservation {
+	isHeld = true;
+	readonly engines: ReservedEngines;
+
+	constructor(decodeEngine: string) {
+		super();
+		this.engines = {
+			prefillEngine: undefined, decodeEngine, prefixSource: undefined, firstTokenMs: 10,
+		};
+	}
+
+	onPrefillEnd(): void {
+		// Nothing is accounted for.
+	}
+
+	onSilence(): void {
+		// Nothing is accounted for.
+	}
+
+	release(): void {
+		this.isHeld = false;
+	}
+}
+
+/** Grants the first engine that is not excluded. */
+class ScriptedReservations extends ReservationProvider {
+	readonly granted: CountedReservation[] = [];
+	error: Error | undefined;
+
+	constructor(readonly engineIds: readonly string[]) {
+		super();
+	}
+
+	async acquire({excludedEngines}: ReservationRequest): Promise<Reservation> {
+		if (this.error) {
+			throw this.error;
+		}
+
+		const id = this.engineIds.find(engineId => !excludedEngines.includes(engineId));
+		if (id === undefined) {
+			throw new NotRunError('No engine.', {props: {reason: refusalReason.unavailable}});
+		}
+
+		const reservation = new CountedReservation(id);
+		this.granted.push(reservation);
+		return reservation;
+	}
+
+	connect(): void {
+		// There is one process.
+	}
+}
+
+class FreePermits extends PermitProvider {
+	isLimited(): boolean {
+		return false;
+	}
+
+	computeWaitMs(): number {
+		return 0;
+	}
+
+	async takePermit(): Promise<boolean> {
+		return true;
+	}
+
+	scheduleReturnMs(): number {
+		return 0;
+	}
+
+	onSend(): void {
+		// Nothing is limited.
+	}
+}
+
+class QuietReporter extends RequestReporter {
+	onEnd(): void {
+		// Tests look at the answer.
+	}
+
+	onRetry(): void {
+		// Tests look at the sends.
+	}
+
+	onLeaving(): void {
+		// No engine leaves.
+	}
+
+	onSilence(): void {
+		// Tests look at the sends.
+	}
+
+	onResume(): void {
+		// Tests look at the sends.
+	}
+
+	onTakeover(): void {
+		// Tests look at the sends.
+	}
+
+	onPause(): void {
+		// No engine asks for a pause.
+	}
+}
+
+class RecordedAnswer extends CallerAnswer {
+	readonly controller = new AbortController();
+	readonly signal = this.controller.signal;
+	isStarted = false;
+	text = '';
+	/** How the answer ended. */
+	end: string | undefined;
+
+	start(status: number): void {
+		this.isStarted = true;
+		this.text += `${status} `;
+	}
+
+	async write(bytes: Uint8Array): Promise<void> {
+		this.text += new TextDecoder().decode(bytes);
+	}
+
+	finish(): void {
+		this.end = 'complete';
+	}
+
+	abort(): void {
+		this.end = 'cut';
+	}
+
+	refuse(status: number): void {
+		this.end = `refused ${status}`;
+	}
+}
+
+/** One caller of a stream that may be resumed, on engines whose answers the test writes. */
+class TakeoverWorld {
+	readonly timers = new ManualTimers();
+	readonly link = new ScriptedLink();
+	readonly answer = new RecordedAnswer();
+	readonly reservations: ScriptedReservations;
+	readonly served: Promise<void>;
+
+	constructor(engineIds: readonly string[] = ['a', 'b', 'c'], maxRuns = 2) {
+		const {timers} = this;
+		const fleet = new Fleet();
+		for (const id of engineIds) {
+			fleet.onRegistration({
+				id, address: `10.0.0.${id.codePointAt(0)}:80`, service: 'llm', stage: 'decode', slots: 6, isLeaving: false, startedAt: 1,
+			});
+		}
+
+		this.reservations = new ScriptedReservations(engineIds);
+		const gateway = new Gateway(fleet, {
+			timers, link: this.link, reservations: this.reservations, permits: new FreePermits(), limits: new RequestLimits(), quarantine: new BlockQuarantine(),
+			serviceTimes: new ServiceTimes(), retryBudget: new WindowRetryBudget(timers, {ratio: 0.2, windowMs: 10_000, slack: 50}), reporter: new QuietReporter(), getRandom: () => 0.5,
+		});
+		gateway.apply({
+			version: 1,
+			routes: [{
+				name: 'check', host: 'h', pathPrefix: '/', kind: 'stream', shares: [{service: 'llm', weight: 1}],
+				timeoutMs: 6000, targetMs: 100, firstByteTimeoutMs: 2000, maxRuns, priority: 1, isResumable: true,
+			}],
+			services: new Map([['llm', {name: 'llm', maxConnections: 96, model: {slots: 6, kvCapacityTokens: 100_000, kvTransferMsPerToken: 0}}]]),
+			limits: {
+				maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3000, idleTimeoutMs: 5000,
+			},
+		});
+		this.served = gateway.serve({
+			id: 'r', method: 'POST', host: 'h', path: '/', headers: [], body: new Uint8Array(), arrivedAt: timers.getNow(), callerDeadlineMs: 6000, resumeAfter: undefined,
+			prompt: {
+				model: 'm', promptTokens: 10, outputTokens: 10, prefixBlocks: [],
+			},
+		}, this.answer);
+	}
+
+	/** Checks that nothing is left of the request once its answer has ended. */
+	async checkEnded(end: string): Promise<void> {
+		await this.timers.advance(1000);
+		expect(this.answer.end).to.equal(end);
+		expect(this.reservations.granted.filter(({isHeld}) => isHeld).map(({engines}) => engines.decodeEngine), 'held reservations').to.deep.equal([]);
+		expect(this.link.sends.filter(({isClosed, hasEnded}) => !isClosed && !hasEnded).map(({engineId}) => engineId), 'open sends').to.deep.equal([]);
+		expect(this.timers.countPending(), 'timers').to.equal(0);
+	}
+}
+
+describe('a stream whose engine is silent', () => {
+	it('goes on at the further engine that sends the next event', async () => {
+		const world = new TakeoverWorld();
+		await world.timers.advance(10);
+		world.link.sends[0]!.open().send(1);
+		await world.timers.advance(450);
+		world.link.sends[1]!.open().send(2);
+		await world.timers.advance(1);
+		expect([world.link.sends[0]!.isClosed, world.link.sends[1]!.call.resumeAfter]).to.deep.equal([true, '1']);
+		world.link.sends[1]!.send(3).finish();
+		await world.checkEnded('complete');
+		expect(world.answer.text).to.equal(`200 ${formatEvent(1, 'a')}${formatEvent(2, 'b')}${formatEvent(3, 'b')}`);
+	});
+
+	it('goes on at the silent engine when that sends first, and leaves nothing at the further one', async () => {
+		const world = new TakeoverWorld();
+		await world.timers.advance(10);
+		world.link.sends[0]!.open().send(1);
+		await world.timers.advance(450);
+		world.link.sends[1]!.open();
+		await world.timers.advance(50);
+		world.link.sends[0]!.send(2);
+		await world.timers.advance(1);
+		expect(world.link.sends[1]!.isClosed).to.equal(true);
+		world.link.sends[0]!.finish();
+		await world.checkEnded('complete');
+	});
+
+	for (const isEndFirst of [true, false]) {
+		it(`leaves nothing at the further engine when the silent one ends just ${isEndFirst ? 'before' : 'after'} the further one's event`, async () => {
+			// The two are as many steps of promises apart.
+			for (let steps = 0; steps < 20; steps++) {
+				const world = new TakeoverWorld();
+				await world.timers.advance(10);
+				world.link.sends[0]!.open().send(1).send(2);
+				await world.timers.advance(450);
+				world.link.sends[1]!.open();
+				await world.timers.advance(10);
+				const actions = [() => world.link.sends[0]!.finish(), () => world.link.sends[1]!.send(3).finish()];
+				const [first, second] = isEndFirst ? actions : actions.toReversed();
+				first!();
+				for (let step = 0; step < steps; step++) {
+					await Promise.resolve();
+				}
+
+				second!();
+				await world.checkEnded('complete');
+			}
+		});
+	}
+
+	it('is awaited when the search for a further engine fails', async () => {
+		const failures: unknown[] = [];
+		const listeners = process.listeners('unhandledRejection');
+		process.removeAllListeners('unhandledRejection');
+		const onFailure = (error: unknown) => failures.push(error);
+		process.on('unhandledRejection', onFailure);
+		const world = new TakeoverWorld();
+		await world.timers.advance(10);
+		world.link.sends[0]!.open().send(1);
+		world.reservations.error = new TypeError('a fault of the search');
+		await world.timers.advance(450);
+		await waitTurn();
+		world.link.sends[0]!.send(2).finish();
+		await world.checkEnded('complete');
+		process.off('unhandledRejection', onFailure);
+		for (const listener of listeners) {
+			process.on('unhandledRejection', listener);
+		}
+
+		expect(failures).to.deep.equal([]);
+	});
+
+	it('ends with the caller, also during a search', async () => {
+		const world = new TakeoverWorld();
+		await world.timers.advance(10);
+		world.link.sends[0]!.open().send(1);
+		await world.timers.advance(450);
+		world.link.sends[1]!.open();
+		await world.timers.advance(10);
+		world.answer.controller.abort();
+		await world.timers.advance(1);
+		expect(world.link.sends.map(({isClosed}) => isClosed)).to.deep.equal([true, true]);
+	});
+
+	it('passes the failure of the silent engine on when no further run is allowed', async () => {
+		const world = new TakeoverWorld();
+		await world.timers.advance(450);
+		world.link.sends[1]!.fail(new BrokenAnswerError('reset'));
+		await world.timers.advance(10);
+		world.link.sends[0]!.open(500).finish();
+		await world.timers.advance(500);
+		expect([world.answer.text, world.answer.end]).to.deep.equal(['500 ', 'complete']);
+	});
+});
