Don't count cancelled requests for a place as refused

Callers at entries that ask another entry's allocator get 503 while engines have places: a silent engine that goes on cancels all searches for a further engine at once. Each counted as a refusal in the grant rate of its kind, and the next answer then made the entry hold back most new requests.

A cancelled request says nothing of the capacity, and counts neither way now.

Evidence: src/places/test/searches.test.ts: 10 cancelled searches, then one grant, and the entry refuses the next request without asking. With the change it asks.

--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -130,8 +130,8 @@
 			now: at, targetAt: now + request.targetMs, callerLeavesAt: now + Math.min(request.deadlineMs, request.firstByteTimeoutMs),
 		}), signal);
 		const isGranted = !(allocation instanceof QueueRefusal);
-		// What is wrong with one prompt says nothing about the requests of its kind, and a limit ends sooner than a rate would show it.
-		if (isGranted || (allocation.reason !== refusalReason.quarantined && allocation.reason !== refusalReason.limited)) {
+		// What is wrong with one prompt says nothing about the requests of its kind, nor does a cancelled request, and a limit ends sooner than a rate would show it.
+		if (isGranted || (!signal.aborted && allocation.reason !== refusalReason.quarantined && allocation.reason !== refusalReason.limited)) {
 			this.#getGrantRate(request).onEnd(isGranted, timers.getNow());
 		}
 
