Let requests pass those that wait for other engines than theirs

Callers wait, and may be refused, while engines have places: a request that excludes an engine, such as a search for a further one while a single stream there is silent, waits at the head of the queue for the other engines. Those behind it were not tried until it was granted or gone.

It is held back now where an engine that it excludes is available, as requests with suspect blocks are: it keeps its turn, and the next ones are tried.

Evidence: src/places/test/searches.test.ts: one search before it, and a request for an idle engine has no place after 60 ms; it gets one with the change. Tests of src/places and src/dispatch: 126 passing.

--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -126,9 +126,15 @@
 		const allocation = await this.#getQueue(request.service).tryWait({
 			targetAt: now + request.targetMs, deadlineAt: now + request.deadlineMs, firstByteDeadlineAt: now + request.firstByteTimeoutMs, queuedAt: now, serviceMs: request.serviceMs,
 			group: isLong(request) ? 'long' : 'short',
-		}, at => this.#tryAllocate(request, fleet.listServing(request.service).filter(view => !excluded.has(view.record.id)), {
-			now: at, targetAt: now + request.targetMs, callerLeavesAt: now + Math.min(request.deadlineMs, request.firstByteTimeoutMs),
-		}), signal);
+		}, at => {
+			const serving = fleet.listServing(request.service);
+			const result = this.#tryAllocate(request, serving.filter(view => !excluded.has(view.record.id)), {
+				now: at, targetAt: now + request.targetMs, callerLeavesAt: now + Math.min(request.deadlineMs, request.firstByteTimeoutMs),
+			});
+			// Engines that this request may not use may have places for those behind it.
+			const mayOthersPass = result === undefined && excluded.size > 0 && serving.some(view => excluded.has(view.record.id) && this.#isAvailableToDecode(view, at));
+			return mayOthersPass ? heldBack : result;
+		}, signal);
 		const isGranted = !(allocation instanceof QueueRefusal);
 		// What is wrong with one prompt says nothing about the requests of its kind, nor does a cancelled request, and a limit ends sooner than a rate would show it.
 		if (isGranted || (!signal.aborted && allocation.reason !== refusalReason.quarantined && allocation.reason !== refusalReason.limited)) {
--- a/src/places/test/searches.test.ts
+++ b/src/places/test/searches.test.ts
@@ -75,4 +75,16 @@
 			refusals.check(request);
 		}).to.not.throw();
 	});
+
+	it('let requests pass that the silent engine has places for', async () => {
+		const world = new SearchWorld();
+		await world.fill(1);
+		let result: LocalReservation | QueueRefusal | undefined;
+		void (async () => {
+			result = await world.allocator.tryAcquire(request, new AbortController().signal);
+		})();
+
+		await world.timers.advance(60);
+		expect((result as LocalReservation | undefined)?.engines.decodeEngine).to.equal('silent');
+	});
 });
