--- a/src/places/test/searches.test.ts
+++ b/src/places/test/searches.test.ts
@@ -40,7 +40,7 @@
 	}
 
 	/** Searches until the other engine is full and `count` searches wait. */
-	async fill(count: number): Promise<void> {
+	async startSearches(count: number): Promise<void> {
 		for (let waiting = 0; waiting < count;) {
 			const result = await this.startSearch();
 			if (result === undefined) {
@@ -64,7 +64,7 @@
 		const world = new SearchWorld();
 		const {allocator, timers} = world;
 		const refusals = new RecentRefusals(timers, () => 0.5, allocator.limits);
-		await world.fill(10);
+		await world.startSearches(10);
 		await timers.advance(150);
 		world.cancelAll();
 		await timers.advance(1);
@@ -78,7 +78,7 @@
 
 	it('let requests pass that the silent engine has places for', async () => {
 		const world = new SearchWorld();
-		await world.fill(1);
+		await world.startSearches(1);
 		let result: LocalReservation | QueueRefusal | undefined;
 		void (async () => {
 			result = await world.allocator.tryAcquire(request, new AbortController().signal);
