End a silent engine's stream only at the further engine's first event

Callers would have lost the answer of a sound engine to one that had only accepted the request, and that broke off or fell silent itself. An accepted request is no answer yet. Where the first stream has broken off, the further send serves the request as soon as it is accepted, so that its own silence is noticed. A begun answer looks for a place or a permit until its caller leaves for want of an event, not until the deadline: the caller may resume by itself. An allocator that is told of a held reservation learns of its engine's silence too.

--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -43,12 +43,15 @@
 	prefillAttempts = 0;
 	/** Id of the last event that was sent to the caller. */
 	lastEventId: string | undefined;
+	/** Monotonic time from which the caller waits for the next event, in milliseconds. */
+	waitsSince: number;
 	/** KV cache of the prompt that no decode engine was told of yet. */
 	heldKvCache: PrefilledKvCache | undefined;
 
-	constructor(prompt: Prompt | undefined, model: ModelEngineSpec | undefined) {
+	constructor({request, model}: ServedRequest) {
 		super();
-		this.needs = createNeeds(prompt, model);
+		this.needs = createNeeds(request.prompt, model);
+		this.waitsSince = request.arrivedAt;
 	}
 }
 
@@ -57,7 +60,7 @@
 at another engine where the route allows it.
 */
 export function * serveGeneration(dependencies: GatewayDependencies, served: ServedRequest): Procedure<void> {
-	const progress = new GenerationProgress(served.request.prompt, served.model);
+	const progress = new GenerationProgress(served);
 	for (;;) {
 		const reservation = yield * callStep('wait for a place', async () => acquireReservation(dependencies, served, progress));
 		const decodeEngine = reservation && served.fleet.findAccepting(reservation.engines.decodeEngine, dependencies.timers.getNow());
@@ -211,7 +214,7 @@
 	progress.countAttempt(attempt);
 	const isUnbudgeted = attempt.isNotSent && progress.hasConnectTriesLeft;
 	const mayRetry = !served.signal.aborted && (attempt.isNotRun || (served.route.isResumable && progress.runs < served.route.maxRuns));
-	if (mayRetry && (isUnbudgeted || (!attempt.isNotSent && (yield * callStep('take a permit to retry', async () => takeRetry(dependencies, served)))))) {
+	if (mayRetry && (isUnbudgeted || (!attempt.isNotSent && (yield * callStep('take a permit to retry', async () => takeRetry(dependencies, served, progress)))))) {
 		dependencies.reporter.onRetry(selectRetryReason(attempt, retryReason.brokenStream));
 		return true;
 	}
@@ -253,7 +256,7 @@
 		} catch (error) {
 			// An engine may have run a part of the answer: no refusal would be true, and the rest may still come.
 			const mayGoOn = progress.runs > 0 && error instanceof NotRunError && error.reason !== refusalReason.quarantined;
-			if (!mayGoOn || !(await waitToRetry(dependencies, served))) {
+			if (!mayGoOn || !(await waitToRetry(dependencies, served, progress))) {
 				refuseUnadmitted(served, error, progress.runs > 0);
 				return undefined;
 			}
@@ -267,23 +270,21 @@
 }
 
 /** Waits for a permit to send a generation once more. One whose answer has not begun fails at once without it: its caller may retry. */
-async function takeRetry(dependencies: GatewayDependencies, served: ServedRequest): Promise<boolean> {
+async function takeRetry(dependencies: GatewayDependencies, served: ServedRequest, progress: GenerationProgress): Promise<boolean> {
 	for (;;) {
 		if (dependencies.retryBudget.tryTake(served.service)) {
 			return true;
 		}
 
-		if (!served.answer.isStarted || !(await waitToRetry(dependencies, served))) {
+		if (!served.answer.isStarted || !(await waitToRetry(dependencies, served, progress))) {
 			return false;
 		}
 	}
 }
 
-/** Waits a little before a request that may have run is tried again; returns `false` when its answer would come too late. */
-async function waitToRetry({timers}: GatewayDependencies, served: ServedRequest): Promise<boolean> {
-	const {answer, request, route, deadlineAt} = served;
-	const endsAt = answer.isStarted ? deadlineAt : Math.min(deadlineAt, request.arrivedAt + route.firstByteTimeoutMs);
-	if (timers.getNow() + retryIntervalMs >= endsAt) {
+/** Waits a little before a request that may have run is tried again; returns `false` when its caller will have left. */
+async function waitToRetry({timers}: GatewayDependencies, served: ServedRequest, {waitsSince}: GenerationProgress): Promise<boolean> {
+	if (timers.getNow() + retryIntervalMs >= Math.min(served.deadlineAt, waitsSince + served.route.firstByteTimeoutMs)) {
 		return false;
 	}
 
@@ -299,7 +300,7 @@
 		// The caller of an answer that has begun waits for its next event.
 		targetMs: served.answer.isStarted ? served.route.targetMs : served.targetAt - now,
 		deadlineMs: served.deadlineAt - now,
-		firstByteTimeoutMs: served.answer.isStarted ? served.route.firstByteTimeoutMs : served.request.arrivedAt + served.route.firstByteTimeoutMs - now,
+		firstByteTimeoutMs: progress.waitsSince + served.route.firstByteTimeoutMs - now,
 		serviceMs: dependencies.serviceTimes.estimateMs(served.route.name),
 		excludedEngines: [...progress.triedIds, ...excludedEngines, ...served.fleet.listUnavailable(served.service, now)],
 	};
@@ -419,6 +420,7 @@
 			takeover.cancel();
 			await writeEvents(dependencies, served, send, events.bytes);
 			progress.lastEventId = events.lastId ?? progress.lastEventId;
+			progress.waitsSince = dependencies.timers.getNow();
 		}
 	} catch (error) {
 		attempt.abort(error);
--- a/src/gateway/plainprogress.ts
+++ b/src/gateway/plainprogress.ts
@@ -38,13 +38,13 @@
 			return new QueueRefusal(refusalReason.limited, permits.scheduleReturnMs(available.map(({record}) => record), (served.deadlineAt - now) * maxReturnShare));
 		}
 
-		return choosePlainEngine(open, this.triedEngines, now) ?? choosePlainEngine(open, new Set(), now);
+		return choosePlainEngine(open, this.triedEngines, now, dependencies.getRandom) ?? choosePlainEngine(open, new Set(), now, dependencies.getRandom);
 	}
 
 	/** Chooses an engine that was not tried yet and is none of those at which the request is now; `undefined` when there is none. */
 	chooseFurtherEngine(dependencies: GatewayDependencies, {fleet, service}: ServedRequest, current: readonly EngineView[], now: number): EngineView | undefined {
 		const available = fleet.listServing(service).filter(view => view.isAvailable(now));
-		return choosePlainEngine(this.#listOpen(dependencies, available), new Set([...this.triedEngines, ...current]), now);
+		return choosePlainEngine(this.#listOpen(dependencies, available), new Set([...this.triedEngines, ...current]), now, dependencies.getRandom);
 	}
 
 	/** Lists the engines whose limits allow a request now. */
--- a/src/gateway/streamtakeover.ts
+++ b/src/gateway/streamtakeover.ts
@@ -5,9 +5,6 @@
 import {StreamSend} from './streamsend.js';
 import type {StreamSendOptions} from './streamsend.js';
 
-/** Time for which two engines may be at work on a request after the further one has accepted it, in milliseconds: it is paid for twice meanwhile. */
-const maxOverlapMs = 250;
-
 /** How a {@link StreamTakeover} finds an engine. */
 export type TakeoverSearch = {
 	/** Whether the request may be sent to a further engine now. */
@@ -33,6 +30,14 @@
 	readonly #search: TakeoverSearch;
 	#controller: AbortController | undefined;
 	#pending: Promise<void> | undefined;
+	#onFirstEnd!: () => void;
+	/** Resolves when the first engine's stream has broken off: the further one then serves the request as soon as it has accepted it. */
+	readonly #firstEnd = new Promise<boolean>(resolve => {
+		this.#onFirstEnd = () => {
+			resolve(true);
+		};
+	});
+
 	/** Why the latest search failed, if it did so otherwise than for want of an engine. */
 	#error: Error | undefined;
 
@@ -69,6 +74,7 @@
 
 	/** Waits for the end of a search in progress, once the first engine's stream has broken off; returns the send that serves the rest, if there is one. Throws the error of a search that failed. */
 	async finish(): Promise<StreamSend | undefined> {
+		this.#onFirstEnd();
 		await this.#pending;
 		if (this.#error) {
 			throw this.#error;
@@ -109,13 +115,10 @@
 		this.#dependencies.reporter.onTakeover(view, further.engine, this.#served.request.id);
 		const send = new StreamSend(this.#dependencies, {...this.#served, signal}, further, this.#search.createOptions(further.reservation));
 		await send.open();
-		if (send.isAccepted) {
-			const hasEvents = await Promise.race([send.waitForEvents(), this.#waitOverlap(signal)]);
-			if (hasEvents && !signal.aborted) {
-				this.winner = send;
-				this.#current.attempt.cancel();
-				return;
-			}
+		if (send.isAccepted && await Promise.race([send.waitForEvents(), this.#firstEnd]) && !signal.aborted) {
+			this.winner = send;
+			this.#current.attempt.cancel();
+			return;
 		}
 
 		await send.cancel();
@@ -150,9 +153,4 @@
 
 		return {reservation, engine};
 	}
-
-	async #waitOverlap(signal: AbortSignal): Promise<boolean> {
-		await this.#dependencies.timers.sleep(maxOverlapMs, signal);
-		return true;
-	}
 }
--- a/src/places/tracked.ts
+++ b/src/places/tracked.ts
@@ -28,6 +28,8 @@
 	readonly #holders: Map<Adopter, Reservation>;
 	readonly #onRelease: (reservation: TrackedReservation) => void;
 	#isPrefillPending = true;
+	/** Whether the decode engine sends nothing for the request. */
+	#isSilent = false;
 
 	constructor(requestAtTime: RequestAtTime, grantor: Adopter, granted: Reservation, onRelease: (reservation: TrackedReservation) => void) {
 		super();
@@ -50,6 +52,9 @@
 		const adopted = adopter.registerReservation(computeRemainingRequest(this.#requestAtTime, now), this.engines, this.#isPrefillPending);
 		if (adopted) {
 			this.#holders.set(adopter, adopted);
+			if (this.#isSilent) {
+				adopted.onSilence(true);
+			}
 		}
 	}
 
@@ -61,6 +66,7 @@
 	}
 
 	onSilence(isSilent: boolean): void {
+		this.#isSilent = isSilent;
 		for (const holder of this.#holders.values()) {
 			holder.onSilence(isSilent);
 		}
