Soak: say of a late call for how long the soak's own process was held up

A trial with a timer of 20 ms showed the soak's own process held up for up to 0.6 s with 5 ms of processor time: it did not get a processor.

The check stays as strict; its message now names the time. Shown with the soak's process blocked for 4 s on purpose: "held up for 4014 ms of it".

--- a/soak/invariantchecker.ts
+++ b/soak/invariantchecker.ts
@@ -64,6 +64,8 @@
 	readonly faults: StartedFault[] = [];
 	/** Monotonic time at which faults began, in milliseconds; times in violations are relative to it. */
 	startedAt = 0;
+	/** Times at which this process itself was held up, monotonic, in milliseconds. */
+	readonly ownStalls: Array<{readonly from: number; readonly to: number}> = [];
 	readonly #world: SoakWorld;
 	/** Ended calls whose ending is still to be checked: a process's exit becomes known only some time after its connections have closed. */
 	#uncheckedCalls: ObservedCall[] = [];
@@ -194,7 +196,7 @@
 		if (status === 0 && error !== 'ECONNREFUSED' && !isSentAtExit(call)) {
 			this.#addViolation(call, `LOST: no answer; connection error: ${error}; ${this.#describeSend(call)}; ${this.#describeEnd(incarnation)}`);
 		} else if (endedAt - sentAt > deadlineMs + maxLatenessMs) {
-			this.#addViolation(call, `LATE: ended after ${Math.round(endedAt - sentAt)} ms, deadline ${deadlineMs} ms`);
+			this.#addViolation(call, `LATE: ended after ${Math.round(endedAt - sentAt)} ms, deadline ${deadlineMs} ms; the soak's own process was held up for ${Math.round(this.#computeOwnStallMs(call))} ms of it`);
 		}
 	}
 
@@ -364,6 +366,11 @@
 		return `SIGTERM ${format(sigtermAt)}, exit seen ${format(exitedAt)}`;
 	}
 
+	/** Returns for how long this process was held up while a call was in progress, in milliseconds. */
+	#computeOwnStallMs({sentAt, endedAt}: ObservedCall): number {
+		return this.ownStalls.reduce((sum, {from, to}) => sum + Math.max(0, Math.min(to, endedAt) - Math.max(from, sentAt)), 0);
+	}
+
 	/** Finds when the last fault ended that may have cut a VM from the store, as a monotonic time in milliseconds: infinite while one lasts, minus infinity if there was none. */
 	#findStoreCutEnd(vm: SoakVm): number {
 		return Math.max(...this.faults.filter(({fault}) => fault.isCuttingStore(vm)).map(({endedAt}) => endedAt), Number.NEGATIVE_INFINITY);
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -23,6 +23,9 @@
 /** A quarter of the time that calls in progress get to end when the run is over, in milliseconds. */
 const lastCallsMs = 2000;
 const checkIntervalMs = 250;
+/** Interval of the timer that shows whether this process is held up, and the shortest delay that counts, in milliseconds. */
+const beatIntervalMs = 20;
+const minStallMs = 100;
 /** Distance of the seed that decides when the store comes back from a copy from the seed of the other faults. */
 const storeSeedOffset = 1_000_000;
 /** The same for the seed that decides when engines leave, ask for a pause or frame answers otherwise. */
@@ -74,6 +77,15 @@
 		const checkTimer = setInterval(() => {
 			checker.checkEndings(performance.now() - exitReportDelayMs);
 		}, checkIntervalMs);
+		let lastBeatAt = performance.now();
+		const beatTimer = setInterval(() => {
+			const now = performance.now();
+			if (now > lastBeatAt + minStallMs) {
+				checker.ownStalls.push({from: lastBeatAt, to: now});
+			}
+
+			lastBeatAt = now;
+		}, beatIntervalMs);
 		const endlessRandom = new RandomSource(seed + endlessSeedOffset);
 		// Requests that crash engines come in every second run.
 		const crashingState = {hasEnded: seed % 2 !== 0};
@@ -98,6 +110,7 @@
 		runState.hasEnded = true;
 		await Promise.race([Promise.all(activities), sleep(lastCallsMs * 4)]);
 		clearInterval(checkTimer);
+		clearInterval(beatTimer);
 		checker.checkRecovered(recoveredAt);
 		checker.checkFinal();
 		return {
