Let calls of an evicted service client go on to their end

What callers saw: a call ended as unknown (502), or was sent again, when a deployment had more than 256 instances and relays in use. Cause: ServiceClients closed the least recently used client with Pool.destroy, which ends the calls in progress on it. It is drained now.

--- a/src/entry/serviceclients.ts
+++ b/src/entry/serviceclients.ts
@@ -8,7 +8,7 @@
 
 const maxClients = 256;
 
-/** Clients for instances of application services, one for each instance and the entry that relays to it, if any. Closes the least recently used ones above `maxClients`. */
+/** Clients for instances of application services, one for each instance and the entry that relays to it, if any. Drains the least recently used ones above `maxClients`. */
 export class ServiceClients {
 	readonly #clients = new Map<string, HttpService>();
 	readonly #dependencies: EntryDependencies;
@@ -58,7 +58,7 @@
 		const [oldest] = this.#clients;
 		if (this.#clients.size > maxClients && oldest) {
 			this.#clients.delete(oldest[0]);
-			void oldest[1].close();
+			void oldest[1].drain();
 		}
 
 		return client;
--- a/src/upstreams/httpservice.ts
+++ b/src/upstreams/httpservice.ts
@@ -35,6 +35,7 @@
 	readonly #pool: Pool;
 	readonly #timers: TimerService;
 	readonly #idleConnections: LiveConnection[] = [];
+	#isDraining = false;
 
 	/** `address` is `host:port` of the instance or, with `relay`, of the entry that relays to it. */
 	constructor(address: string, relay?: ServiceRelay, timers: TimerService = new SystemTimers()) {
@@ -91,9 +92,19 @@
 		await this.#pool.destroy();
 	}
 
+	/** Closes the connections as they become idle: calls in progress go on to their end. */
+	async drain(): Promise<void> {
+		this.#isDraining = true;
+		for (const idle of this.#idleConnections.splice(0)) {
+			idle.close();
+		}
+
+		await this.#pool.close();
+	}
+
 	#createConnection(live: LiveConnection): ServiceConnection {
 		return new HttpServiceConnection(live, this.#relay, () => {
-			if (live.isOpen && this.#idleConnections.length < maxIdleConnections) {
+			if (live.isOpen && !this.#isDraining && this.#idleConnections.length < maxIdleConnections) {
 				this.#idleConnections.push(live);
 			} else {
 				live.close();
