--- a/src/serving/attempt.ts
+++ b/src/serving/attempt.ts
@@ -94,7 +94,7 @@
 	takeEvents(offset: number): readonly GenerateEvent[] {
 		const events = this.#reader?.takeBatch() ?? [];
 		// An attempt that was sent earlier or later to the same engine may have delivered events of this one already.
-		const newEvents = (this.#check?.selectNext(events) ?? []).filter(event => event.offset >= offset);
+		const newEvents = this.#check?.selectNext(events, offset) ?? [];
 		const tokenCount = newEvents.at(-1)?.kind === 'end' ? newEvents.length - 1 : newEvents.length;
 		if (tokenCount > 0) {
 			this.#dependencies.router.onTokens(this.#job.request, this.placement, tokenCount);
--- a/src/serving/check.ts
+++ b/src/serving/check.ts
@@ -24,11 +24,11 @@
 	}
 
 	/**
-	Returns the events that come next, without repeated ones.
+	Returns the events that come next, without repeated ones and those before the offset `from`, which another attempt has delivered.
 	Throws `ForeignAnswerError` at an event of another request or after a gap: the connection can't be trusted any more.
 	The events before it are discarded as well, so `offset` does not change.
 	*/
-	selectNext(events: readonly GenerateEvent[]): readonly GenerateEvent[] {
+	selectNext(events: readonly GenerateEvent[], from = this.offset): readonly GenerateEvent[] {
 		let nextOffset = this.offset;
 		const accepted: GenerateEvent[] = [];
 		for (const event of events) {
@@ -41,7 +41,10 @@
 				continue;
 			}
 
-			accepted.push(event);
+			if (event.offset >= from) {
+				accepted.push(event);
+			}
+
 			if (event.kind === 'end') {
 				break;
 			}
