Requests at a silent engine take no places that others could use

A request counts no more in the usage of its engine while that is silent, when it is suspect anyway, and counts again when the engine goes on with it.

--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -398,6 +398,8 @@
 	readonly #isAdopted: boolean;
 	#isPrefillPending = true;
 	#isHeld = true;
+	/** Whether the request counts in the usage of its decode engine. */
+	#isDecodeCounted = true;
 	/** Whether the decode engine's silence was recorded before the end of its send. */
 	#isSilenceRecorded = false;
 
@@ -446,12 +448,16 @@
 
 		const {health} = this.#allocator.getUsage(this.#placement.decodeEngine);
 		this.#isSilenceRecorded = isSilent;
+		// Whether the engine still has the request is not known: it may have lost it. It counts again when the engine goes on with it.
+		this.onPrefillEnd(undefined);
+		this.#countDecode(!isSilent);
 		if (isSilent) {
 			health.onOutcome(engineOutcome.silent, this.#timers.getNow());
 		} else {
 			health.onResume(this.#timers.getNow());
-			this.#allocator.onCapacityFreed(this.#request.service);
 		}
+
+		this.#allocator.onCapacityFreed(this.#request.service);
 	}
 
 	release(outcome: EngineOutcome | undefined): void {
@@ -468,12 +474,28 @@
 			this.#allocator.onBlocksRead(decodeEngine, this.#blocks, outcome === engineOutcome.answered);
 		}
 
-		this.#allocator.getUsage(decodeEngine).releaseKv(this.#request);
-		this.#allocator.getUsage(decodeEngine).finishDecode(this.#request);
+		this.#countDecode(false);
 		this.#onOutcome(this.#placement.decodeEngine, outcome === engineOutcome.silent && this.#isSilenceRecorded ? undefined : outcome);
 		this.#allocator.onCapacityFreed(this.#request.service);
 	}
 
+	/** Counts the request in the usage of its decode engine, or no longer. */
+	#countDecode(isCounted: boolean): void {
+		if (this.#isDecodeCounted === isCounted) {
+			return;
+		}
+
+		this.#isDecodeCounted = isCounted;
+		const usage = this.#allocator.getUsage(this.#placement.decodeEngine);
+		if (isCounted) {
+			usage.startDecode(this.#request, false);
+			usage.addKv(this.#request);
+		} else {
+			usage.releaseKv(this.#request);
+			usage.finishDecode(this.#request);
+		}
+	}
+
 	#onOutcome(view: EngineView, outcome: EngineOutcome | undefined): void {
 		const {health} = this.#allocator.getUsage(view);
 		if (outcome) {
