Try a silent engine again after the same short backoff each time

A trial that meets a silent engine costs one request its place there, which is sought elsewhere after the silence timeout.

--- a/src/dispatch/health.ts
+++ b/src/dispatch/health.ts
@@ -27,7 +27,7 @@
 const outcomeWeight = 0.1;
 /** Consecutive silent or broken answers after which an engine is suspect: a single one may be the connection's fault. */
 const failuresToSuspect = 2;
-/** First backoff of a suspect engine, in milliseconds; it doubles with each further failure. */
+/** First backoff of a suspect engine, in milliseconds; it doubles with each further failure that is no silence. */
 const minBackoffMs = 400;
 /** Maximum backoff, in milliseconds: an engine that has recovered gets requests again within it. */
 const maxBackoffMs = 3000;
@@ -68,7 +68,8 @@
 		this.#consecutiveFailures++;
 		const isDefinite = outcome === engineOutcome.unreachable || outcome === engineOutcome.otherEngine;
 		if ((isDefinite || this.#consecutiveFailures >= failuresToSuspect) && now >= this.#backoffUntil) {
-			this.#backoffMs = this.#backoffMs === 0 ? minBackoffMs : Math.min(maxBackoffMs, this.#backoffMs * 2);
+			// A silence usually ends soon, so that waiting for longer after each would leave a sound engine unused.
+			this.#backoffMs = this.#backoffMs === 0 || this.#isSilent ? minBackoffMs : Math.min(maxBackoffMs, this.#backoffMs * 2);
 			this.#backoffUntil = now + this.#backoffMs;
 		}
 	}
