--- a/src/places/test/silences.test.ts
+++ b/src/places/test/silences.test.ts
@@ -42,7 +42,7 @@
 	}
 
 	/** Acquires reservations until the engine is full. */
-	async fill(): Promise<LocalReservation[]> {
+	async acquireAll(): Promise<LocalReservation[]> {
 		const reservations: LocalReservation[] = [];
 		for (let next = await this.acquireAtOnce(); next; next = await this.acquireAtOnce()) {
 			reservations.push(next);
@@ -55,7 +55,7 @@
 describe('the places of requests at a silent engine', () => {
 	it('are free for others when the engine answers again but has lost the requests', async () => {
 		const world = new SilenceWorld();
-		const lost = await world.fill();
+		const lost = await world.acquireAll();
 		for (const reservation of lost) {
 			reservation.onSilence(true);
 		}
@@ -63,12 +63,12 @@
 		await world.timers.advance(backoffMs);
 		const trial = await world.acquireAtOnce();
 		trial!.release(engineOutcome.answered);
-		expect(await world.fill()).to.have.lengthOf(lost.length);
+		expect(await world.acquireAll()).to.have.lengthOf(lost.length);
 	});
 
 	it('are taken when the engine goes on with the requests, and free when these end', async () => {
 		const world = new SilenceWorld();
-		const kept = await world.fill();
+		const kept = await world.acquireAll();
 		for (const isSilent of [true, false]) {
 			for (const reservation of kept) {
 				reservation.onSilence(isSilent);
@@ -80,6 +80,6 @@
 			reservation.release(engineOutcome.answered);
 		}
 
-		expect(await world.fill()).to.have.lengthOf(kept.length);
+		expect(await world.acquireAll()).to.have.lengthOf(kept.length);
 	});
 });
