Remove callEngine, which nothing calls any more

Cause: sends are made by StreamSend, PlainRace and runPrefill since silent sends stay open; the function was left behind.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -342,10 +342,3 @@
 		}
 	}
 }
-
-/** Sends a request once and waits for the status and header of the answer. Never throws: the attempt holds the reply or the error. */
-export async function callEngine(dependencies: GatewayDependencies, served: ServedRequest, view: EngineView, options: AttemptOptions): Promise<Attempt> {
-	const attempt = new Attempt(dependencies, served, view, options);
-	await attempt.send(served, options);
-	return attempt;
-}
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,5 +1,5 @@
 /** The serving core: relays callers' requests unchanged to engines, and complete answers back. */
-export {Attempt, callEngine} from './attempt.js';
+export {Attempt} from './attempt.js';
 export {EventSplitter} from './events.js';
 export {Gateway} from './gateway.js';
 export {
--- a/src/gateway/plainrace.ts
+++ b/src/gateway/plainrace.ts
@@ -10,7 +10,7 @@
 /** Share of the route's target after which a request that may be repeated is also sent to another engine, which can still answer on time. */
 const silenceTimeoutShare = 0.6;
 
-/** The end of a send: its whole answer, or a failure without a body. */
+/** A send that has ended; without a body it has failed. */
 export type EndedSend = {readonly attempt: Attempt; readonly body: Uint8Array | undefined};
 
 /**
