Log a search for a further engine that failed

Cause: an error other than the want of an engine was kept and thrown only if the silent engine's answer did not come; else nothing said that the search had failed. One log line names the engine, the request and the error now. Run on it: tsc, verbs, xo on src/gateway, the tests of src/gateway (10 passing, among them the injected fault of a search).

--- a/src/gateway/reporter.ts
+++ b/src/gateway/reporter.ts
@@ -74,6 +74,12 @@
 		}, 'engine is silent; its request is sent to a further engine, and the first to answer serves it');
 	}
 
+	onSearchFailed({record: {id, service}}: EngineView, requestId: string, error: Error): void {
+		this.#logs.write('engine', {
+			engine: id, service, request: requestId, error: `${error.name}: ${error.message}`,
+		}, 'search for a further engine failed; the answer of the silent engine is awaited');
+	}
+
 	onPause({record: {id, service}}: EngineView, requestId: string, durationMs: number): void {
 		this.#metrics.count('pauses', service);
 		this.#logs.write('engine', {
--- a/src/gateway/streamtakeover.ts
+++ b/src/gateway/streamtakeover.ts
@@ -97,6 +97,7 @@
 		} catch (error) {
 			// The answer may still come from the silent engine.
 			this.#error = error instanceof Error ? error : new Error(String(error));
+			this.#dependencies.reporter.onSearchFailed(this.#current.attempt.view, this.#served.request.id, this.#error);
 		} finally {
 			this.#pending = undefined;
 			if (!this.winner) {
--- a/src/gateway/test/takeover.test.ts
+++ b/src/gateway/test/takeover.test.ts
@@ -238,6 +238,10 @@
 		// Tests look at the sends.
 	}
 
+	onSearchFailed(): void {
+		// Tests look at the answer.
+	}
+
 	onPause(): void {
 		// No engine asks for a pause.
 	}
--- a/src/gateway/trace.ts
+++ b/src/gateway/trace.ts
@@ -62,6 +62,9 @@
 	/** Called when a request is sent to a further engine while its first one, `view`, is silent. */
 	abstract onTakeover(view: EngineView, further: EngineView, requestId: string): void;
 
+	/** Called when the search for a further engine failed otherwise than for want of one; the answer is awaited from the silent engine. */
+	abstract onSearchFailed(view: EngineView, requestId: string, error: Error): void;
+
 	/** Called when a refusal asks for no request of this process for `durationMs`, and the engine held nothing back before. */
 	abstract onPause(view: EngineView, requestId: string, durationMs: number): void;
 }
