--- a/review/standins/world.mjs
+++ b/review/standins/world.mjs
@@ -125,6 +125,10 @@
 		});
 	}
 
+	get pid() {
+		return this.#child.pid;
+	}
+
 	get isRunning() {
 		return this.#child !== undefined && this.#child.exitCode === null && this.#child.signalCode === null;
 	}
