--- a/review/standins/engine.mjs
+++ b/review/standins/engine.mjs
@@ -8,6 +8,7 @@
 	arrivals = [];
 	address = '';
 	isLeaving = false;
+	isDark = false;
 	#server;
 	#sockets = new Set();
 
@@ -25,6 +26,10 @@
 		this.#server.keepAliveTimeout = 60_000;
 		this.#server.on('connection', socket => {
 			this.#sockets.add(socket);
+			if (this.isDark) {
+				silence(socket);
+			}
+
 			socket.on('error', () => undefined);
 			socket.once('close', () => {
 				this.#sockets.delete(socket);
@@ -41,6 +46,14 @@
 		}
 	}
 
+	/** Sends and reads nothing from now on, as a process whose machine has gone dark. */
+	goDark() {
+		this.isDark = true;
+		for (const socket of this.#sockets) {
+			silence(socket);
+		}
+	}
+
 	/** What the engine writes under `servers/ID`. */
 	get entry() {
 		return {
@@ -62,6 +75,10 @@
 	}
 
 	async #onRequest(request, response) {
+		if (this.isDark) {
+			return;
+		}
+
 		const body = await readBody(request);
 		if (request.url.startsWith('/kv-list')) {
 			sendJson(response, 200, {epoch: 1, next: 0, held: []});
@@ -101,6 +118,11 @@
 	}
 }
 
+function silence(socket) {
+	socket.pause();
+	socket.cork();
+}
+
 /** Answers a stream of `count` events, each `intervalMs` after the one before. */
 export async function sendStream(arrival, response, engine, {count, intervalMs}) {
 	response.writeHead(200, {'Content-Type': 'text/event-stream', ...engine.stamp});
