--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -3,6 +3,7 @@
 import type {EngineOutcome, EngineView} from '../dispatch/index.js';
 import {ForeignAnswerError, NotSentError} from '../errors/index.js';
 import type {Timer, TimerService} from '../timers/index.js';
+import {isNotRunStatus} from './ports.js';
 import type {EngineCall, EngineReply} from './ports.js';
 import {trackSend} from './served.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
@@ -240,6 +241,11 @@
 		this.reply = reply;
 		this.#recordWishes(reply);
 		this.trace.framing = reply.framing;
+		if (!this.isSuccess) {
+			this.trace.status = reply.status;
+			this.trace.isNotRunStated = reply.isNotRun || reply.isOtherEngine;
+		}
+
 		this.onProgress();
 		if (reply.load) {
 			this.view.onLoad(reply.load, this.#dependencies.timers.getNow());
@@ -249,6 +255,8 @@
 			this.isNotRun = true;
 			reply.abort();
 			this.#settle(reply.isOtherEngine ? engineOutcome.otherEngine : engineOutcome.refused, `status ${reply.status}`);
+		} else if (isNotRunStatus(reply.status)) {
+			this.#dependencies.reporter.onUnprovenRefusal(this.view, this.#requestId, reply.status);
 		}
 	}
 
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -36,6 +36,14 @@
 	readonly signal: AbortSignal;
 };
 
+/** Statuses that promise a caller that its request has not run and never will, so that it may send it again. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Whether an answer's status promises that the request has not run and never will. */
+export function isNotRunStatus(status: number): boolean {
+	return notRunStatuses.has(status);
+}
+
 /** What marks the end of an answer's body (RFC 9112, section 6.3). */
 export const answerFraming = {
 	none: 'none',
--- a/src/gateway/reporter.ts
+++ b/src/gateway/reporter.ts
@@ -4,7 +4,7 @@
 import type {StructuredLogs} from '../logs/index.js';
 import type {Metrics} from '../metrics/index.js';
 import {RequestReporter} from './trace.js';
-import type {RequestTrace} from './trace.js';
+import type {RequestTrace, TakeoverEnd} from './trace.js';
 import type {Prompt} from './types.js';
 
 /** Upper bounds of the histograms' buckets, in seconds: they lie around the targets of the shortest and the longest kinds of request. */
@@ -21,6 +21,7 @@
 	readonly #requestSeconds: Histogram;
 	readonly #waitSeconds: Histogram;
 	readonly #attemptSeconds: Histogram;
+	readonly #overlapSeconds: Histogram;
 
 	constructor(logs: StructuredLogs, metrics: Metrics) {
 		super();
@@ -30,6 +31,7 @@
 		// Metrics call a reservation a place.
 		this.#waitSeconds = metrics.createHistogram('crocus_place_wait_seconds', 'Time that a request waited for a place', bucketBoundsSeconds);
 		this.#attemptSeconds = metrics.createHistogram('crocus_attempt_seconds', 'Time of one send to an engine', bucketBoundsSeconds);
+		this.#overlapSeconds = metrics.createHistogram('crocus_overlap_seconds', 'Time for which two engines worked on one stream', bucketBoundsSeconds);
 	}
 
 	onEnd(trace: RequestTrace): void {
@@ -75,6 +77,20 @@
 		}, 'engine is silent; its request is sent to a further engine, and the first to answer serves it');
 	}
 
+	onTakeoverEnd({record: {id, service}}: EngineView, further: EngineView, requestId: string, {overlapMs, isTakenOver}: TakeoverEnd): void {
+		this.#overlapSeconds.observe(overlapMs / millisecondsPerSecond);
+		this.#logs.write('engine', {
+			engine: id, service, request: requestId, further: further.record.id, overlapMs: Math.round(overlapMs), isTakenOver,
+		}, isTakenOver ? 'further engine serves the request; the send to the silent one is ended' : 'send to the further engine is ended');
+	}
+
+	onUnprovenRefusal({record: {id, service}}: EngineView, requestId: string, status: number): void {
+		this.#metrics.count('unprovenRefusals', String(status));
+		this.#logs.write('engine', {
+			engine: id, service, request: requestId, status,
+		}, 'engine answers with a status that promises that the request has not run, and does not state it');
+	}
+
 	onSearchFailed({record: {id, service}}: EngineView, requestId: string, error: Error): void {
 		this.#logs.write('engine', {
 			engine: id, service, request: requestId, error: `${error.name}: ${error.message}`,
--- a/src/gateway/streamtakeover.ts
+++ b/src/gateway/streamtakeover.ts
@@ -30,6 +30,8 @@
 	readonly #search: TakeoverSearch;
 	#controller: AbortController | undefined;
 	#pending: Promise<void> | undefined;
+	/** Monotonic time at which the first engine's stream broke off, in milliseconds; infinite until then. */
+	#firstEndedAt = Number.POSITIVE_INFINITY;
 	#onFirstEnd!: () => void;
 	/** Resolves when the first engine's stream has broken off: the further one then serves the request as soon as it has accepted it. */
 	readonly #firstEnd = new Promise<boolean>(resolve => {
@@ -74,6 +76,7 @@
 
 	/** Waits for the end of a search in progress, once the first engine's stream has broken off; returns the send that serves the rest, if there is one. Throws the error of a search that failed. */
 	async finish(): Promise<StreamSend | undefined> {
+		this.#firstEndedAt = this.#dependencies.timers.getNow();
 		this.#onFirstEnd();
 		await this.#pending;
 		if (this.#error) {
@@ -112,18 +115,24 @@
 			return;
 		}
 
+		const {reporter, timers} = this.#dependencies;
 		const {view} = this.#current.attempt;
-		this.#dependencies.reporter.onTakeover(view, further.engine, this.#served.request.id);
+		const {id} = this.#served.request;
+		reporter.onTakeover(view, further.engine, id);
+		const sentAt = timers.getNow();
 		const send = new StreamSend(this.#dependencies, {...this.#served, signal}, further, this.#search.createOptions(further.reservation));
 		await send.open();
 		if (send.isAccepted && await Promise.race([send.waitForEvents(), this.#firstEnd]) && !signal.aborted) {
 			this.winner = send;
 			this.#current.attempt.cancel();
-			return;
 		}
 
-		await send.cancel();
-		this.#search.onFailed(send);
+		const overlapMs = Math.max(0, Math.min(timers.getNow(), this.#firstEndedAt) - sentAt);
+		reporter.onTakeoverEnd(view, further.engine, id, {overlapMs, isTakenOver: this.winner !== undefined});
+		if (!this.winner) {
+			await send.cancel();
+			this.#search.onFailed(send);
+		}
 	}
 
 	/** Reserves a further engine and takes the permit to send to it; `undefined` when there is none, or the silent engine has gone on. */
--- a/src/gateway/test/takeover.test.ts
+++ b/src/gateway/test/takeover.test.ts
@@ -252,6 +252,14 @@
 		// Tests look at the sends.
 	}
 
+	onTakeoverEnd(): void {
+		// Tests look at the sends.
+	}
+
+	onUnprovenRefusal(): void {
+		// Tests look at the answer.
+	}
+
 	onSearchFailed(): void {
 		// Tests look at the answer.
 	}
--- a/src/gateway/trace.ts
+++ b/src/gateway/trace.ts
@@ -33,6 +33,10 @@
 	silences?: number;
 	/** Whether the engine still accepted connections after its answer broke off; absent when it did not break off, and when that could not be told. */
 	isEngineListening?: boolean;
+	/** Status of an answer other than 2xx; absent without one. */
+	status?: number;
+	/** Whether that answer states that the engine did not run the request; absent without one. */
+	isNotRunStated?: boolean;
 	/** How the end of the answer's body is marked; absent without an answer. */
 	framing?: AnswerFraming;
 	/** Bytes of the answer's body that arrived; absent where the body was not read. */
@@ -45,6 +49,9 @@
 	tookMs?: number;
 };
 
+/** How the work of two engines on one request ended. */
+export type TakeoverEnd = {readonly overlapMs: number; readonly isTakenOver: boolean};
+
 /** Receives ended requests and retries, for logs and metrics. */
 export abstract class RequestReporter {
 	abstract onEnd(trace: RequestTrace): void;
@@ -62,6 +69,12 @@
 	/** Called when a request is sent to a further engine while its first one, `view`, is silent. */
 	abstract onTakeover(view: EngineView, further: EngineView, requestId: string): void;
 
+	/** Called when two engines no longer work on one request, `view` and `further`, which they did for `overlapMs`; `isTakenOver` tells whether the further one serves it. */
+	abstract onTakeoverEnd(view: EngineView, further: EngineView, requestId: string, end: TakeoverEnd): void;
+
+	/** Called when an engine answers with a status that promises that the request has not run, and does not state it. */
+	abstract onUnprovenRefusal(view: EngineView, requestId: string, status: number): void;
+
 	/** Called when the search for a further engine failed otherwise than for want of one; the answer is awaited from the silent engine. */
 	abstract onSearchFailed(view: EngineView, requestId: string, error: Error): void;
 
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -23,6 +23,8 @@
 	pauses: {name: 'crocus_engine_pauses_total', help: 'Pauses that engines asked for, by service', label: 'service'},
 	engineSilences: {name: 'crocus_engine_silences_total', help: 'Engines that became suspect as they sent nothing, by service', label: 'service'},
 	furtherSends: {name: 'crocus_further_sends_total', help: 'Requests sent to a further engine while their first one was silent, by service', label: 'service'},
+	/** The label takes only the few statuses that promise this. */
+	unprovenRefusals: {name: 'crocus_unproven_refusals_total', help: 'Answers of engines with a status that promises that the request has not run, which do not state it, by status', label: 'status'},
 	/** Crashes of engines with requests on them, as the slot allocator sees them. */
 	engineCrashes: {name: 'crocus_engine_crashes_total', help: 'Engines that crashed with requests on them, by service', label: 'service'},
 	/** Changes of what is known of blocks that crash engines. */
