An engine's answer that promises 'not run' without stating it doesn't reach the caller

Callers saw: REFUSED. An engine that ran a refund, or a stream that may not be resumed, and answered 503, 429 or 408 without Not-Run had that status passed on; it promises that the request has not run, and a caller that believes it sends the request again. Cause: the gateway read the promise of an engine only from the Not-Run field, to decide whether to send again, and relayed every other failure unchanged, without looking at what its status says to the caller. Change: such an answer is a failure of a request that may have run. The caller gets 502 of this system, without the engine's receipt, whose status may not be changed; a request that may be repeated is tried at another engine as after a 500. Evidence: platform/test/promises.test.ts.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -134,6 +134,11 @@
 		return this.reply !== undefined && this.reply.status >= 200 && this.reply.status < 300;
 	}
 
+	/** Whether the answer's status promises that the request has not run, which the engine does not state: the caller, who would send the request again, must not get it. */
+	get isUnprovenRefusal(): boolean {
+		return this.reply !== undefined && !this.isNotRun && isNotRunStatus(this.reply.status);
+	}
+
 	/** Sends the request and waits for the status and header of the answer. Never throws; sets `reply` or `error`. */
 	async send(served: ServedRequest, options: AttemptOptions): Promise<void> {
 		try {
@@ -255,7 +260,7 @@
 			this.isNotRun = true;
 			reply.abort();
 			this.#settle(reply.isOtherEngine ? engineOutcome.otherEngine : engineOutcome.refused, `status ${reply.status}`);
-		} else if (isNotRunStatus(reply.status)) {
+		} else if (this.isUnprovenRefusal) {
 			this.#dependencies.reporter.onUnprovenRefusal(this.view, this.#requestId, reply.status);
 		}
 	}
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -472,7 +472,7 @@
 async function relayFailure(served: ServedRequest, attempt: Attempt, mayResume: boolean): Promise<boolean> {
 	const body = await attempt.readBody();
 	attempt.finish();
-	if (!body || !attempt.reply || mayResume || served.answer.isStarted) {
+	if (!body || !attempt.reply || attempt.isUnprovenRefusal || mayResume || served.answer.isStarted) {
 		return false;
 	}
 
--- a/src/gateway/plainrace.ts
+++ b/src/gateway/plainrace.ts
@@ -10,7 +10,7 @@
 /** Share of the route's target after which a request that may be repeated is also sent to another engine, which can still answer on time. */
 const silenceTimeoutShare = 0.6;
 
-/** A send that has ended; without a body it has failed. */
+/** A send that has ended; without a body it has failed, or its answer must not reach the caller. */
 export type EndedSend = {readonly attempt: Attempt; readonly body: Uint8Array | undefined};
 
 /**
@@ -80,7 +80,7 @@
 		this.#open.delete(attempt);
 		this.#progress.onEnd(attempt);
 		this.#onEnd();
-		this.#handleEnd({attempt, body});
+		this.#handleEnd({attempt, body: attempt.isUnprovenRefusal ? undefined : body});
 	}
 
 	#handleEnd(ended: EndedSend): void {
--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -19,6 +19,12 @@
 	cutBody: 'cutBody',
 	/** Answers 500 after running the request. */
 	failure: 'failure',
+	/** Answers 503, 429 or 408 after running the request, without saying that it has not run. */
+	busyAfterRun: 'busyAfterRun',
+	limitAfterRun: 'limitAfterRun',
+	timeoutAfterRun: 'timeoutAfterRun',
+	/** Answers 503 after running the request, and says `0` where a refusal says that it has not run. */
+	notRunZero: 'notRunZero',
 	/** Leaves out the stamp by which an engine confirms that it ran the request. */
 	noReceipt: 'noReceipt',
 	/** Closes the connection in the middle of a stream's second event. */
@@ -95,6 +101,8 @@
 	readonly fault: EngineFault | undefined;
 	/** Whether the connection closed before the answer was complete. */
 	isCut: boolean;
+	/** Monotonic time at which the answer was complete or its connection closed, in milliseconds; infinite until then. */
+	endedAt: number;
 	/** Whether the head of an answer was sent while the connection was open; known once the answer has ended. */
 	isHeadSent: boolean;
 	/** Whether the engine began to run it; never set for a prefill. */
@@ -123,6 +131,16 @@
 /** Time for which an engine generates an answer that it crashes on, in milliseconds. */
 const crashDelayMs = 10;
 
+/** An answer to a request that has run, whose status promises the contrary. */
+type UntrueRefusal = {readonly status: number; readonly headers: Readonly<Record<string, string>>};
+
+const untrueRefusals: ReadonlyMap<EngineFault | undefined, UntrueRefusal> = new Map<EngineFault | undefined, UntrueRefusal>([
+	[engineFault.busyAfterRun, {status: 503, headers: {}}],
+	[engineFault.limitAfterRun, {status: 429, headers: {}}],
+	[engineFault.timeoutAfterRun, {status: 408, headers: {}}],
+	[engineFault.notRunZero, {status: 503, headers: {'Crocusworks-Not-Run': '0'}}],
+]);
+
 /** Options of a {@link FleetEngine}; an engine without a stage serves application calls. */
 export type FleetEngineOptions = {
 	readonly id: string;
@@ -137,6 +155,8 @@
 	readonly eventCount?: number;
 	/** Time before each event of a stream, in milliseconds. */
 	readonly eventIntervalMs?: number;
+	/** Time before the first event of a stream, in milliseconds; the same as before the others unless given. */
+	readonly firstEventMs?: number;
 	/** Blocks of prompts on which the engine crashes as soon as it begins to generate an answer. */
 	readonly crashingBlocks?: ReadonlySet<string>;
 	/** Called when the engine has crashed, with the id of the request that it crashed on. */
@@ -287,11 +307,12 @@
 		const isForOther = headers['crocusworks-expect-instance'] !== this.#options.id;
 		const fault = isForOther ? undefined : this.faults.shift();
 		const arrival: Arrival = {
-			id: String(headers['crocusworks-request-id']), senderPort: request.socket.remotePort, method: request.method ?? '', path: request.url ?? '', headers, body, reachedAt, at: performance.now(), fault: this.#selectFault(request.socket, fault), isCut: response.destroyed, isHeadSent: false, hasRun: false, isForOther, isLeavingTold: false, retryAfterMs: 0, namedLimit: undefined,
+			id: String(headers['crocusworks-request-id']), senderPort: request.socket.remotePort, method: request.method ?? '', path: request.url ?? '', headers, body, reachedAt, at: performance.now(), fault: this.#selectFault(request.socket, fault), isCut: response.destroyed, endedAt: Number.POSITIVE_INFINITY, isHeadSent: false, hasRun: false, isForOther, isLeavingTold: false, retryAfterMs: 0, namedLimit: undefined,
 		};
 		this.arrivals.push(arrival);
 		response.on('close', () => {
 			arrival.isCut = !response.writableFinished;
+			arrival.endedAt = performance.now();
 			arrival.isHeadSent ||= response.headersSent;
 		});
 		this.isLeaving ||= fault === engineFault.leave;
@@ -391,6 +412,13 @@
 			headers['Crocusworks-Request-Id'] = 'another-request';
 		}
 
+		const refusal = untrueRefusals.get(fault);
+		if (refusal) {
+			await sleep(this.#options.workMs ?? 1);
+			sendJson(response, refusal.status, {error: 'busy'}, {...headers, ...refusal.headers});
+			return;
+		}
+
 		if (this.#options.stage) {
 			await this.#runStream(arrival, response, headers, fault);
 			return;
@@ -451,7 +479,7 @@
 	}
 
 	async #runStream(arrival: Arrival, response: ServerResponse, headers: Record<string, string>, fault: EngineFault | undefined): Promise<void> {
-		const {eventCount = 3, eventIntervalMs = 1} = this.#options;
+		const {eventCount = 3, eventIntervalMs = 1, firstEventMs = eventIntervalMs} = this.#options;
 		const firstId = fault === engineFault.repeatedEvents ? 1 : Number(arrival.headers['last-event-id'] ?? 0) + 1;
 		if (fault === engineFault.emptyStream || fault === engineFault.failedStream) {
 			response.writeHead(fault === engineFault.emptyStream ? 204 : 500, headers);
@@ -479,7 +507,8 @@
 
 		response.writeHead(200, {...headers, 'Content-Type': 'text/event-stream'});
 		for (let id = firstId; id <= eventCount; id++) {
-			await sleep(fault === engineFault.slowStream && id === firstId + 1 ? slowIntervalMs : eventIntervalMs);
+			const intervalMs = fault === engineFault.slowStream && id === firstId + 1 ? slowIntervalMs : eventIntervalMs;
+			await sleep(id === firstId ? firstEventMs : intervalMs);
 			await this.#waitForSilence();
 			const event = fault === engineFault.unnumberedEvents ? `data: piece of ${arrival.id}\n\n` : formatEvent(id, arrival.id);
 			if (fault === engineFault.strayLines && id === firstId + 1) {
