Two engines work on one stream for at most 350 ms

A decode engine that was silent while it worked and a further one that was slow to begin both worked on a stream for as long as the further one took to its first event. Change: when neither engine has completed an event 350 ms after the further send, the further engine alone serves the stream. Nothing is lost by that: it has a place, and what it refuses is sought elsewhere as before. Where it has become suspect meanwhile, its send is ended instead.

--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -141,10 +141,7 @@
 		const current = send;
 		let isDone = false;
 		try {
-			if (current === first) {
-				yield * callStep('send to the engine that writes', async () => current.open());
-			}
-
+			yield * callStep('send to the engine that writes', async () => current.open());
 			isDone = yield * callStep('pass the stream on', async () => relayStream(dependencies, served, {
 				progress, send: current, takeover, mayResume: hasRunsLeft(served, progress),
 			}));
--- a/src/gateway/streamsend.ts
+++ b/src/gateway/streamsend.ts
@@ -21,6 +21,7 @@
 	readonly #reservation: Reservation;
 	readonly #splitter = new EventSplitter();
 	#hasEnded = false;
+	#opened: Promise<void> | undefined;
 	#chunks: AsyncGenerator<Uint8Array, void> | undefined;
 	#pendingRead: Promise<CompleteEvents | undefined> | undefined;
 	/** Id of the event after which the engine continues a stream; `undefined` for a stream of its own. */
@@ -53,9 +54,10 @@
 		return error === undefined && isSuccess && reply?.hasReceipt === true && (this.#lastId === undefined || reply.isEventStream);
 	}
 
-	/** Sends the request and waits for the status and header of the answer. Never throws. */
+	/** Sends the request, at the first call, and waits for the status and header of the answer. Never throws. */
 	async open(): Promise<void> {
-		await this.attempt.send(this.#served, this.#options);
+		this.#opened ??= this.attempt.send(this.#served, this.#options);
+		await this.#opened;
 	}
 
 	/** Waits until the next events are complete, and leaves them to `readEvents`. Never throws; returns whether the stream goes on or has ended properly. */
--- a/src/gateway/streamtakeover.ts
+++ b/src/gateway/streamtakeover.ts
@@ -1,10 +1,14 @@
 import type {EngineView} from '../dispatch/index.js';
 import {NotRunError} from '../errors/index.js';
 import type {Reservation} from '../places/index.js';
+import type {Timer} from '../timers/index.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
 import {StreamSend} from './streamsend.js';
 import type {StreamSendOptions} from './streamsend.js';
 
+/** Longest time for which two engines work on one stream, in milliseconds; an engine also needs a moment to notice that its connection has closed. */
+const maxOverlapMs = 350;
+
 /** How a {@link StreamTakeover} finds an engine. */
 export type TakeoverSearch = {
 	/** Whether the request may be sent to a further engine now. */
@@ -20,6 +24,7 @@
 /**
 Looks for a further engine while the engine of a stream is silent. The stream stays open at the silent one: whichever sends the next events serves the
 request, and the other send is ended. An engine that falls silent for a moment thereby loses no answer, and neither does one that finds no place elsewhere.
+When neither has sent any after {@link maxOverlapMs}, the further engine alone serves the request, unless it has become suspect itself.
 */
 export class StreamTakeover {
 	/** The further send that has taken the request over. */
@@ -121,8 +126,8 @@
 		reporter.onTakeover(view, further.engine, id);
 		const sentAt = timers.getNow();
 		const send = new StreamSend(this.#dependencies, {...this.#served, signal}, further, this.#search.createOptions(further.reservation));
-		await send.open();
-		if (send.isAccepted && await Promise.race([send.waitForEvents(), this.#firstEnd]) && !signal.aborted) {
+		const isTakenOver = await this.#waitForOverlapEnd(send);
+		if (isTakenOver && !signal.aborted) {
 			this.winner = send;
 			this.#current.attempt.cancel();
 		}
@@ -135,6 +140,28 @@
 		}
 	}
 
+	/** Waits until one of the two engines is to serve the request; returns whether it is the further one. */
+	async #waitForOverlapEnd(send: StreamSend): Promise<boolean> {
+		let timer: Timer | undefined;
+		const timeout = new Promise<boolean>(resolve => {
+			timer = this.#dependencies.timers.startTimeout(maxOverlapMs, () => {
+				resolve(Number.isFinite(this.#firstEndedAt) || !send.attempt.view.health.isSuspect);
+			});
+		});
+		try {
+			return await Promise.race([this.#waitForAnswer(send), timeout]);
+		} finally {
+			timer?.cancel();
+		}
+	}
+
+	/** Waits for the first events of the further engine, or for its acceptance where the first engine's stream has broken off; returns whether it serves the request. */
+	async #waitForAnswer(send: StreamSend): Promise<boolean> {
+		await send.open();
+		// Once it serves the request alone, its events are read by whoever relays them.
+		return send.isAccepted && (this.winner === send || await Promise.race([send.waitForEvents(), this.#firstEnd]));
+	}
+
 	/** Reserves a further engine and takes the permit to send to it; `undefined` when there is none, or the silent engine has gone on. */
 	async #acquireFurther(signal: AbortSignal): Promise<{readonly reservation: Reservation; readonly engine: EngineView} | undefined> {
 		let reservation: Reservation;
--- a/src/gateway/test/takeover.test.ts
+++ b/src/gateway/test/takeover.test.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
 import {setImmediate as waitTurn} from 'node:timers/promises';
 import {expect} from 'chai';
-import {Fleet} from '../../dispatch/index.js';
+import {engineOutcome, Fleet} from '../../dispatch/index.js';
 import {BrokenAnswerError, NotRunError, refusalReason} from '../../errors/index.js';
 import {
 	PermitProvider, Reservation, ReservationProvider,
@@ -308,12 +308,12 @@
 	readonly timers = new ManualTimers();
 	readonly reporter = new QuietReporter();
 	readonly answer = new RecordedAnswer();
+	readonly fleet = new Fleet();
 	readonly reservations: ScriptedReservations;
 	readonly served: Promise<void>;
 
 	constructor(engineIds: readonly string[] = ['a', 'b', 'c'], maxRuns = 2, readonly link = new ScriptedLink()) {
-		const {timers} = this;
-		const fleet = new Fleet();
+		const {timers, fleet} = this;
 		for (const id of engineIds) {
 			fleet.onRegistration({
 				id, address: `10.0.0.${id.codePointAt(0)}:80`, service: 'llm', stage: 'decode', slots: 6, isLeaving: false, startedAt: 1,
@@ -344,6 +344,14 @@
 		}, this.answer);
 	}
 
+	/** Has an engine count as suspect, as after silences of other requests there. */
+	markSuspect(engineId: string): void {
+		const {health} = this.fleet.findServing(engineId)!;
+		while (!health.isSuspect) {
+			health.onOutcome(engineOutcome.silent, this.timers.getNow());
+		}
+	}
+
 	/** Checks that nothing is left of the request once its answer has ended. */
 	async checkEnded(end: string): Promise<void> {
 		await this.timers.advance(1000);
@@ -444,6 +452,62 @@
 		expect(failures).to.deep.equal([]);
 	});
 
+	it('is served by the further engine alone when neither has sent an event while both worked on it', async () => {
+		for (const isHeadSent of [true, false]) {
+			const world = new TakeoverWorld();
+			await world.timers.advance(10);
+			world.link.sends[0]!.open().send(1);
+			await world.timers.advance(450);
+			if (isHeadSent) {
+				world.link.sends[1]!.open();
+			}
+
+			await world.timers.advance(380);
+			expect(world.link.sends.map(({isClosed}) => isClosed)).to.deep.equal([true, false]);
+			await world.timers.advance(900);
+			world.link.sends[1]!.open().send(2).finish();
+			await world.checkEnded('complete');
+			expect(world.answer.text).to.equal(`200 ${formatEvent(1, 'a')}${formatEvent(2, 'b')}`);
+		}
+	});
+
+	it('goes on at a third engine when the one that serves it alone refuses it', async () => {
+		const world = new TakeoverWorld();
+		await world.timers.advance(10);
+		world.link.sends[0]!.open().send(1);
+		await world.timers.advance(800);
+		world.link.sends[1]!.open(503, true).finish();
+		await world.timers.advance(100);
+		expect(world.link.sends.map(({engineId, call}) => [engineId, call.resumeAfter])).to.deep.equal([['a', undefined], ['b', '1'], ['c', '1']]);
+		world.link.sends[2]!.open().send(2).finish();
+		await world.checkEnded('complete');
+	});
+
+	it('stays at the silent engine when the further one has become suspect itself', async () => {
+		const world = new TakeoverWorld();
+		await world.timers.advance(10);
+		world.link.sends[0]!.open().send(1);
+		await world.timers.advance(450);
+		world.markSuspect('b');
+		await world.timers.advance(380);
+		expect(world.link.sends.map(({isClosed}) => isClosed)).to.deep.equal([false, true]);
+		world.link.sends[0]!.send(2).finish();
+		await world.checkEnded('complete');
+	});
+
+	it('goes on at the further engine, also a suspect one, when the silent one has broken off', async () => {
+		const world = new TakeoverWorld();
+		await world.timers.advance(10);
+		world.link.sends[0]!.open().send(1);
+		await world.timers.advance(450);
+		world.markSuspect('b');
+		world.link.sends[0]!.fail(new BrokenAnswerError('reset'));
+		await world.timers.advance(900);
+		expect(world.link.sends[1]!.isClosed).to.equal(false);
+		world.link.sends[1]!.open().send(2).finish();
+		await world.checkEnded('complete');
+	});
+
 	it('ends with the caller, also during a search', async () => {
 		const world = new TakeoverWorld();
 		await world.timers.advance(10);
