--- a/src/gateway/streamtakeover.ts
+++ b/src/gateway/streamtakeover.ts
@@ -159,7 +159,7 @@
 	async #waitForAnswer(send: StreamSend): Promise<boolean> {
 		await send.open();
 		// Once it serves the request alone, its events are read by whoever relays them.
-		return send.isAccepted && (this.winner === send || await Promise.race([send.waitForEvents(), this.#firstEnd]));
+		return send.isAccepted && (this.winner === send || Promise.race([send.waitForEvents(), this.#firstEnd]));
 	}
 
 	/** Reserves a further engine and takes the permit to send to it; `undefined` when there is none, or the silent engine has gone on. */
