Own interface: two engines work on one request for at most 350 ms

Change: 350 ms after an attempt at another engine was sent, the latest attempt keeps the request alone, and the others are ended and cancelled at their engines. An attempt that fails by then ends the bound with it, so that the silent answer is awaited as before.

--- a/src/serving/openattempts.ts
+++ b/src/serving/openattempts.ts
@@ -44,6 +44,11 @@
 		return [...this.#attempts];
 	}
 
+	/** Whether attempts are at more than one engine. */
+	get hasSeveralEngines(): boolean {
+		return new Set(this.list().map(({placement}) => placement.upstream.id)).size > 1;
+	}
+
 	/** Whether an attempt is at this engine. */
 	hasEngine(upstream: string): boolean {
 		return this.list().some(({placement}) => placement.upstream.id === upstream);
--- a/src/serving/stream.ts
+++ b/src/serving/stream.ts
@@ -21,6 +21,8 @@
 /** Delay before engines are looked for again, in milliseconds; it doubles with each time. */
 const minRoundDelayMs = 200;
 const maxRoundDelayMs = 2000;
+/** Longest time for which two engines work on one request, in milliseconds. */
+const maxOverlapMs = 350;
 
 /** What became of an answer whose engine was silent for too long; each value is a label of the counter. */
 const silenceOutcome = {
@@ -49,6 +51,8 @@
 	attempts: number;
 	/** Monotonic time from which a further attempt is to be made; infinite while none is wanted. */
 	attemptDueAt: number;
+	/** Monotonic time until which attempts at several engines may be open, in milliseconds; infinite while they are at one. */
+	overlapEndsAt: number;
 	/** Why the next attempt is made; `undefined` for the first. */
 	retryReason: RetryReason | undefined;
 	/** Whether the next attempt is still to be charged to the retry budget. */
@@ -125,6 +129,7 @@
 		hasChosen: false,
 		attempts: 0,
 		attemptDueAt: Number.POSITIVE_INFINITY,
+		overlapEndsAt: Number.POSITIVE_INFINITY,
 		retryReason: undefined,
 		isRetryUnpaid: false,
 		rounds: 0,
@@ -176,6 +181,10 @@
 		});
 		progress.open.add(attempt);
 	});
+	if (progress.open.hasSeveralEngines) {
+		progress.overlapEndsAt = Math.min(progress.overlapEndsAt, dependencies.timers.getNow() + maxOverlapMs);
+	}
+
 	if (progress.retryReason !== undefined) {
 		dependencies.metrics.countRetry(progress.retryReason);
 		progress.retryReason = undefined;
@@ -239,8 +248,9 @@
 /** Reads from the open attempts and passes new events on. Returns the end marker, if it was the last of them. */
 function * readEvents(serving: Serving): Procedure<EndEvent | undefined> {
 	const {progress} = serving;
-	const attempt = yield * callStep('read events', async () => progress.open.waitForNews(progress.attemptDueAt));
+	const attempt = yield * callStep('read events', async () => progress.open.waitForNews(Math.min(progress.attemptDueAt, progress.overlapEndsAt)));
 	if (!attempt) {
+		yield * endOverlap(serving);
 		return undefined;
 	}
 
@@ -311,6 +321,7 @@
 function * closeOthers(attempt: Attempt, serving: Serving): Procedure<void> {
 	const {progress} = serving;
 	progress.attemptDueAt = Number.POSITIVE_INFINITY;
+	progress.overlapEndsAt = Number.POSITIVE_INFINITY;
 	progress.resumePlacement = undefined;
 	progress.retryReason = undefined;
 	progress.isRetryUnpaid = false;
@@ -321,7 +332,24 @@
 
 	const attempts = progress.open.list();
 	const index = attempts.indexOf(attempt);
-	const others = attempts.filter((other, otherIndex) => other !== attempt && (otherIndex < index || !isSameEngine(other, attempt)));
+	yield * closeReplaced(attempts.filter((other, otherIndex) => other !== attempt && (otherIndex < index || !isSameEngine(other, attempt))), attempt, serving);
+}
+
+/** Leaves the request to the engine of the latest attempt when several have worked on it for {@link maxOverlapMs} and none has delivered an event. */
+function * endOverlap(serving: Serving): Procedure<void> {
+	const {dependencies, progress} = serving;
+	const latest = progress.open.list().at(-1);
+	if (!latest || dependencies.timers.getNow() < progress.overlapEndsAt) {
+		return;
+	}
+
+	progress.overlapEndsAt = Number.POSITIVE_INFINITY;
+	yield * closeReplaced(progress.open.list().filter(other => !isSameEngine(other, latest)), latest, serving);
+}
+
+/** Ends attempts that `attempt` has replaced, and cancels at those of their engines that are not its own. */
+function * closeReplaced(others: readonly Attempt[], attempt: Attempt, serving: Serving): Procedure<void> {
+	const {progress} = serving;
 	for (const other of others) {
 		progress.open.delete(other);
 		other.finish(placementOutcome.cancelled);
@@ -379,6 +407,7 @@
 	} else {
 		progress.open.delete(attempt);
 		progress.silent.delete(attempt);
+		progress.overlapEndsAt = progress.open.hasSeveralEngines ? progress.overlapEndsAt : Number.POSITIVE_INFINITY;
 		// The engine closes the connection when another one comes for the request.
 		attempt.finish(progress.open.hasEngine(attempt.placement.upstream.id) ? placementOutcome.cancelled : failure.outcome);
 	}
--- a/src/serving/test/silence.test.ts
+++ b/src/serving/test/silence.test.ts
@@ -268,6 +268,43 @@
 	});
 }
 
+describe('serveStream, while the engine of an answer is silent and the further one is slow to begin', () => {
+	/** Starts a stream whose engine falls silent, and advances the time until a further engine, which is silent as well, has the request. */
+	const startOverlap = async (furtherSilentMs: number) => {
+		const world = new SilenceWorld();
+		const record = world.startStream('r');
+		await world.timers.advance(300);
+		world.startSilence(10_000, ['e1']);
+		world.startSilence(furtherSilentMs, ['e2', 'e3']);
+		while (world.router.sent < 2) {
+			await world.timers.advance(10);
+		}
+
+		return {world, record};
+	};
+
+	it('has it worked on by both for no longer than 400 ms, and passes it on whole', async () => {
+		const {world, record} = await startOverlap(4000);
+		expect(world.router.ends).to.deep.equal([]);
+		await world.timers.advance(400);
+		expect(world.router.ends.map(({upstream}) => upstream)).to.deep.equal(['e1']);
+		checkWhole(await world.settle(record));
+		await world.checkEnd();
+	});
+
+	it('seeks a third one when the further one refuses after that', async () => {
+		const {world, record} = await startOverlap(4000);
+		await world.timers.advance(400);
+		world.setDraining('drain');
+		world.getCore('e2').reset();
+		await world.timers.advance(1000);
+		expect(record.isSettled).to.equal(false);
+		world.setDraining('resume');
+		checkWhole(await world.settle(record));
+		await world.checkEnd();
+	});
+});
+
 describe('serveStream, while no engine takes an answer that has begun', () => {
 	it('resumes it as soon as one does, before the deadline', async () => {
 		const world = new SilenceWorld();
