A refusal for want of a retry permit looks at whether an engine has run the request

Callers would see: 503 ('not run') for a stream of which an engine may have run a part, and an answer that has begun and that nothing ends until its caller leaves. Cause: where a prefill was refused and the retry budget allowed no further send, the request was refused by that refusal alone, although an earlier engine may have run it and its answer may have begun; a refusal of a begun answer is not written. Change: every refusal of the gateway says whether an engine may have run the request (refuseUnadmitted); the function that did not is gone. A stream that has begun waits for the permit, as after any other failure. Evidence: src/gateway/test/takeover.test.ts, two cases: both failed before ('refused 503' in place of 502; 'refused 503' of a begun answer), both pass now.

--- a/src/gateway/ending.ts
+++ b/src/gateway/ending.ts
@@ -56,8 +56,12 @@
 
 /** Ends a request whose engines want nothing from this process for longer than its caller waits: another process may still serve it. */
 export function refusePaused(dependencies: GatewayDependencies, served: ServedRequest, mayHaveRun: boolean): void {
-	const retryAfterMs = computeRetryAfterMs(served.deadlineAt - dependencies.timers.getNow(), dependencies.getRandom());
-	refuseUnadmitted(served, new NotRunError('All engines of the service asked for a pause.', {props: {reason: refusalReason.overload, retryAfterMs}}), mayHaveRun);
+	refuseFor(dependencies, served, {reason: refusalReason.overload, mayHaveRun});
+}
+
+/** Ends a request that the retry budget doesn't allow to be sent once more. */
+export function refuseRetry(dependencies: GatewayDependencies, served: ServedRequest, mayHaveRun: boolean): void {
+	refuseFor(dependencies, served, {reason: refusalReason.retryBudget, mayHaveRun});
 }
 
 /** Ends a request whose prompt has blocks that crash engines; it is of no use to send it again before `quarantineMs` have passed. */
@@ -65,12 +69,6 @@
 	refuseUnadmitted(served, new NotRunError('The prompt has blocks that crash engines.', {props: {reason: refusalReason.quarantined, retryAfterMs: quarantineMs}}), mayHaveRun);
 }
 
-/** Refuses a request that has not run and never will, and tells the caller when to retry. */
-export function refuseNotRun(dependencies: GatewayDependencies, served: ServedRequest, reason: RefusalReason): void {
-	const remainingMs = served.deadlineAt - dependencies.timers.getNow();
-	refuse(served, 503, reason, computeRetryAfterMs(remainingMs, dependencies.getRandom()));
-}
-
 /** Ends a request that may have run but has no answer to relay. */
 export function finishUnanswered(served: ServedRequest, attempt: Attempt): void {
 	if (served.answer.signal.aborted) {
@@ -91,6 +89,11 @@
 	}
 }
 
+function refuseFor({timers, getRandom}: GatewayDependencies, served: ServedRequest, {reason, mayHaveRun}: {readonly reason: RefusalReason; readonly mayHaveRun: boolean}): void {
+	const retryAfterMs = computeRetryAfterMs(served.deadlineAt - timers.getNow(), getRandom());
+	refuseUnadmitted(served, new NotRunError(`No engine gets the request: ${reason}.`, {props: {reason, retryAfterMs}}), mayHaveRun);
+}
+
 function refuse(served: ServedRequest, status: number, reason: RefusalReason, retryAfterMs: number | undefined): void {
 	served.trace.finish(status === 503 ? 'refused' : 'failed', reason, status);
 	served.answer.refuse(status, reason, retryAfterMs);
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -9,7 +9,7 @@
 import {Attempt} from './attempt.js';
 import type {AttemptOptions} from './attempt.js';
 import {
-	finishUnanswered, refuseNotRun, refusePaused, refuseQuarantined, refuseUnadmitted,
+	finishUnanswered, refusePaused, refuseQuarantined, refuseRetry, refuseUnadmitted,
 } from './ending.js';
 import type {KvCacheHandle} from './ports.js';
 import {selectRetryReason, RequestProgress} from './progress.js';
@@ -97,8 +97,8 @@
 	let hasSend = false;
 	try {
 		const prefillResult = yield * runPrefill(dependencies, served, progress, reservation);
-		if (prefillResult === 'rejected' && !dependencies.retryBudget.tryTake(served.service)) {
-			refuseNotRun(dependencies, served, refusalReason.retryBudget);
+		if (prefillResult === 'rejected' && !(yield * callStep('take a permit to retry', async () => takeRetry(dependencies, served, progress)))) {
+			refuseRetry(dependencies, served, progress.runs > 0);
 			return undefined;
 		}
 
@@ -222,7 +222,7 @@
 	}
 
 	if (attempt.isNotRun && progress.runs === 0 && !served.signal.aborted) {
-		refuseNotRun(dependencies, served, refusalReason.retryBudget);
+		refuseRetry(dependencies, served, false);
 	} else {
 		finishUnanswered(served, attempt);
 	}
--- a/src/gateway/plain.ts
+++ b/src/gateway/plain.ts
@@ -1,11 +1,11 @@
 import {isPausedUntil} from '../dispatch/index.js';
 import type {AdmissionQueue, EngineView} from '../dispatch/index.js';
-import {refusalReason, retryReason} from '../errors/index.js';
+import {retryReason} from '../errors/index.js';
 import {callStep} from '../procedures/index.js';
 import type {Procedure} from '../procedures/index.js';
 import type {Attempt} from './attempt.js';
 import {
-	finishUnanswered, refuseNotRun, refusePaused, waitForEngine,
+	finishUnanswered, refusePaused, refuseRetry, waitForEngine,
 } from './ending.js';
 import {PlainProgress} from './plainprogress.js';
 import {PlainRace} from './plainrace.js';
@@ -75,7 +75,7 @@
 	if (body && !served.signal.aborted) {
 		relayBody(served, attempt, body);
 	} else if (progress.runs === 0 && !served.signal.aborted) {
-		refuseNotRun(dependencies, served, refusalReason.retryBudget);
+		refuseRetry(dependencies, served, false);
 	} else {
 		finishUnanswered(served, attempt);
 	}
--- a/src/gateway/test/takeover.test.ts
+++ b/src/gateway/test/takeover.test.ts
@@ -153,10 +153,10 @@
 	isHeld = true;
 	readonly engines: ReservedEngines;
 
-	constructor(decodeEngine: string) {
+	constructor(decodeEngine: string, prefillEngine: string | undefined) {
 		super();
 		this.engines = {
-			prefillEngine: undefined, decodeEngine, prefixSource: undefined, firstTokenMs: 10,
+			prefillEngine, decodeEngine, prefixSource: undefined, firstTokenMs: 10,
 		};
 	}
 
@@ -177,6 +177,8 @@
 class ScriptedReservations extends ReservationProvider {
 	readonly granted: CountedReservation[] = [];
 	error: Error | undefined;
+	/** Engine that prefills for the reservations granted from now on. */
+	prefillEngine: string | undefined;
 
 	constructor(readonly engineIds: readonly string[]) {
 		super();
@@ -192,7 +194,7 @@
 			throw new NotRunError('No engine.', {props: {reason: refusalReason.unavailable}});
 		}
 
-		const reservation = new CountedReservation(id);
+		const reservation = new CountedReservation(id, this.prefillEngine);
 		this.granted.push(reservation);
 		return reservation;
 	}
@@ -312,7 +314,7 @@
 	readonly reservations: ScriptedReservations;
 	readonly served: Promise<void>;
 
-	constructor(engineIds: readonly string[] = ['a', 'b', 'c'], maxRuns = 2, readonly link = new ScriptedLink()) {
+	constructor(engineIds: readonly string[] = ['a', 'b', 'c'], maxRuns = 2, readonly link = new ScriptedLink(), retrySlack = 50) {
 		const {timers, fleet} = this;
 		for (const id of engineIds) {
 			fleet.onRegistration({
@@ -323,7 +325,7 @@
 		this.reservations = new ScriptedReservations(engineIds);
 		const gateway = new Gateway(fleet, {
 			timers, link: this.link, reservations: this.reservations, permits: new FreePermits(), limits: new RequestLimits(), quarantine: new BlockQuarantine(),
-			serviceTimes: new ServiceTimes(timers), retryBudget: new WindowRetryBudget(timers, {ratio: 0.2, windowMs: 10_000, slack: 50}), reporter: this.reporter, getRandom: () => 0.5,
+			serviceTimes: new ServiceTimes(timers), retryBudget: new WindowRetryBudget(timers, {ratio: 0.2, windowMs: 10_000, slack: retrySlack}), reporter: this.reporter, getRandom: () => 0.5,
 		});
 		gateway.apply({
 			version: 1,
@@ -531,6 +533,44 @@
 	});
 });
 
+// Guards against telling the caller of a request that may have run that it has not, and against an answer that nothing ends.
+describe('a stream that is resumed, whose prefill is refused while the retry budget is spent', () => {
+	/** Has the first engine break off, after the first event or before it, and a prefill engine refuse the request of the next one. */
+	const startResumption = async (hasEvent: boolean) => {
+		const world = new TakeoverWorld(['a', 'b', 'c'], 3, new ScriptedLink(), 1.5);
+		world.fleet.onRegistration({
+			id: 'p', address: '10.0.0.9:80', service: 'llm', stage: 'prefill', slots: 6, isLeaving: false, startedAt: 1,
+		});
+		await world.timers.advance(10);
+		world.reservations.prefillEngine = 'p';
+		const [first] = world.link.sends;
+		first!.open();
+		if (hasEvent) {
+			first!.send(1);
+		}
+
+		await world.timers.advance(1);
+		first!.fail(new BrokenAnswerError('reset'));
+		await world.timers.advance(10);
+		expect(world.link.sends.map(({engineId}) => engineId)).to.deep.equal(['a', 'p']);
+		world.link.sends[1]!.open(503, true).finish();
+		await world.timers.advance(10);
+		return world;
+	};
+
+	it('is answered with 502 when its answer has not begun', async () => {
+		const world = await startResumption(false);
+		await world.checkEnded('refused 502');
+	});
+
+	it('waits for a permit, and its answer is cut when none is to be had by the time that its caller leaves', async () => {
+		const world = await startResumption(true);
+		expect(world.answer.end).to.equal(undefined);
+		await world.timers.advance(6000);
+		await world.checkEnded('cut');
+	});
+});
+
 // Guards against a wait that nothing ends: its caller would get no answer, and the process would wait for it until the end of a stop.
 describe('a request whose engine link never settles', () => {
 	it('is answered with 504 shortly after its deadline, and reported', async () => {
