A process that stops refuses what waits for an engine and may outlast its time

A refund that came 2.3 s after SIGTERM, while all slots of its engines were taken for 4 s, waited, was passed on at about 4 s and ended with 504 at 7.3 s while its engine worked. Cause: from 2.8 s after SIGTERM on, new requests whose deadline comes after the end of the process are refused, but those that waited for an engine by then were not looked at again. Change: the same rule for both. A request without an engine, whose deadline comes after the end of the process, is refused at that moment, which is true and in time for another process; one of which an engine may have run a part goes on waiting.

--- a/src/gateway/ending.ts
+++ b/src/gateway/ending.ts
@@ -5,6 +5,9 @@
 import type {Attempt} from './attempt.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
 
+/** Time after which to retry when a process that is stopping refused, in milliseconds: short, since a new connection goes to another process at once. */
+export const drainingRetryAfterMs = 50;
+
 /** How a queued request chooses an engine. */
 export type EngineSearch<Choice> = {
 	/** Expected time from the choice of an engine to the first byte of its answer, in milliseconds. */
@@ -26,7 +29,7 @@
 	try {
 		const choice = await queue.wait({
 			targetAt, deadlineAt, firstByteDeadlineAt: deadlineAt, queuedAt: dependencies.timers.getNow(), serviceMs: search.serviceMs, group: route.kind,
-		}, search.tryChoose, served.signal);
+		}, search.tryChoose, search.mayHaveRun ? served.signal : served.waitSignal);
 		served.trace.onAdmitted();
 		return choice;
 	} catch (error) {
@@ -49,6 +52,8 @@
 	} else if (mayHaveRun) {
 		// An earlier engine may have run the request, so the answer must not say that it was not run.
 		refuse(served, 502, refusalReason.upstreamFailed, undefined);
+	} else if (served.waitSignal.aborted && !served.signal.aborted) {
+		refuse(served, 503, refusalReason.draining, drainingRetryAfterMs);
 	} else {
 		refuse(served, 503, error.reason as RefusalReason, error.retryAfterMs);
 	}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
 import {DeadlineError, refusalReason} from '../errors/index.js';
 import {runProcedure} from '../procedures/index.js';
 import type {Timer} from '../timers/index.js';
+import {drainingRetryAfterMs} from './ending.js';
 import {serveGeneration} from './generation.js';
 import {servePlain} from './plain.js';
 import type {CallerAnswer} from './ports.js';
@@ -14,8 +15,6 @@
 
 /** Time after which to retry at a process that has no configuration yet, in milliseconds: about as long as a start takes. */
 const startingRetryAfterMs = 500;
-/** Time after which to retry when a process that is stopping refused, in milliseconds: short, since a new connection goes to another process at once. */
-const drainingRetryAfterMs = 50;
 /** Time after a request's deadline in which whatever it waits for has to end, in milliseconds: longer than the check of whether an engine listens. */
 const settleMarginMs = 300;
 
@@ -38,6 +37,8 @@
 	#drainEndsAt = Number.POSITIVE_INFINITY;
 	/** Ends each request that is being served as its deadline does. */
 	readonly #expireRequests = new Set<() => void>();
+	/** Ends the wait for an engine of each request whose deadline comes after the end of this process. */
+	readonly #drainRequests = new Set<() => void>();
 
 	constructor(readonly fleet: Fleet, dependencies: GatewayDependencies) {
 		this.#dependencies = dependencies;
@@ -64,9 +65,12 @@
 		return true;
 	}
 
-	/** Sets when this process stops: from now on, a request whose deadline is later is refused. Monotonic, in milliseconds. */
+	/** Sets when this process stops: a request whose deadline is later is refused, one that waits for an engine as well as those to come. Monotonic, in milliseconds. */
 	setDrainEnd(drainEndsAt: number): void {
 		this.#drainEndsAt = drainEndsAt;
+		for (const drain of this.#drainRequests) {
+			drain();
+		}
 	}
 
 	/** Ends the requests in progress as if their deadlines had passed, so that those without an answer get one before this process ends. */
@@ -138,6 +142,7 @@
 		}
 
 		const controller = new AbortController();
+		const waitController = new AbortController();
 		let overdueTimer: Timer | undefined;
 		let onOverdue!: (isOverdue: true) => void;
 		const overdue = new Promise<true>(resolve => {
@@ -145,6 +150,7 @@
 		});
 		const onAbort = () => {
 			controller.abort();
+			waitController.abort();
 			overdueTimer ??= this.#dependencies.timers.startTimeout(settleMarginMs, () => {
 				// Once an answer has begun, its caller sets the pace.
 				if (!answer.isStarted) {
@@ -156,8 +162,15 @@
 		const deadlineTimer = this.#dependencies.timers.startTimeout(times.deadlineAt - this.#dependencies.timers.getNow(), onAbort);
 		answer.signal.addEventListener('abort', onAbort, {once: true});
 		this.#expireRequests.add(onAbort);
+		const onDrain = () => {
+			if (times.deadlineAt > this.#drainEndsAt) {
+				waitController.abort();
+			}
+		};
+
+		this.#drainRequests.add(onDrain);
 		const served: ServedRequest = {
-			request, route, service, answer, trace, fleet: this.fleet, signal: controller.signal, model, ...times,
+			request, route, service, answer, trace, fleet: this.fleet, signal: controller.signal, waitSignal: waitController.signal, model, ...times,
 		};
 		const procedure = model
 			? serveGeneration(this.#dependencies, served)
@@ -168,6 +181,7 @@
 			}
 		} finally {
 			this.#expireRequests.delete(onAbort);
+			this.#drainRequests.delete(onDrain);
 			overdueTimer?.cancel();
 			deadlineTimer.cancel();
 			answer.signal.removeEventListener('abort', onAbort);
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -252,7 +252,8 @@
 
 	for (;;) {
 		try {
-			const reservation = await dependencies.reservations.acquire(createReservationRequest(dependencies, served, progress), served.signal);
+			const signal = progress.runs > 0 ? served.signal : served.waitSignal;
+			const reservation = await dependencies.reservations.acquire(createReservationRequest(dependencies, served, progress), signal);
 			served.trace.onAdmitted(reservation.engines.firstTokenMs);
 			return reservation;
 		} catch (error) {
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -38,6 +38,8 @@
 	readonly fleet: Fleet;
 	/** Aborted when the caller has disconnected or the deadline has passed. */
 	readonly signal: AbortSignal;
+	/** Aborted then, and when the process stops before the deadline: a request that has no engine by then may not end in time. */
+	readonly waitSignal: AbortSignal;
 	/** The service's engines; `undefined` for an application service. */
 	readonly model: ModelEngineSpec | undefined;
 	/** Until then the answer is on time. */
