A stream that its engine ends before the first event is not passed on as complete

An engine that stops after the head of a stream without a length, or ends it properly before its first event, gave a 200 with an empty body, framed as whole. Cause: a stream counted as complete when it did not end inside an event; one without any event does not. Change: a stream of events that its engine began anew, and ends without one, has broken off: one that may be resumed goes to another engine, any other gets 502. The rest of a stream may be empty, where its caller or this system asked for what follows an event. Comments and empty lines are no events.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -397,7 +397,12 @@
 const streamFaults = [
 	engineFault.emptyStream, engineFault.failedStream, engineFault.errorPage, engineFault.unnumberedEvents, engineFault.strayLines, engineFault.repeatedEvents,
 ] as const;
+/** Faults that {@link pickUntrueEnd} picks: answers whose status or end says what isn't so. */
+const untrueEnds = [
+	engineFault.busyAfterRun, engineFault.limitAfterRun, engineFault.timeoutAfterRun, engineFault.notRunZero, engineFault.closeAfterHead, engineFault.endBeforeEvents,
+] as const;
 const laterFaults = new Set<EngineFault>([
+	...untrueEnds,
 	engineFault.closeInEvent, engineFault.endInEvent, engineFault.trickle, engineFault.slowStream, ...endlessFaults, ...garbledFaults, ...streamFaults,
 ]);
 const answerFaults = Object.values(engineFault).filter(fault => !engineWishes.has(fault) && !laterFaults.has(fault));
--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -10,6 +10,9 @@
 /** Maximum length of an event's id in an error. */
 const maxShownIdLength = 32;
 
+/** Text of the error for a stream that its engine ends before the first event, as one does that stops after the head of an answer without a length. */
+export const emptyStreamMessage = 'Stream ended before its first event.';
+
 /** Complete events of a stream, and the last id among them. */
 export type CompleteEvents = {
 	readonly bytes: Uint8Array;
@@ -112,11 +115,23 @@
 	return /^\d{1,15}$/v.test(id) && /^\d{1,15}$/v.test(previousId) ? Number(id) > Number(previousId) : id !== '' && id !== previousId;
 }
 
-/** Checks that a buffered stream ends after an event. Throws `BrokenAnswerError` when it ends inside one. */
-export function checkEvents(body: Uint8Array): void {
+/** Checks that a buffered stream ends after an event. Throws `BrokenAnswerError` when it ends inside one, or has none unless `mayBeEmpty` is set. */
+export function checkEvents(body: Uint8Array, mayBeEmpty: boolean): void {
 	const splitter = new EventSplitter();
-	splitter.add(body);
+	const events = splitter.add(body);
 	splitter.finish();
+	if (!mayBeEmpty && !(events && hasEvent(events.bytes))) {
+		throw new BrokenAnswerError(emptyStreamMessage);
+	}
+}
+
+/** Whether a part of a stream has an event: comments and empty lines are none. */
+export function hasEvent(bytes: Uint8Array): boolean {
+	return splitLines(bytes).some(line => line !== '' && !line.startsWith(commentStart));
+}
+
+function splitLines(bytes: Uint8Array): string[] {
+	return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('latin1').split(lineEnd);
 }
 
 function findLastEventEnd(bytes: Uint8Array): number {
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -11,6 +11,7 @@
 import {
 	finishUnanswered, refusePaused, refuseQuarantined, refuseRetry, refuseUnadmitted,
 } from './ending.js';
+import {emptyStreamMessage} from './events.js';
 import type {KvCacheHandle} from './ports.js';
 import {selectRetryReason, RequestProgress} from './progress.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
@@ -440,6 +441,11 @@
 		return false;
 	}
 
+	if (send.isEmpty) {
+		attempt.abort(new BrokenAnswerError(emptyStreamMessage));
+		return false;
+	}
+
 	startAnswer(dependencies, served, send);
 	attempt.finish();
 	dependencies.quarantine.onPromptAnswered(progress.needs.prefixBlocks, dependencies.timers.getNow());
--- a/src/gateway/plainrace.ts
+++ b/src/gateway/plainrace.ts
@@ -150,7 +150,7 @@
 	const body = await attempt.readBody();
 	if (body && attempt.isSuccess && served.route.kind === requestKind.stream) {
 		try {
-			checkEvents(body);
+			checkEvents(body, !attempt.reply?.isEventStream || served.request.resumeAfter !== undefined);
 		} catch (error) {
 			attempt.abort(error);
 			return undefined;
--- a/src/gateway/streamsend.ts
+++ b/src/gateway/streamsend.ts
@@ -4,7 +4,7 @@
 import type {Reservation} from '../places/index.js';
 import {Attempt} from './attempt.js';
 import type {AttemptOptions} from './attempt.js';
-import {checkContinuation, EventSplitter} from './events.js';
+import {checkContinuation, EventSplitter, hasEvent} from './events.js';
 import type {CompleteEvents} from './events.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
 
@@ -26,6 +26,8 @@
 	#pendingRead: Promise<CompleteEvents | undefined> | undefined;
 	/** Id of the event after which the engine continues a stream; `undefined` for a stream of its own. */
 	#lastId: string | undefined;
+	/** Whether the engine has sent an event. */
+	#hasEvent = false;
 
 	constructor(dependencies: GatewayDependencies, served: ServedRequest, {reservation, engine}: {readonly reservation: Reservation; readonly engine: EngineView}, options: StreamSendOptions) {
 		this.#served = served;
@@ -54,6 +56,11 @@
 		return error === undefined && isSuccess && reply?.hasReceipt === true && (this.#lastId === undefined || reply.isEventStream);
 	}
 
+	/** Whether the stream has no events, although the engine began it anew. */
+	get isEmpty(): boolean {
+		return !this.#hasEvent && this.attempt.reply?.isEventStream === true && this.#options.resumeAfter === undefined && this.#served.request.resumeAfter === undefined;
+	}
+
 	/** Sends the request, at the first call, and waits for the status and header of the answer. Never throws. */
 	async open(): Promise<void> {
 		this.#opened ??= this.attempt.send(this.#served, this.#options);
@@ -110,6 +117,7 @@
 			const events = this.#splitter.add(chunk);
 			this.attempt.trace.incompleteBytes = this.#splitter.incompleteBytes || undefined;
 			if (events) {
+				this.#hasEvent ||= hasEvent(events.bytes);
 				if (this.#lastId !== undefined) {
 					checkContinuation(events.bytes, this.#lastId);
 					this.#lastId = events.lastId ?? this.#lastId;
--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -41,6 +41,10 @@
 	closeInEvent: 'closeInEvent',
 	/** Ends a stream in chunks properly, but inside its second event. */
 	endInEvent: 'endInEvent',
+	/** Ends a stream without a length after its head, and closes the connection without a reset. */
+	closeAfterHead: 'closeAfterHead',
+	/** Ends a stream in chunks properly, before its first event. */
+	endBeforeEvents: 'endBeforeEvents',
 	/** Answers 204 without a body. */
 	noContent: 'noContent',
 	/** Says in this answer and in all later ones that the engine leaves; its registration does not change. */
@@ -493,9 +497,10 @@
 			return;
 		}
 
-		if (fault === engineFault.unframed || fault === engineFault.resetUnframed || fault === engineFault.closeInEvent) {
+		if (fault === engineFault.unframed || fault === engineFault.resetUnframed || fault === engineFault.closeInEvent || fault === engineFault.closeAfterHead) {
 			const events = Array.from({length: Math.max(0, eventCount - firstId + 1)}, (_, index) => formatEvent(firstId + index, arrival.id));
-			const text = fault === engineFault.unframed ? events.join('') : events.slice(0, 1).join('') + (events[1] ?? '').slice(0, 9);
+			const cutEvents = fault === engineFault.closeAfterHead ? '' : events.slice(0, 1).join('') + (events[1] ?? '').slice(0, 9);
+			const text = fault === engineFault.unframed ? events.join('') : cutEvents;
 			arrival.isHeadSent = isOpen(response.socket ?? undefined);
 			await sendWithoutLength(response.socket ?? undefined, {...headers, 'Content-Type': 'text/event-stream'}, text, fault !== engineFault.resetUnframed);
 			return;
@@ -506,6 +511,11 @@
 		}
 
 		response.writeHead(200, {...headers, 'Content-Type': 'text/event-stream'});
+		if (fault === engineFault.endBeforeEvents) {
+			response.end();
+			return;
+		}
+
 		for (let id = firstId; id <= eventCount; id++) {
 			const intervalMs = fault === engineFault.slowStream && id === firstId + 1 ? slowIntervalMs : eventIntervalMs;
 			await sleep(id === firstId ? firstEventMs : intervalMs);
