Soak: answers whose status or end says what isn't so, and two engines on one stream

The checker looks for two engines that work on one stream for over 400 ms (TWICE), but for VMs that were paused and links that were harmed; the time for which the soak's own process was held up is taken off.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -403,7 +403,13 @@
 ] as const;
 const laterFaults = new Set<EngineFault>([
 	...untrueEnds,
-	engineFault.closeInEvent, engineFault.endInEvent, engineFault.trickle, engineFault.slowStream, ...endlessFaults, ...garbledFaults, ...streamFaults,
+	engineFault.closeInEvent,
+	engineFault.endInEvent,
+	engineFault.trickle,
+	engineFault.slowStream,
+	...endlessFaults,
+	...garbledFaults,
+	...streamFaults,
 ]);
 const answerFaults = Object.values(engineFault).filter(fault => !engineWishes.has(fault) && !laterFaults.has(fault));
 
@@ -510,6 +516,19 @@
 	return random.getRandom() < 0.3 ? new OddEntry(random.pickIndex(oddValues.length)) : new BadAnswers(engineHost, faults);
 }
 
+/** Share of the picked faults with which an engine also gives answers whose status or end says what isn't so. */
+const untrueEndShare = 0.3;
+
+/** Picks whether an engine also promises that requests have not run which it has run, or ends streams before their first event, with a source of its own. */
+export function pickUntrueEnd(world: SoakWorld, random: RandomSource): SoakFault | undefined {
+	if (random.getRandom() >= untrueEndShare) {
+		return undefined;
+	}
+
+	const engineHost = world.engineHosts[random.pickIndex(world.engineHosts.length)]!;
+	return new BadAnswers(engineHost, Array.from({length: 1 + random.pickIndex(3)}, () => untrueEnds[random.pickIndex(untrueEnds.length)]!));
+}
+
 /** Share of the picked faults with which an engine also names a limit, bounds of its duration, in milliseconds, and of the limits, in requests a second. */
 const limitShare = 0.2;
 const minLimitedMs = 3000;
--- a/soak/invariantchecker.ts
+++ b/soak/invariantchecker.ts
@@ -24,6 +24,8 @@
 const minRecoveredShare = 0.98;
 /** Events of a complete streamed answer. */
 const streamEvents = 4;
+/** Longest time for which two engines may work on one stream, in milliseconds. */
+const maxOverlapMs = 400;
 /** Number of engines that may run a probe; its route is for requests that may be repeated. */
 const maxProbeRuns = 2;
 /** Statuses that promise that no engine ran the request. */
@@ -34,7 +36,7 @@
 /** Faults with which an engine breaks off, or gives what may not be passed on; a silence, a pause and a refusal are none of them. A prefill meets the first only. */
 const breakingPrefillFaults: readonly EngineFault[] = ['reset', 'endlessHead', 'endlessInformation', 'endlessBody', 'endlessTrailer'];
 const breakingFaults: readonly EngineFault[] = [
-	...breakingPrefillFaults, 'foreign', 'cutBody', 'failure', 'noReceipt', 'cutEvent', 'answerTwice', 'resetUnframed', 'closeInEvent', 'endInEvent', 'switchProtocols', 'continueAndSwitch',
+	...breakingPrefillFaults, 'foreign', 'cutBody', 'failure', 'noReceipt', 'cutEvent', 'answerTwice', 'resetUnframed', 'closeInEvent', 'endInEvent', 'switchProtocols', 'continueAndSwitch', 'busyAfterRun', 'limitAfterRun', 'timeoutAfterRun', 'notRunZero', 'closeAfterHead', 'endBeforeEvents',
 ];
 /** Time of a stop, in milliseconds from SIGTERM, from which requests may be cut that were sent no later than {@link maxSentInStopMs} after it: the last sixth. */
 const cutInStopMs = stopTimeoutMs * 5 / 6;
@@ -152,6 +154,7 @@
 		}
 
 		this.#checkRuns();
+		this.#checkOverlaps();
 		this.#checkFurtherSends();
 		this.#checkWishes();
 		this.#checkCrashing();
@@ -253,6 +256,34 @@
 		}
 	}
 
+	/** Checks that no two engines worked on the same stream for long, but for VMs that were paused or did not reach them. */
+	#checkOverlaps(): void {
+		const runsById = new Map<string, EngineSend[]>();
+		for (const {name, engine} of this.#world.startedEngines) {
+			for (const arrival of engine.arrivals.filter(({hasRun}) => hasRun)) {
+				runsById.set(arrival.id, [...runsById.get(arrival.id) ?? [], {name, engine, arrival}]);
+			}
+		}
+
+		for (const call of this.calls.filter(({isStream}) => isStream)) {
+			const runs = runsById.get(call.id) ?? [];
+			for (const [index, left] of runs.entries()) {
+				for (const right of runs.slice(index + 1)) {
+					this.#checkOverlap(call, left, right);
+				}
+			}
+		}
+	}
+
+	#checkOverlap(call: ObservedCall, left: EngineSend, right: EngineSend): void {
+		const window = {sentAt: Math.max(left.arrival.at, right.arrival.at), endedAt: Math.min(left.arrival.endedAt, right.arrival.endedAt, left.engine.endedAt, right.engine.endedAt)};
+		const overlapMs = window.endedAt - window.sentAt - this.#computeOwnStallMs(window);
+		const isHarmed = (name: string) => this.faults.some(({fault, startedAt, endedAt}) => (fault.isBreakingEngine(call.vm, name) || fault.isCuttingEngine(call.vm, name)) && startedAt < window.endedAt && endedAt > window.sentAt - contactMs);
+		if (overlapMs > maxOverlapMs && !call.vm.hasPauseBetween(window.sentAt - contactMs, window.endedAt) && !isHarmed(left.name) && !isHarmed(right.name)) {
+			this.#addViolation(call, `TWICE: ${left.name} and ${right.name} worked on it at once for ${Math.round(overlapMs)} ms`);
+		}
+	}
+
 	/** Checks that the further sends of requests stay within the limit in every window; prefill sends are not counted. */
 	#checkFurtherSends(): void {
 		const seen = new Set<string>();
@@ -367,7 +398,7 @@
 	}
 
 	/** Returns for how long this process was held up while a call was in progress, in milliseconds. */
-	#computeOwnStallMs({sentAt, endedAt}: ObservedCall): number {
+	#computeOwnStallMs({sentAt, endedAt}: Pick<ObservedCall, 'sentAt' | 'endedAt'>): number {
 		return this.ownStalls.reduce((sum, {from, to}) => sum + Math.max(0, Math.min(to, endedAt) - Math.max(from, sentAt)), 0);
 	}
 
--- a/standins/cutserver.ts
+++ b/standins/cutserver.ts
@@ -15,7 +15,7 @@
 
 /** Creates the text of a whole answer. `fields` are header fields, each ended by a line break; the framing comes before or after them. */
 export function createAnswerText(framing: CutFraming, fields: string, {isFramingFirst = true, version = '1.1', informational = ''} = {}): string {
-	const body = framing === cutFraming.chunked ? `2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n` : cutAnswerBody;
+	const body = framing === cutFraming.chunked ? '2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n' : cutAnswerBody;
 	return `${informational}HTTP/${version} 200 OK\r\n${isFramingFirst ? framing + fields : fields + framing}\r\n${body}`;
 }
 
