The pause that an unneeded engine asks for is read before its connection is closed

Change: a send that is ended because another engine serves its request, and that has no answer so far, is closed 50 ms later; an answer that comes by then tells what its engine wishes, and its connection is closed. The send to a silent engine that a further one has replaced, and a silent prefill, are closed at once as before. Evidence: src/gateway/test/takeover.test.ts, two cases: both failed before (no pause known), both pass now; a third checks that the connection closes within 100 ms.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -23,6 +23,8 @@
 
 /** Largest body that is buffered. A buffered body reaches the caller only when complete, so that the request can be sent again if it breaks off. */
 const maxBufferedBodyBytes = 1_048_576;
+/** Time in which an answer that has left its engine arrives, in milliseconds. */
+const answerTransitMs = 50;
 /** Bytes of a buffered body that count as progress. */
 const minProgressBytes = 256;
 
@@ -224,6 +226,19 @@
 		this.#watchdog.controller.abort();
 	}
 
+	/** Does what `cancel` does, but first waits a little for an answer that may have left its engine: it tells what the engine wishes of further requests. */
+	cancelAfterAnswer(): void {
+		if (this.reply) {
+			this.cancel();
+			return;
+		}
+
+		this.#isCancelled = true;
+		this.#dependencies.timers.startTimeout(answerTransitMs, () => {
+			this.cancel();
+		});
+	}
+
 	/** Closes the answer's connection and records the error. */
 	abort(error: unknown): void {
 		this.reply?.abort();
@@ -245,6 +260,10 @@
 	#onReply(reply: EngineReply): void {
 		this.reply = reply;
 		this.#recordWishes(reply);
+		if (this.#isCancelled) {
+			this.cancel();
+		}
+
 		this.trace.framing = reply.framing;
 		if (!this.isSuccess) {
 			this.trace.status = reply.status;
--- a/src/gateway/plainrace.ts
+++ b/src/gateway/plainrace.ts
@@ -96,7 +96,7 @@
 		this.#settle?.resolve(isSuccess ? ended : this.#failure ?? ended);
 		this.#settle = undefined;
 		for (const attempt of this.#open) {
-			attempt.cancel();
+			attempt.cancelAfterAnswer();
 		}
 	}
 
--- a/src/gateway/streamsend.ts
+++ b/src/gateway/streamsend.ts
@@ -93,7 +93,7 @@
 			attempt.finish();
 		}
 
-		attempt.cancel();
+		attempt.cancelAfterAnswer();
 		attempt.abort(new BrokenAnswerError('The send was ended, as another engine serves its request.'));
 		await attempt.checkEngine();
 		this.close();
--- a/src/gateway/streamtakeover.ts
+++ b/src/gateway/streamtakeover.ts
@@ -125,8 +125,8 @@
 		const {id} = this.#served.request;
 		reporter.onTakeover(view, further.engine, id);
 		const sentAt = timers.getNow();
-		const send = new StreamSend(this.#dependencies, {...this.#served, signal}, further, this.#search.createOptions(further.reservation));
-		const isTakenOver = await this.#waitForOverlapEnd(send);
+		const send = new StreamSend(this.#dependencies, this.#served, further, this.#search.createOptions(further.reservation));
+		const isTakenOver = await this.#waitForOverlapEnd(send, signal);
 		if (isTakenOver && !signal.aborted) {
 			this.winner = send;
 			this.#current.attempt.cancel();
@@ -140,8 +140,13 @@
 		}
 	}
 
-	/** Waits until one of the two engines is to serve the request; returns whether it is the further one. */
-	async #waitForOverlapEnd(send: StreamSend): Promise<boolean> {
+	/** Waits until one of the two engines is to serve the request; returns whether it is the further one. `signal` is aborted when the silent one goes on. */
+	async #waitForOverlapEnd(send: StreamSend, signal: AbortSignal): Promise<boolean> {
+		const aborted = new Promise<boolean>(resolve => {
+			signal.addEventListener('abort', () => {
+				resolve(false);
+			}, {once: true});
+		});
 		let timer: Timer | undefined;
 		const timeout = new Promise<boolean>(resolve => {
 			timer = this.#dependencies.timers.startTimeout(maxOverlapMs, () => {
@@ -149,7 +154,7 @@
 			});
 		});
 		try {
-			return await Promise.race([this.#waitForAnswer(send), timeout]);
+			return await Promise.race([this.#waitForAnswer(send), timeout, aborted]);
 		} finally {
 			timer?.cancel();
 		}
--- a/src/gateway/test/takeover.test.ts
+++ b/src/gateway/test/takeover.test.ts
@@ -28,7 +28,7 @@
 	isNotRun = false;
 	isOtherEngine = false;
 	isLeaving = false;
-	readonly retryAfterMs = undefined;
+	retryAfterMs: number | undefined;
 	readonly requestLimit = undefined;
 	hasReceipt = true;
 	readonly load = undefined;
@@ -305,7 +305,16 @@
 	}
 }
 
-/** One caller of a stream that may be resumed, on engines whose answers the test writes. */
+type WorldOptions = {
+	readonly engineIds?: readonly string[];
+	readonly maxRuns?: number;
+	readonly link?: ScriptedLink;
+	readonly retrySlack?: number;
+	/** Whether the request is a stream that may be resumed; otherwise it is a call that may be repeated. */
+	readonly isGeneration?: boolean;
+};
+
+/** One caller of a stream that may be resumed, or of a call that may be repeated, on engines whose answers the test writes. */
 class TakeoverWorld {
 	readonly timers = new ManualTimers();
 	readonly reporter = new QuietReporter();
@@ -314,11 +323,14 @@
 	readonly reservations: ScriptedReservations;
 	readonly served: Promise<void>;
 
-	constructor(engineIds: readonly string[] = ['a', 'b', 'c'], maxRuns = 2, readonly link = new ScriptedLink(), retrySlack = 50) {
+	readonly link: ScriptedLink;
+
+	constructor({engineIds = ['a', 'b', 'c'], maxRuns = 2, link = new ScriptedLink(), retrySlack = 50, isGeneration = true}: WorldOptions = {}) {
+		this.link = link;
 		const {timers, fleet} = this;
 		for (const id of engineIds) {
 			fleet.onRegistration({
-				id, address: `10.0.0.${id.codePointAt(0)}:80`, service: 'llm', stage: 'decode', slots: 6, isLeaving: false, startedAt: 1,
+				id, address: `10.0.0.${id.codePointAt(0)}:80`, service: 'llm', stage: isGeneration ? 'decode' : 'any', slots: 6, isLeaving: false, startedAt: 1,
 			});
 		}
 
@@ -330,10 +342,10 @@
 		gateway.apply({
 			version: 1,
 			routes: [{
-				name: 'check', host: 'h', pathPrefix: '/', kind: 'stream', shares: [{service: 'llm', weight: 1}],
+				name: 'check', host: 'h', pathPrefix: '/', kind: isGeneration ? 'stream' : 'idempotent', shares: [{service: 'llm', weight: 1}],
 				timeoutMs: 6000, targetMs: 100, firstByteTimeoutMs: 2000, maxRuns, priority: 1, isResumable: true,
 			}],
-			services: new Map([['llm', {name: 'llm', maxConnections: 96, model: {slots: 6, kvCapacityTokens: 100_000, kvTransferMsPerToken: 0}}]]),
+			services: new Map([['llm', {name: 'llm', maxConnections: 96, model: isGeneration ? {slots: 6, kvCapacityTokens: 100_000, kvTransferMsPerToken: 0} : undefined}]]),
 			limits: {
 				maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3000, idleTimeoutMs: 5000,
 			},
@@ -533,11 +545,53 @@
 	});
 });
 
+// Guards against a pause that an engine asks for, and that is lost as its connection is closed while the answer arrives.
+describe('an engine that is no longer needed and refuses with a pause', () => {
+	const refuseWithPause = (send: ScriptedSend) => {
+		send.retryAfterMs = 1500;
+		send.open(503, true).finish();
+	};
+
+	it('gets no requests until then, when the other engine of a call has just answered', async () => {
+		const world = new TakeoverWorld({isGeneration: false});
+		await world.timers.advance(70);
+		const [first, second] = world.link.sends;
+		first!.open().finish();
+		await world.timers.advance(10);
+		refuseWithPause(second!);
+		await world.checkEnded('complete');
+		expect(world.fleet.findServing(second!.engineId)!.computePauseMs(world.timers.getNow())).to.be.above(0);
+	});
+
+	it('gets no requests until then, when the silent engine of a stream has just gone on', async () => {
+		const world = new TakeoverWorld();
+		await world.timers.advance(10);
+		const [first] = world.link.sends;
+		first!.open().send(1);
+		await world.timers.advance(450);
+		const further = world.link.sends[1]!;
+		first!.send(2);
+		await world.timers.advance(10);
+		refuseWithPause(further);
+		first!.finish();
+		await world.checkEnded('complete');
+		expect(world.fleet.findServing(further.engineId)!.computePauseMs(world.timers.getNow())).to.be.above(0);
+	});
+
+	it('has its connection closed within 100 ms when it does not answer', async () => {
+		const world = new TakeoverWorld({isGeneration: false});
+		await world.timers.advance(70);
+		world.link.sends[0]!.open().finish();
+		await world.timers.advance(100);
+		expect(world.link.sends[1]!.isClosed).to.equal(true);
+	});
+});
+
 // Guards against telling the caller of a request that may have run that it has not, and against an answer that nothing ends.
 describe('a stream that is resumed, whose prefill is refused while the retry budget is spent', () => {
 	/** Has the first engine break off, after the first event or before it, and a prefill engine refuse the request of the next one. */
 	const startResumption = async (hasEvent: boolean) => {
-		const world = new TakeoverWorld(['a', 'b', 'c'], 3, new ScriptedLink(), 1.5);
+		const world = new TakeoverWorld({maxRuns: 3, retrySlack: 1.5});
 		world.fleet.onRegistration({
 			id: 'p', address: '10.0.0.9:80', service: 'llm', stage: 'prefill', slots: 6, isLeaving: false, startedAt: 1,
 		});
@@ -574,7 +628,7 @@
 // Guards against a wait that nothing ends: its caller would get no answer, and the process would wait for it until the end of a stop.
 describe('a request whose engine link never settles', () => {
 	it('is answered with 504 shortly after its deadline, and reported', async () => {
-		const world = new TakeoverWorld(['a'], 1, new UnsettledLink());
+		const world = new TakeoverWorld({engineIds: ['a'], maxRuns: 1, link: new UnsettledLink()});
 		await world.timers.advance(6000);
 		expect(world.answer.end).to.equal(undefined);
 		await world.timers.advance(499);
@@ -584,7 +638,7 @@
 	});
 
 	it('ends when its caller has left', async () => {
-		const world = new TakeoverWorld(['a'], 1, new UnsettledLink());
+		const world = new TakeoverWorld({engineIds: ['a'], maxRuns: 1, link: new UnsettledLink()});
 		await world.timers.advance(100);
 		world.answer.controller.abort();
 		await world.timers.advance(499);
