A request that is aborted before it waits in a queue is refused at once

Change: the queue looks at the signal first, as the remote allocator does. Evidence: src/dispatch/test/queue.test.ts, a request aborted before it waits: failed before (it was granted the slot), passes now.

--- a/src/dispatch/queue.ts
+++ b/src/dispatch/queue.ts
@@ -183,6 +183,11 @@
 	/** Does what `wait` does, but returns a refusal where `wait` throws. */
 	async tryWait(request: QueuedRequest, tryReserve: TryReserve<Reservation>, signal: AbortSignal): Promise<Reservation | QueueRefusal> {
 		const now = this.#timers.getNow();
+		// A signal that is already aborted emits no event.
+		if (signal.aborted) {
+			return new QueueRefusal(refusalReason.deadline, minRetryAfterMs);
+		}
+
 		if (now + request.serviceMs >= request.deadlineAt) {
 			return this.#createRefusal(request, now, refusalReason.deadline);
 		}
--- a/src/dispatch/test/queue.test.ts
+++ b/src/dispatch/test/queue.test.ts
@@ -97,6 +97,16 @@
 		expect(slot.refused.get('draft')).to.be.within(2000, 14_000 / 3);
 	});
 
+	it('refuses a request that was aborted before it waits at once, with the slot free or taken', async () => {
+		const timers = new ManualTimers();
+		const slot = new SingleSlot(timers, 10);
+		slot.submit('a', {}, AbortSignal.abort());
+		slot.submit('b');
+		slot.submit('c', {}, AbortSignal.abort());
+		await timers.advance(0);
+		expect([slot.granted, [...slot.refused.keys()], slot.queue.size]).to.deep.equal([['b'], ['a', 'c'], 0]);
+	});
+
 	it('grants nothing to a request that was aborted', async () => {
 		const timers = new ManualTimers();
 		const slot = new SingleSlot(timers, 10);
