--- a/src/upstreams/test/httpservice.test.ts
+++ b/src/upstreams/test/httpservice.test.ts
@@ -2,6 +2,7 @@
 import type {AddressInfo, Server} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
+import {CutServer} from '../../../standins/cutserver.js';
 import {HttpService, serviceLoadPath} from '../index.js';
 import type {ServiceAnswer, ServiceCall} from '../index.js';
 
@@ -113,3 +114,48 @@
 		server.close();
 	});
 });
+
+// Guards against taking a call for not run that its service has run: it would be sent again.
+describe('a service\'s answer with status 503', () => {
+	const listOutcomes = async () => {
+		const server = new CutServer('x-request-id');
+		await server.start();
+		server.sentBytes = Number.POSITIVE_INFINITY;
+		const outcomes: Record<string, string> = {};
+		for (const field of ['x-not-run: 1', 'x-not-run: 0', 'x-not-run: 1, 0', 'x-not-run:', 'retry-after: 1']) {
+			for (const id of ['c1', 'c2']) {
+				server.text = `HTTP/1.1 503 Service Unavailable\r\nx-request-id: ${id}\r\n${field}\r\ncontent-length: 2\r\n\r\n{}`;
+				const service = new HttpService(server.address);
+				outcomes[`${field} ${id}`] = await describeCall(service);
+				await service.close();
+			}
+		}
+
+		server.stop();
+		return outcomes;
+	};
+
+	const describeCall = async (service: HttpService) => {
+		try {
+			const {status} = await service.call(call, new AbortController().signal);
+			return `status ${status}`;
+		} catch (error) {
+			return (error as Error).name;
+		}
+	};
+
+	it('counts as not run only with "x-not-run: 1" and the id of the call', async () => {
+		expect(await listOutcomes()).to.deep.equal({
+			'x-not-run: 1 c1': 'NotRunError',
+			'x-not-run: 1 c2': 'ForeignAnswerError',
+			'x-not-run: 0 c1': 'status 503',
+			'x-not-run: 0 c2': 'ForeignAnswerError',
+			'x-not-run: 1, 0 c1': 'status 503',
+			'x-not-run: 1, 0 c2': 'ForeignAnswerError',
+			'x-not-run: c1': 'status 503',
+			'x-not-run: c2': 'ForeignAnswerError',
+			'retry-after: 1 c1': 'status 503',
+			'retry-after: 1 c2': 'ForeignAnswerError',
+		});
+	});
+});
