A success without a receipt is no answer: another engine's is awaited or sought

A lookup was answered 502 after 420 of 1,500 ms: one of two engines that had it answered 200 without the receipt, which ended the race, and the other engine, which was sound, was closed. Cause: any 2xx counted as a success; only when it was to be relayed was the receipt looked at, and then nothing was left to wait for. The engine counted as healthy too. Change: it is treated as an answer that has broken off, as on streams: the other send is awaited, or another engine sought where the request may be repeated, and it counts against the engine. Evidence: src/gateway/test/takeover.test.ts, a success without a receipt: two of three cases failed before (502 at once; no second send), all pass now.

--- a/src/gateway/plain.ts
+++ b/src/gateway/plain.ts
@@ -83,7 +83,7 @@
 
 function relayBody(served: ServedRequest, attempt: Attempt, body: Uint8Array): void {
 	const {reply} = attempt;
-	if (!reply || (attempt.isSuccess && !reply.hasReceipt)) {
+	if (!reply) {
 		finishUnanswered(served, attempt);
 		return;
 	}
--- a/src/gateway/plainrace.ts
+++ b/src/gateway/plainrace.ts
@@ -145,9 +145,14 @@
 	}
 }
 
-/** Reads the whole answer; returns `undefined` when it broke off. */
+/** Reads the whole answer; returns `undefined` when it broke off, or is a success that does not come from an engine. */
 async function readAnswer(served: ServedRequest, attempt: Attempt): Promise<Uint8Array | undefined> {
 	const body = await attempt.readBody();
+	if (body && attempt.isSuccess && !attempt.reply?.hasReceipt) {
+		attempt.abort(new TypeError('The answer has a 2xx status but no receipt.'));
+		return undefined;
+	}
+
 	if (body && attempt.isSuccess && served.route.kind === requestKind.stream) {
 		try {
 			checkEvents(body, !attempt.reply?.isEventStream || served.request.resumeAfter !== undefined);
--- a/src/gateway/test/takeover.test.ts
+++ b/src/gateway/test/takeover.test.ts
@@ -545,6 +545,39 @@
 	});
 });
 
+// Guards against ending a call for an answer that its caller can't get, while another engine can still give one.
+describe('a call that may be repeated and gets a success without a receipt', () => {
+	it('is answered by the other engine that has it', async () => {
+		const world = new TakeoverWorld({isGeneration: false});
+		await world.timers.advance(70);
+		const [first, second] = world.link.sends;
+		first!.hasReceipt = false;
+		first!.open().finish();
+		await world.timers.advance(10);
+		second!.open().finish();
+		await world.checkEnded('complete');
+		expect(world.answer.text).to.equal('200 ');
+	});
+
+	it('is sent to another engine', async () => {
+		const world = new TakeoverWorld({isGeneration: false});
+		await world.timers.advance(10);
+		world.link.sends[0]!.hasReceipt = false;
+		world.link.sends[0]!.open().finish();
+		await world.timers.advance(10);
+		world.link.sends[1]!.open().finish();
+		await world.checkEnded('complete');
+	});
+
+	it('is answered with 502 after the last engine', async () => {
+		const world = new TakeoverWorld({isGeneration: false, maxRuns: 1});
+		await world.timers.advance(10);
+		world.link.sends[0]!.hasReceipt = false;
+		world.link.sends[0]!.open().finish();
+		await world.checkEnded('refused 502');
+	});
+});
+
 // Guards against a pause that an engine asks for, and that is lost as its connection is closed while the answer arrives.
 describe('an engine that is no longer needed and refuses with a pause', () => {
 	const refuseWithPause = (send: ScriptedSend) => {
