--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -127,11 +127,7 @@
 
 /** Whether a part of a stream has an event: comments and empty lines are none. */
 export function hasEvent(bytes: Uint8Array): boolean {
-	return splitLines(bytes).some(line => line !== '' && !line.startsWith(commentStart));
-}
-
-function splitLines(bytes: Uint8Array): string[] {
-	return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('latin1').split(lineEnd);
+	return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('latin1').split(lineEnd).some(line => line !== '' && !line.startsWith(commentStart));
 }
 
 function findLastEventEnd(bytes: Uint8Array): number {
--- a/src/serving/stream.ts
+++ b/src/serving/stream.ts
@@ -250,7 +250,7 @@
 	const {progress} = serving;
 	const attempt = yield * callStep('read events', async () => progress.open.waitForNews(Math.min(progress.attemptDueAt, progress.overlapEndsAt)));
 	if (!attempt) {
-		yield * endOverlap(serving);
+		yield * finishOverlap(serving);
 		return undefined;
 	}
 
@@ -336,7 +336,7 @@
 }
 
 /** Leaves the request to the engine of the latest attempt when several have worked on it for {@link maxOverlapMs} and none has delivered an event. */
-function * endOverlap(serving: Serving): Procedure<void> {
+function * finishOverlap(serving: Serving): Procedure<void> {
 	const {dependencies, progress} = serving;
 	const latest = progress.open.list().at(-1);
 	if (!latest || dependencies.timers.getNow() < progress.overlapEndsAt) {
--- a/src/upstreams/test/httpservice.test.ts
+++ b/src/upstreams/test/httpservice.test.ts
@@ -126,7 +126,7 @@
 			for (const id of ['c1', 'c2']) {
 				server.text = `HTTP/1.1 503 Service Unavailable\r\nx-request-id: ${id}\r\n${field}\r\ncontent-length: 2\r\n\r\n{}`;
 				const service = new HttpService(server.address);
-				outcomes[`${field} ${id}`] = await describeCall(service);
+				outcomes[`${field} ${id}`] = await callService(service);
 				await service.close();
 			}
 		}
@@ -135,7 +135,7 @@
 		return outcomes;
 	};
 
-	const describeCall = async (service: HttpService) => {
+	const callService = async (service: HttpService) => {
 		try {
 			const {status} = await service.call(call, new AbortController().signal);
 			return `status ${status}`;
