The empty rest of a stream that broke off is not passed on as complete

Cause: the check of streams without events left out all that go on after an event, also where this system asks for the rest of a stream that broke off, which may lack events. Change: only the empty rest for a caller that resumes by itself is whole; any other has broken off, and is sought once more or cut.

--- a/src/gateway/streamsend.ts
+++ b/src/gateway/streamsend.ts
@@ -56,9 +56,10 @@
 		return error === undefined && isSuccess && reply?.hasReceipt === true && (this.#lastId === undefined || reply.isEventStream);
 	}
 
-	/** Whether the stream has no events, although the engine began it anew. */
+	/** Whether the stream has no events. Only a caller that asks for what follows an event may have all of them: a stream that broke off here may lack some. */
 	get isEmpty(): boolean {
-		return !this.#hasEvent && this.attempt.reply?.isEventStream === true && this.#options.resumeAfter === undefined && this.#served.request.resumeAfter === undefined;
+		const mayBeEmpty = this.#served.request.resumeAfter !== undefined && this.#options.resumeAfter === undefined;
+		return !this.#hasEvent && !mayBeEmpty && this.attempt.reply?.isEventStream === true;
 	}
 
 	/** Sends the request, at the first call, and waits for the status and header of the answer. Never throws. */
