Stand-in: a request whose connection closed during a silence does not stay at work

Cause: in the stand-in, which listened for the close of a connection only after the silence, the close had come before, so that the end of its work was never recorded. Change: such a request ends when it is taken up. The bound and the check stay as they are. Evidence: standins/fleet/test/engine.test.ts, a connection that was closed meanwhile: the end of the work was infinite before.

--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -311,7 +311,7 @@
 		const isForOther = headers['crocusworks-expect-instance'] !== this.#options.id;
 		const fault = isForOther ? undefined : this.faults.shift();
 		const arrival: Arrival = {
-			id: String(headers['crocusworks-request-id']), senderPort: request.socket.remotePort, method: request.method ?? '', path: request.url ?? '', headers, body, reachedAt, at: performance.now(), fault: this.#selectFault(request.socket, fault), isCut: response.destroyed, endedAt: Number.POSITIVE_INFINITY, isHeadSent: false, hasRun: false, isForOther, isLeavingTold: false, retryAfterMs: 0, namedLimit: undefined,
+			id: String(headers['crocusworks-request-id']), senderPort: request.socket.remotePort, method: request.method ?? '', path: request.url ?? '', headers, body, reachedAt, at: performance.now(), fault: this.#selectFault(request.socket, fault), isCut: response.destroyed, endedAt: response.destroyed ? performance.now() : Number.POSITIVE_INFINITY, isHeadSent: false, hasRun: false, isForOther, isLeavingTold: false, retryAfterMs: 0, namedLimit: undefined,
 		};
 		this.arrivals.push(arrival);
 		response.on('close', () => {
--- a/standins/fleet/test/engine.test.ts
+++ b/standins/fleet/test/engine.test.ts
@@ -42,5 +42,7 @@
 		await sleep(silenceMs);
 		const [arrival] = engine.arrivals;
 		expect([arrival!.isHeadSent, arrival!.isCut, arrival!.hasRun]).to.deep.equal([false, true, true]);
+		// It works for nobody, so it does not count as at work until the engine ends.
+		expect(arrival!.endedAt).to.be.below(performance.now());
 	});
 });
