--- a/src/changefeed/follower.ts
+++ b/src/changefeed/follower.ts
@@ -17,6 +17,8 @@
 	readonly position: StorePosition;
 	/** Age of the store's last answer to the reader, in milliseconds. */
 	readonly ageMs: number;
+	/** Address of the reader. */
+	readonly address: string;
 };
 
 export type ChangeFollowerDependencies = {
@@ -82,7 +84,9 @@
 
 		const {changes} = connection;
 		connection.changes = [];
-		return {changes, position: connection.position, ageMs: timers.getNow() - connection.answeredAt};
+		return {
+			changes, position: connection.position, ageMs: timers.getNow() - connection.answeredAt, address,
+		};
 	}
 
 	/** Closes the connection to the reader. */
--- a/src/dispatch/engine.ts
+++ b/src/dispatch/engine.ts
@@ -50,6 +50,8 @@
 	localRequests = 0;
 	/** Average duration of a request at this engine, in milliseconds; `undefined` before the first one ended. */
 	averageDurationMs: number | undefined;
+	/** Monotonic time since which the engine's registration is missing, in milliseconds; `undefined` while it is registered. */
+	missingSince: number | undefined;
 	/** Position of the latest choice of this engine in the turns of its service's engines: see `choosePlainEngine`. */
 	turn = Number.NEGATIVE_INFINITY;
 	#chosenAt = Number.NEGATIVE_INFINITY;
--- a/src/dispatch/fleet.ts
+++ b/src/dispatch/fleet.ts
@@ -37,6 +37,7 @@
 		if (known && isSameIncarnation(known.record, record)) {
 			const isChanged = hasChanged(known.record, record);
 			known.record = record;
+			known.missingSince = undefined;
 			return isChanged;
 		}
 
@@ -47,6 +48,7 @@
 		// What an incarnation has said of itself holds although its registration was missing for a while.
 		const view = removed && isSameIncarnation(removed.record, record) ? removed : new EngineView(record, this.#findPause(record), this.#findLatest(record, record.service)?.firstId);
 		view.record = record;
+		view.missingSince = undefined;
 		this.#views.set(record.id, view);
 		const views = this.#viewsByService.get(record.service) ?? [];
 		views.push(view);
@@ -61,6 +63,14 @@
 		return isOrdered && startedAt < latest.startedAt;
 	}
 
+	/** Records that the registration of an engine has been missing since `now`; holds until it registers again. */
+	markMissing(id: string, now: number): void {
+		const view = this.#views.get(id);
+		if (view) {
+			view.missingSince ??= now;
+		}
+	}
+
 	/** Removes an engine that is gone. Returns whether it was known. */
 	remove(id: string): boolean {
 		const known = this.#views.get(id);
--- a/src/gateway/reporter.ts
+++ b/src/gateway/reporter.ts
@@ -13,6 +13,8 @@
 /** Maximum number of a prompt's shared blocks that a log line names, and maximum length of a block's id there: callers choose both. */
 const maxLoggedBlocks = 8;
 const maxLoggedIdLength = 32;
+/** Age of the latest news from the store from which a request's line names it, in milliseconds: more than the time between two answers to a watch. */
+const minLoggedNewsAgeMs = 2500;
 
 /** Writes a log line for each ended request, and records requests and retries in the metrics. */
 export class LogReporter extends RequestReporter {
@@ -22,11 +24,14 @@
 	readonly #waitSeconds: Histogram;
 	readonly #attemptSeconds: Histogram;
 	readonly #overlapSeconds: Histogram;
+	readonly #getNewsAgeMs: () => number;
 
-	constructor(logs: StructuredLogs, metrics: Metrics) {
+	/** `getNewsAgeMs` returns the age of the latest news of engines and configuration, in milliseconds. */
+	constructor(logs: StructuredLogs, metrics: Metrics, getNewsAgeMs: () => number = () => 0) {
 		super();
 		this.#logs = logs;
 		this.#metrics = metrics;
+		this.#getNewsAgeMs = getNewsAgeMs;
 		this.#requestSeconds = metrics.createHistogram('crocus_request_seconds', 'Time from a request to the end of its answer', bucketBoundsSeconds);
 		// Metrics call a reservation a place.
 		this.#waitSeconds = metrics.createHistogram('crocus_place_wait_seconds', 'Time that a request waited for a place', bucketBoundsSeconds);
@@ -45,11 +50,17 @@
 			this.#waitSeconds.observe(trace.waitedMs / millisecondsPerSecond);
 		}
 
-		for (const {tookMs} of trace.attempts) {
+		for (const {tookMs, missingMs} of trace.attempts) {
 			this.#attemptSeconds.observe((tookMs ?? 0) / millisecondsPerSecond);
+			if (missingMs !== undefined) {
+				this.#metrics.count('missingSends', trace.service ?? 'unknown');
+			}
 		}
 
-		this.#logs.write('request', createLogFields(trace), `request ${trace.outcome ?? 'failed'}`);
+		const newsAgeMs = this.#getNewsAgeMs();
+		this.#logs.write('request', {
+			...createLogFields(trace), ...(newsAgeMs < minLoggedNewsAgeMs ? {} : {newsAgeMs: formatNumber(newsAgeMs)}),
+		}, `request ${trace.outcome ?? 'failed'}`);
 	}
 
 	onRetry(reason: string): void {
--- a/src/gateway/trace.ts
+++ b/src/gateway/trace.ts
@@ -26,6 +26,8 @@
 	readonly load: number;
 	/** Age of the load report, in milliseconds. */
 	readonly loadAgeMs: number;
+	/** Time for which the engine's registration had been missing, in milliseconds; absent for a registered engine. */
+	readonly missingMs?: number;
 	/** How the send ended; absent while it is in progress, and when the caller or the deadline ended it, which says nothing about the engine. */
 	sign?: EngineOutcome;
 	detail?: string;
@@ -126,6 +128,7 @@
 		const now = this.#timers.getNow();
 		const attempt: AttemptTrace = {
 			engine: view.record.id, purpose, atMs: this.#measureElapsedMs(), load: view.computeLoad(now), loadAgeMs: view.computeLoadAgeMs(now),
+			...(view.missingSince === undefined ? {} : {missingMs: Math.round(now - view.missingSince)}),
 		};
 		this.attempts.push(attempt);
 		return attempt;
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -19,6 +19,8 @@
 	configurations: {name: 'crocus_configurations_total', help: 'Configurations read, by outcome', label: 'outcome'},
 	/** Changes of engines' registrations. */
 	registrations: {name: 'crocus_registrations_total', help: 'Changes of registrations, by kind', label: 'kind'},
+	/** Sends to engines whose registrations were missing, which are kept for a time. */
+	missingSends: {name: 'crocus_missing_engine_sends_total', help: 'Sends to engines whose registration is missing, by service', label: 'service'},
 	/** Refusals of engines that named a time in which they want no request of this process. */
 	pauses: {name: 'crocus_engine_pauses_total', help: 'Pauses that engines asked for, by service', label: 'service'},
 	engineSilences: {name: 'crocus_engine_silences_total', help: 'Engines that became suspect as they sent nothing, by service', label: 'service'},
