A VM's own loss of the store is not taken for an outage of the store

Cause: after any silence of its own of more than 1.2 s an entry kept what was missing from the store, for 2 s from its own return, as registrations expire in an outage of the store; and it removed it with the next answer to a watch only, up to 1.9 s later. Nobody asked whether the store had been away for others.

Change: StoreContact knows when the store answered, by the answers to this process and what other entries tell of theirs; a time in which it answered another one is no outage. While something missing is awaited, watches follow each other without the long pause.

--- a/src/changefeed/follower.ts
+++ b/src/changefeed/follower.ts
@@ -1,5 +1,6 @@
 import type {MessageLink, MessageNetwork} from '../peers/index.js';
 import type {TimerService} from '../timers/index.js';
+import type {ContactSpan} from './contact.js';
 import {feedMessageKind, parseFeedItems, toFeedItems} from './messages.js';
 import type {FeedMessage} from './messages.js';
 import type {ChangeBatch, StoreChange, StorePosition} from './types.js';
@@ -15,8 +16,8 @@
 export type FollowedChanges = {
 	readonly changes: readonly StoreChange[];
 	readonly position: StorePosition;
-	/** Age of the store's last answer to the reader, in milliseconds. */
-	readonly ageMs: number;
+	/** When the store answered the reader; `undefined` before the first message. */
+	readonly contact: ContactSpan | undefined;
 	/** Address of the reader. */
 	readonly address: string;
 };
@@ -24,8 +25,8 @@
 export type ChangeFollowerDependencies = {
 	readonly timers: TimerService;
 	readonly network: MessageNetwork;
-	/** Returns the address of the entry that reads the store for this one; `undefined` when this one reads it by itself. */
-	readonly getReader: () => string | undefined;
+	/** Lists the addresses of the entries that may read the store for this one, the preferred one first; none when this one reads it by itself. */
+	readonly listReaders: () => readonly string[];
 	/** Called with `followed`, or with the reason why a reader is no longer followed. */
 	readonly onReaderChange: (address: string, change: string) => void;
 };
@@ -37,8 +38,9 @@
 	position: StorePosition;
 	changes: StoreChange[];
 	heardAt: number;
-	/** Monotonic time of the store's last answer to the reader, in milliseconds. */
+	/** Monotonic time of the store's last answer to the reader, in milliseconds, and that since which it has been answering. */
 	answeredAt: number;
+	answeringSince: number;
 	hasAnswer: boolean;
 	/** Why the connection is of no more use. */
 	lostReason: string | undefined;
@@ -52,40 +54,42 @@
 export class ChangeFollower {
 	readonly #dependencies: ChangeFollowerDependencies;
 	#connection: Connection | undefined;
-	#backoffUntil = Number.NEGATIVE_INFINITY;
+	/** Monotonic times until which readers are not asked again, in milliseconds, by address. */
+	readonly #backoffs = new Map<string, number>();
 
 	constructor(dependencies: ChangeFollowerDependencies) {
 		this.#dependencies = dependencies;
 	}
 
-	/** Waits up to `waitMs` for changes after `position`. Returns `undefined` when the store has to be watched instead. */
-	async watch(position: StorePosition, waitMs: number): Promise<FollowedChanges | undefined> {
-		const {timers, getReader} = this.#dependencies;
-		const address = getReader();
-		if (this.#connection && (this.#connection.address !== address || !isSame(this.#connection.position, position, this.#connection.changes))) {
+	/** Waits up to `waitMs` for changes after `position`, less when `signal` aborts. Returns `undefined` when the store has to be watched instead. */
+	async watch(position: StorePosition, waitMs: number, signal?: AbortSignal): Promise<FollowedChanges | undefined> {
+		const {timers, listReaders} = this.#dependencies;
+		const readers = listReaders();
+		if (this.#connection && !(readers.includes(this.#connection.address) && isSame(this.#connection.position, position, this.#connection.changes))) {
 			this.#closeConnection('another reader or position');
 		}
 
-		if (address === undefined || timers.getNow() < this.#backoffUntil) {
+		const address = this.#connection?.address ?? readers.find(reader => timers.getNow() >= (this.#backoffs.get(reader) ?? Number.NEGATIVE_INFINITY));
+		if (address === undefined) {
 			return undefined;
 		}
 
 		const connection = this.#connection ?? this.#open(address, position);
 		if (connection.changes.length === 0 && connection.lostReason === undefined) {
-			await this.#waitForChanges(connection, waitMs);
+			await this.#waitForChanges(connection, waitMs, signal);
 		}
 
 		const lostReason = connection.lostReason ?? this.#findFault(connection);
 		if (lostReason !== undefined) {
 			this.#closeConnection(lostReason);
-			this.#backoffUntil = timers.getNow() + backoffMs;
+			this.#skip(address);
 			return undefined;
 		}
 
-		const {changes} = connection;
+		const {changes, answeringSince, answeredAt, hasAnswer} = connection;
 		connection.changes = [];
 		return {
-			changes, position: connection.position, ageMs: timers.getNow() - connection.answeredAt, address,
+			changes, position: connection.position, contact: hasAnswer ? {since: answeringSince, until: answeredAt} : undefined, address,
 		};
 	}
 
@@ -94,14 +98,33 @@
 		this.#closeConnection('stopped');
 	}
 
-	async #waitForChanges(connection: Connection, waitMs: number): Promise<void> {
+	/** Does not ask a reader again for a time. */
+	#skip(address: string): void {
+		const now = this.#dependencies.timers.getNow();
+		for (const [other, until] of this.#backoffs) {
+			if (until <= now) {
+				this.#backoffs.delete(other);
+			}
+		}
+
+		this.#backoffs.set(address, now + backoffMs);
+	}
+
+	async #waitForChanges(connection: Connection, waitMs: number, signal?: AbortSignal): Promise<void> {
 		const {timers} = this.#dependencies;
 		const controller = new AbortController();
-		connection.wake = () => {
+		const stopWaiting = () => {
 			controller.abort();
 		};
 
+		connection.wake = stopWaiting;
+		signal?.addEventListener('abort', stopWaiting);
+		if (signal?.aborted) {
+			stopWaiting();
+		}
+
 		await timers.sleep(Math.min(waitMs, maxSilenceMs), controller.signal);
+		signal?.removeEventListener('abort', stopWaiting);
 	}
 
 	/** Finds why the reader must not be relied upon now. */
@@ -132,6 +155,7 @@
 			changes: [],
 			heardAt: now,
 			answeredAt: now,
+			answeringSince: now,
 			hasAnswer: false,
 			lostReason: undefined,
 			wake: () => undefined,
@@ -142,7 +166,7 @@
 		return connection;
 	}
 
-	/** Handles a message from the reader; ignores the kind that is only sent to a reader. */
+	/** Handles a message from the reader; ignores the kinds that are no news of the store. */
 	#onMessage(connection: Connection, message: FeedMessage): void {
 		const now = this.#dependencies.timers.getNow();
 		connection.heardAt = now;
@@ -152,13 +176,14 @@
 			return;
 		}
 
-		if (message.kind === feedMessageKind.follow) {
+		if (message.kind !== feedMessageKind.alive && message.kind !== feedMessageKind.batch) {
 			return;
 		}
 
 		const isAlive = message.kind === feedMessageKind.alive;
-		connection.hasAnswer = true;
 		connection.answeredAt = isAlive ? now - message.ageMs : now;
+		connection.answeringSince = connection.answeredAt - message.answeringMs;
+		connection.hasAnswer = true;
 		this.#onBatch(connection, isAlive ? {from: connection.position, to: message.position, changes: []} : message.batch);
 		if (!isAlive) {
 			connection.wake();
--- a/src/changefeed/messages.ts
+++ b/src/changefeed/messages.ts
@@ -3,25 +3,30 @@
 
 /** Number of each kind of message on the wire, where it is the first item; they differ from those of slot allocators, which use the same connections' port. */
 export const feedMessageKind = {
-	follow: 40, batch: 41, alive: 42, refuse: 43,
+	follow: 40, batch: 41, alive: 42, refuse: 43, ask: 44, contact: 45,
 } as const;
 
 /** A message between an entry that reads the store and one that follows it. */
 export type FeedMessage =
 	/** Asks for all changes after a position. */
 	| {readonly kind: typeof feedMessageKind.follow; readonly position: StorePosition}
-	| {readonly kind: typeof feedMessageKind.batch; readonly batch: ChangeBatch}
-	/** No further change up to a position; the store's last answer is `ageMs` old. */
-	| {readonly kind: typeof feedMessageKind.alive; readonly position: StorePosition; readonly ageMs: number}
+	/** Changes that the store has just answered, or an earlier answer; it had been answering for `answeringMs` then. */
+	| {readonly kind: typeof feedMessageKind.batch; readonly batch: ChangeBatch; readonly answeringMs: number}
+	/** No further change up to a position; the store's last answer is `ageMs` old, and it had been answering for `answeringMs` then. */
+	| {readonly kind: typeof feedMessageKind.alive; readonly position: StorePosition; readonly ageMs: number; readonly answeringMs: number}
 	/** The changes can't be had here. */
-	| {readonly kind: typeof feedMessageKind.refuse};
+	| {readonly kind: typeof feedMessageKind.refuse}
+	/** Asks when the store answered. */
+	| {readonly kind: typeof feedMessageKind.ask}
+	/** When the store answered, as far as the sender knows: as in `alive`. */
+	| {readonly kind: typeof feedMessageKind.contact; readonly ageMs: number; readonly answeringMs: number};
 
 /** Stands for a store that reports no eras. */
 const noEra = -1;
 
 /** Tells whether received items are a message of this kind of feed. */
 export function isFeedMessage(items: unknown): boolean {
-	return Array.isArray(items) && typeof items[0] === 'number' && items[0] >= feedMessageKind.follow && items[0] <= feedMessageKind.refuse;
+	return Array.isArray(items) && typeof items[0] === 'number' && items[0] >= feedMessageKind.follow && items[0] <= feedMessageKind.contact;
 }
 
 /** Converts a message into the list of items that is sent. */
@@ -33,16 +38,21 @@
 
 		case feedMessageKind.batch: {
 			const {from, to, changes} = message.batch;
-			return [message.kind, ...toPositionItems(to), from.revision, changes.map(({key, value, revision}) => [key, value ?? null, revision])];
+			return [message.kind, ...toPositionItems(to), from.revision, changes.map(({key, value, revision}) => [key, value ?? null, revision]), Math.round(message.answeringMs)];
 		}
 
 		case feedMessageKind.alive: {
-			return [message.kind, ...toPositionItems(message.position), Math.round(message.ageMs)];
+			return [message.kind, ...toPositionItems(message.position), Math.round(message.ageMs), Math.round(message.answeringMs)];
 		}
 
-		case feedMessageKind.refuse: {
+		case feedMessageKind.refuse:
+		case feedMessageKind.ask: {
 			return [message.kind];
 		}
+
+		case feedMessageKind.contact: {
+			return [message.kind, Math.round(message.ageMs), Math.round(message.answeringMs)];
+		}
 	}
 }
 
@@ -60,17 +70,24 @@
 
 		case feedMessageKind.batch: {
 			const to = parsePosition(rest);
-			return {kind, batch: {to, from: {revision: parseNumber(rest[2]), era: to.era}, changes: parseChanges(rest[3])}};
+			return {kind, batch: {to, from: {revision: parseNumber(rest[2]), era: to.era}, changes: parseChanges(rest[3])}, answeringMs: parseAnsweringMs(rest[4])};
 		}
 
 		case feedMessageKind.alive: {
-			return {kind, position: parsePosition(rest), ageMs: parseNumber(rest[2])};
+			return {
+				kind, position: parsePosition(rest), ageMs: parseDuration(rest[2]), answeringMs: parseAnsweringMs(rest[3]),
+			};
 		}
 
-		case feedMessageKind.refuse: {
+		case feedMessageKind.refuse:
+		case feedMessageKind.ask: {
 			return {kind};
 		}
 
+		case feedMessageKind.contact: {
+			return {kind, ageMs: parseDuration(rest[0]), answeringMs: parseDuration(rest[1])};
+		}
+
 		default: {
 			throw new BadFrameError('feed message is of an unknown kind');
 		}
@@ -108,3 +125,17 @@
 
 	return value;
 }
+
+function parseDuration(value: unknown): number {
+	const durationMs = parseNumber(value);
+	if (durationMs < 0) {
+		throw new BadFrameError('feed message has a negative duration');
+	}
+
+	return durationMs;
+}
+
+/** Parses for how long the store has been answering, which entries of earlier versions do not tell. */
+function parseAnsweringMs(value: unknown): number {
+	return value === undefined ? 0 : parseDuration(value);
+}
--- a/src/changefeed/publisher.ts
+++ b/src/changefeed/publisher.ts
@@ -1,6 +1,8 @@
 import type {MessageHandlers, MessageLink} from '../peers/index.js';
 import type {Timer, TimerService} from '../timers/index.js';
 import {feedMessageKind, parseFeedItems, toFeedItems} from './messages.js';
+import type {FeedMessage} from './messages.js';
+import type {ContactSpan} from './contact.js';
 import type {ChangeBatch, StorePosition} from './types.js';
 
 /** Interval at which followers are told that there is nothing new, in milliseconds: several fit into the silence after which they read the store themselves. */
@@ -15,14 +17,17 @@
 /** Passes on the changes of the store that this entry has read to entries that follow it. */
 export class ChangePublisher {
 	readonly #timers: TimerService;
+	readonly #getContact: () => ContactSpan | undefined;
 	readonly #followers = new Set<MessageLink>();
 	readonly #batches: ChangeBatch[] = [];
 	#position: StorePosition | undefined;
 	#answeredAt = Number.NEGATIVE_INFINITY;
 	#timer: Timer | undefined;
 
-	constructor(timers: TimerService) {
+	/** `getContact` returns the time in which the store has been answering, as far as this entry knows. */
+	constructor(timers: TimerService, getContact: () => ContactSpan | undefined) {
 		this.#timers = timers;
+		this.#getContact = getContact;
 	}
 
 	/** Number of entries that follow this one. */
@@ -57,7 +62,7 @@
 		this.#batches.push(batch);
 		this.#batches.splice(0, this.#batches.length - maxBatches);
 		for (const follower of this.#followers) {
-			follower.send(toFeedItems({kind: feedMessageKind.batch, batch}));
+			follower.send(toFeedItems({kind: feedMessageKind.batch, batch, answeringMs: this.#computeAnsweringMs()}));
 		}
 	}
 
@@ -78,6 +83,8 @@
 				const message = parseFeedItems(items);
 				if (message.kind === feedMessageKind.follow) {
 					this.#onFollow(link, message.position);
+				} else if (message.kind === feedMessageKind.ask) {
+					link.send(toFeedItems(this.#createContactMessage()));
 				}
 			},
 			onClose: () => {
@@ -101,7 +108,7 @@
 		}
 
 		for (const batch of this.#batches.filter(({to}) => to.revision > position.revision)) {
-			link.send(toFeedItems({kind: feedMessageKind.batch, batch}));
+			link.send(toFeedItems({kind: feedMessageKind.batch, batch, answeringMs: 0}));
 		}
 
 		this.#followers.add(link);
@@ -124,7 +131,19 @@
 	}
 
 	#sendAlive(link: MessageLink, position: StorePosition): void {
-		link.send(toFeedItems({kind: feedMessageKind.alive, position, ageMs: this.#computeAgeMs()}));
+		link.send(toFeedItems({
+			kind: feedMessageKind.alive, position, ageMs: this.#computeAgeMs(), answeringMs: this.#computeAnsweringMs(),
+		}));
+	}
+
+	/** Computes for how long the store had been answering at its last answer here, in milliseconds. */
+	#computeAnsweringMs(): number {
+		return Math.max(0, this.#answeredAt - (this.#getContact()?.since ?? this.#answeredAt));
+	}
+
+	#createContactMessage(): FeedMessage {
+		const span = this.#getContact();
+		return span ? {kind: feedMessageKind.contact, ageMs: Math.max(0, this.#timers.getNow() - span.until), answeringMs: span.until - span.since} : {kind: feedMessageKind.refuse};
 	}
 
 	#refuse(link: MessageLink): void {
--- a/src/changefeed/test/changefeed.test.ts
+++ b/src/changefeed/test/changefeed.test.ts
@@ -14,7 +14,9 @@
 class FeedWorld {
 	readonly timers = new ManualTimers();
 	readonly network = new DirectNetwork();
-	readonly publisher = new ChangePublisher(this.timers);
+	/** Since when the store has been answering the reader, monotonic, in milliseconds. */
+	answeringSince = 0;
+	readonly publisher = new ChangePublisher(this.timers, () => ({since: this.answeringSince, until: this.timers.getNow()}));
 	readonly reasons: string[] = [];
 	readonly log: StoreChange[] = [];
 	reader: string | undefined = readerAddress;
@@ -24,7 +26,7 @@
 	readonly follower = new ChangeFollower({
 		timers: this.timers,
 		network: this.network,
-		getReader: () => this.reader,
+		listReaders: () => this.reader === undefined ? [] : [this.reader],
 		onReaderChange: (_address, change) => {
 			this.reasons.push(change);
 		},
@@ -223,14 +225,18 @@
 		const position = {revision: 7, era: undefined};
 		for (const message of [
 			{kind: 40, position: {revision: 7, era: 3}},
-			{kind: 41, batch: {from: position, to: {revision: 9, era: undefined}, changes: [{key: 'a', value: 'b', revision: 8}, {key: 'c', value: undefined, revision: 9}]}},
-			{kind: 42, position, ageMs: 120},
+			{kind: 41, batch: {from: position, to: {revision: 9, era: undefined}, changes: [{key: 'a', value: 'b', revision: 8}, {key: 'c', value: undefined, revision: 9}]}, answeringMs: 70},
+			{
+				kind: 42, position, ageMs: 120, answeringMs: 4000,
+			},
 			{kind: 43},
+			{kind: 44},
+			{kind: 45, ageMs: 30, answeringMs: 90},
 		] as const) {
 			expect(parseFeedItems(toFeedItems(message))).to.deep.equal(message);
 		}
 
-		for (const items of ['x', [], [39], [40, 'a', 1], [41, 1, 1, 0], [41, 1, 1, 0, [['k', 5, 1]]], [42, 1]]) {
+		for (const items of ['x', [], [39], [40, 'a', 1], [41, 1, 1, 0], [41, 1, 1, 0, [['k', 5, 1]]], [42, 1], [42, 1, 1, -1], [42, 1, 1, 0, -1], [45, 1], [45, 1, 'a'], [45, -1, 1], [46]]) {
 			expect(() => parseFeedItems(items)).to.throw();
 		}
 	});
--- a/src/peers/test/direct.ts
+++ b/src/peers/test/direct.ts
@@ -23,6 +23,8 @@
 		if (!this.#isClosed) {
 			this.#isClosed = true;
 			this.other!.#isClosed = true;
+			this.#network.forget(this);
+			this.#network.forget(this.other!);
 			this.handlers?.onClose();
 			this.other!.handlers?.onClose();
 		}
@@ -54,6 +56,16 @@
 		this.#servers.set(address, onLink);
 	}
 
+	/** Counts the connections that are open. */
+	countOpen(): number {
+		return this.#links.size;
+	}
+
+	/** Drops a connection that was closed. */
+	forget(link: MessageLink): void {
+		this.#links.delete(link as DirectLink);
+	}
+
 	override close(): void {
 		for (const link of this.#links) {
 			link.close();
