--- a/src/dispatch/fleet.ts
+++ b/src/dispatch/fleet.ts
@@ -94,6 +94,15 @@
 		return true;
 	}
 
+	/** Records at `now` that this process may not have reached any engine for a time: each that is suspect gets a trial request at once. */
+	resumeAll(now: number): void {
+		for (const view of this.#views.values()) {
+			if (view.health.isSuspect) {
+				view.health.onResume(now);
+			}
+		}
+	}
+
 	/** Lists the ids of all known engines. */
 	listIds(): string[] {
 		return [...this.#views.keys()];
--- a/src/dispatch/test/fleet.test.ts
+++ b/src/dispatch/test/fleet.test.ts
@@ -1,5 +1,7 @@
 import {expect} from 'chai';
-import {engineStage, Fleet, isPausedUntil} from '../index.js';
+import {
+	engineOutcome, engineStage, Fleet, isPausedUntil,
+} from '../index.js';
 import type {EngineRecord} from '../index.js';
 
 const record: EngineRecord = {
@@ -31,6 +33,18 @@
 		expect(isServing()).to.equal(true);
 	});
 
+	it('gives each suspect engine one trial request when all may be reached again', () => {
+		const {health} = fleet.findServing('e1')!;
+		health.onOutcome(engineOutcome.unreachable, 1000);
+		expect(health.isAvailable(1100)).to.equal(false);
+		fleet.resumeAll(1100);
+		expect(health.isAvailable(1100)).to.equal(true);
+		health.onSend();
+		expect(health.isAvailable(1101)).to.equal(false);
+		health.onOutcome(engineOutcome.answered, 1102);
+		expect(health.isSuspect).to.equal(false);
+	});
+
 	it('takes another incarnation and registrations without a sequence', () => {
 		fleet.remove('e1');
 		fleet.onRegistration({...record, startedAt: 2, sequence: 1});
