Soak: engines that leave by their registrations, while VMs or all have lost the store

Now engines depart: they say that they drain, or not, and their registration is removed while one VM, several or all have lost the store, with the history dropped or not; they serve on for 4.5 s after the loss. DRAIN is checked from the store's confirmation, for VMs that run and reach the store for 3 s; CONFIG has the rule's bound, the later of 3 s after the return and 2 s after the write. Entries pass on what they read, so all of them have to know engines and entries by the same addresses: a preloaded module connects a process to its own links instead of the store rewriting addresses for each reader, which the stand-in no longer does.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -281,6 +281,45 @@
 	}
 }
 
+/** An engine leaves by its registration alone, which it removes, at once or after it said that it drains; it goes on serving. It ends, and its next incarnation starts, when the fault ends. */
+class DepartingEngine extends SoakFault {
+	readonly #engineHost: EngineHost;
+	readonly #delayMs: number;
+	readonly #drainMs: number;
+
+	/** `drainMs` is the time for which the registration says that it drains, in milliseconds; 0 for an engine that never says so. */
+	constructor(engineHost: EngineHost, {delayMs, drainMs, servingMs}: {readonly delayMs: number; readonly drainMs: number; readonly servingMs: number}) {
+		super(`${engineHost.name} departs after ${Math.round(delayMs)} ms, draining for ${Math.round(drainMs)} ms`, delayMs + drainMs + servingMs);
+		this.#engineHost = engineHost;
+		this.#delayMs = delayMs;
+		this.#drainMs = drainMs;
+	}
+
+	async start(world: SoakWorld): Promise<void> {
+		const {engine} = this.#engineHost;
+		setTimeout(() => {
+			this.#remove(world, engine, this.#drainMs > 0);
+		}, this.#delayMs);
+		setTimeout(() => {
+			this.#remove(world, engine, false);
+		}, this.#delayMs + this.#drainMs);
+	}
+
+	async close(world: SoakWorld): Promise<void> {
+		if (world.departures.some(({engine}) => engine === this.#engineHost.engine)) {
+			await world.stopEngine(this.#engineHost);
+			await world.startEngine(this.#engineHost);
+		}
+	}
+
+	/** Does nothing when another incarnation has started meanwhile. */
+	#remove(world: SoakWorld, engine: EngineHost['engine'], isAnnounced: boolean): void {
+		if (this.#engineHost.engine === engine && this.#engineHost.isUp) {
+			world.removeRegistration(this.#engineHost, isAnnounced);
+		}
+	}
+}
+
 /** An engine names a limit for the requests of all VMs together, and another one halfway through. */
 class LimitedEngine extends SoakFault {
 	readonly #engineHost: EngineHost;
@@ -583,3 +622,36 @@
 		silenceMs, intervalMs: silenceMs + random.pickBetween(minSoundMs, maxSoundMs), count: random.getRandom() < 0.5 ? 1 : 1 + random.pickIndex(maxSilences),
 	});
 }
+
+/** Share of the picked faults with which an engine also departs, and share of these in which its leaving is not announced. */
+const departureShare = 0.1;
+const unannouncedShare = 0.6;
+/** Bounds of the time for which a VM, or the store, is lost around a departure, in milliseconds. */
+const minLossMs = 1000;
+const maxLossMs = 6000;
+/** Time for which a departed engine goes on serving beyond the loss, in milliseconds: longer than a VM that has returned may send to it. */
+const servingAfterLossMs = 4500;
+
+/** Picks whether an engine also departs, mostly while a VM has lost the store, or the store is away; with a source of its own. */
+export function pickDeparture(world: SoakWorld, random: RandomSource): readonly SoakFault[] {
+	if (random.getRandom() >= departureShare) {
+		return [];
+	}
+
+	const pick = <Value>(values: readonly Value[]): Value => values[random.pickIndex(values.length)]!;
+	const vm = pick(world.vms);
+	const lossMs = random.pickBetween(minLossMs, maxLossMs);
+	const departure = new DepartingEngine(pick(world.engineHosts), {
+		delayMs: random.pickBetween(100, lossMs),
+		drainMs: random.getRandom() < unannouncedShare ? 0 : random.pickBetween(500, 3000),
+		servingMs: lossMs + servingAfterLossMs,
+	});
+	const losses: ReadonlyArray<() => readonly SoakFault[]> = [
+		() => [],
+		() => [new LinkFault(vm.name, 'store', pick([linkState.cut, linkState.silent, linkState.silentFromTarget, linkFaultKind.slow]), lossMs)],
+		() => [new LinkFault(vm.name, 'store', linkState.cut, lossMs), new StoreFault('forgets', lossMs / 2)],
+		() => world.vms.slice(1).map(({name}) => new LinkFault(name, 'store', linkState.silent, lossMs)),
+		() => [new StoreFault(pick(['refusing', 'silent', 'resetting']), lossMs)],
+	];
+	return [...pick(losses)(), departure];
+}
--- a/soak/invariantchecker.ts
+++ b/soak/invariantchecker.ts
@@ -14,8 +14,6 @@
 const maxLatenessMs = 1000;
 /** Time before a process's exit in which requests that are sent to it may be lost, in milliseconds; the smallest `loss_slack_ms` of any site. */
 const stopLossMs = 200;
-/** Time in which an entry reads the store again after a network cut, a pause or a start, in milliseconds: the timeout of one call and a second call. */
-const storeCatchUpMs = 3000;
 /** Limit of further sends (retries and hedges) within a window: a share of the requests, plus a constant for each entry; both as the sites set them. */
 const furtherSendRatio = 0.2;
 const furtherSendsPerEntry = 30;
@@ -48,9 +46,10 @@
 const pauseGraceMs = 500;
 const maxArrivalsInPause = 2;
 
-/** Number of crashes on one block after which entries must refuse it, the time in which they learn of it, in milliseconds, and the requests that may still arrive after that. */
-const maxCrashes = 5;
+/** Time without disruption after which a VM is held to all bounds, in milliseconds; the `contact_ms` of the sites. */
 const contactMs = 3000;
+/** Number of crashes on one block after which entries must refuse it once they have had time to learn of it, and the requests that may still arrive after that. */
+const maxCrashes = 5;
 const maxArrivalsAfterCrashes = 3;
 
 /** Time after an answer that named a limit from which requests of its VM count, in milliseconds. */
@@ -102,8 +101,8 @@
 		}
 
 		const isOutdated = call.hasReceipt ? version < latest.version : call.status === 404 && version === latest.version;
-		const connectedAt = Math.max(incarnation.startedAt, this.#findStoreCutEnd(vm)) + storeCatchUpMs;
-		if (isOutdated && sentAt > Math.max(connectedAt, latest.writtenAt) + configurationApplyMs) {
+		const inTouchAt = Math.max(incarnation.startedAt, this.#findStoreCutEnd(vm)) + contactMs;
+		if (isOutdated && sentAt > Math.max(inTouchAt, latest.writtenAt + configurationApplyMs)) {
 			this.#addViolation(call, `CONFIG: version ${latest.version} of the configuration, written ${Math.round(sentAt - latest.writtenAt)} ms before, is not in force`);
 		}
 	}
@@ -157,6 +156,7 @@
 		this.#checkOverlaps();
 		this.#checkFurtherSends();
 		this.#checkWishes();
+		this.#checkDepartures();
 		this.#checkCrashing();
 		this.#checkLimits();
 		for (const vm of this.#world.vms) {
@@ -332,6 +332,22 @@
 		}
 	}
 
+	/** Checks that engines whose leaving the store has confirmed get nothing from VMs that run, and reach the store, for long enough. */
+	#checkDepartures(): void {
+		const callsById = new Map(this.calls.map(call => [call.id, call]));
+		for (const {engine, name, confirmedAt} of this.#world.departures) {
+			const late = engine.arrivals.filter(({id, reachedAt, isForOther}) => {
+				const call = callsById.get(id);
+				const allowedMs = leavingMs + this.#computeOwnStallMs({sentAt: confirmedAt, endedAt: reachedAt});
+				return call !== undefined && !isForOther && reachedAt > confirmedAt + allowedMs && this.#isReachingStore({...call, sentAt: reachedAt});
+			});
+			const [first] = late;
+			if (first) {
+				this.#addViolation(callsById.get(first.id)!, `DRAIN: ${late.length} requests reached ${name}, the first ${Math.round(first.reachedAt - confirmedAt)} ms after the store had confirmed that it leaves at ${Math.round(confirmedAt - this.startedAt)} ms`);
+			}
+		}
+	}
+
 	/** Checks that entries which can learn of it send no more requests on which engines crash once a few have crashed. */
 	#checkCrashing(): void {
 		const callsById = new Map(this.calls.map(call => [call.id, call]));
@@ -368,10 +384,16 @@
 	}
 
 	/** Whether the VM of a call ran and could reach the store and the other VMs for {@link contactMs} before the call was sent. */
-	#isInTouch({vm, incarnation, sentAt}: ObservedCall): boolean {
+	#isInTouch(call: ObservedCall): boolean {
+		const {vm, sentAt} = call;
+		return this.#isReachingStore(call) && !this.faults.some(({fault, startedAt, endedAt}) => startedAt < sentAt && endedAt > sentAt - contactMs && fault.isCuttingVms(vm));
+	}
+
+	/** The same without the other VMs. */
+	#isReachingStore({vm, incarnation, sentAt}: ObservedCall): boolean {
 		const from = sentAt - contactMs;
 		return incarnation.startedAt < from && (incarnation.sigtermAt ?? Number.POSITIVE_INFINITY) > sentAt && !vm.hasPauseBetween(from, sentAt)
-			&& !this.faults.some(({fault, startedAt, endedAt}) => startedAt < sentAt && endedAt > from && (fault.isCuttingStore(vm) || fault.isCuttingVms(vm)));
+			&& !this.faults.some(({fault, startedAt, endedAt}) => startedAt < sentAt && endedAt > from && fault.isCuttingStore(vm));
 	}
 
 	#checkLateArrivals(rule: string, arrivals: readonly Arrival[], {name, call, until, maxCount}: {readonly name: string; readonly call: ObservedCall; readonly until: number; readonly maxCount: number}): void {
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -3,7 +3,7 @@
 import {RandomSource} from '../src/rates/index.js';
 import {runCaller, runCrashingCaller, runProbes} from './callers.js';
 import {
-	pickEndlessFault, pickEngineFault, pickFault, pickGarbled, pickLimit, pickReplacedStore, pickSilence, pickUntrueEnd,
+	pickDeparture, pickEndlessFault, pickEngineFault, pickFault, pickGarbled, pickLimit, pickReplacedStore, pickSilence, pickUntrueEnd,
 } from './faults.js';
 import type {SoakFault} from './faults.js';
 import {InvariantChecker} from './invariantchecker.js';
@@ -42,6 +42,8 @@
 const garbledSeedOffset = 7_000_000;
 /** The same for answers whose status or end says what isn't so. */
 const untrueEndSeedOffset = 8_000_000;
+/** The same for engines that depart. */
+const departureSeedOffset = 9_000_000;
 /** Longest time from the close of a process's connections until its `exit` event arrives here, in milliseconds. */
 const exitReportDelayMs = 1000;
 
@@ -105,7 +107,7 @@
 			}, hasEnded),
 		];
 		await startFaults(world, checker, {
-			random, storeRandom: new RandomSource(seed + storeSeedOffset), engineRandom: new RandomSource(seed + engineSeedOffset), endlessRandom, limitRandom: new RandomSource(seed + limitSeedOffset), silenceRandom: new RandomSource(seed + silenceSeedOffset), garbledRandom: new RandomSource(seed + garbledSeedOffset), untrueEndRandom: new RandomSource(seed + untrueEndSeedOffset),
+			random, storeRandom: new RandomSource(seed + storeSeedOffset), engineRandom: new RandomSource(seed + engineSeedOffset), endlessRandom, limitRandom: new RandomSource(seed + limitSeedOffset), silenceRandom: new RandomSource(seed + silenceSeedOffset), garbledRandom: new RandomSource(seed + garbledSeedOffset), untrueEndRandom: new RandomSource(seed + untrueEndSeedOffset), departureRandom: new RandomSource(seed + departureSeedOffset),
 		}, seconds * 1000);
 		await sleep(recoveryMs);
 		crashingState.hasEnded = true;
@@ -132,11 +134,11 @@
 	}
 }
 
-type FaultSources = {readonly random: RandomSource; readonly storeRandom: RandomSource; readonly engineRandom: RandomSource; readonly endlessRandom: RandomSource; readonly limitRandom: RandomSource; readonly silenceRandom: RandomSource; readonly garbledRandom: RandomSource; readonly untrueEndRandom: RandomSource};
+type FaultSources = {readonly random: RandomSource; readonly storeRandom: RandomSource; readonly engineRandom: RandomSource; readonly endlessRandom: RandomSource; readonly limitRandom: RandomSource; readonly silenceRandom: RandomSource; readonly garbledRandom: RandomSource; readonly untrueEndRandom: RandomSource; readonly departureRandom: RandomSource};
 
 /** Injects faults for `durationMs` and ends each when its time is up; returns when all have ended. */
 async function startFaults(world: SoakWorld, checker: InvariantChecker, {
-	random, storeRandom, engineRandom, endlessRandom, limitRandom, silenceRandom, garbledRandom, untrueEndRandom,
+	random, storeRandom, engineRandom, endlessRandom, limitRandom, silenceRandom, garbledRandom, untrueEndRandom, departureRandom,
 }: FaultSources, durationMs: number): Promise<void> {
 	const startedAt = performance.now();
 	const endings: Array<Promise<void>> = [];
@@ -150,7 +152,7 @@
 	while (performance.now() - startedAt < durationMs) {
 		await sleep(random.pickBetween(minPauseMs, maxPauseMs));
 		await startFault(pickFault(world, random));
-		for (const further of [pickReplacedStore(storeRandom), pickEngineFault(world, engineRandom), pickEndlessFault(world, endlessRandom), pickLimit(world, limitRandom), pickSilence(world, silenceRandom), pickGarbled(world, garbledRandom), pickUntrueEnd(world, untrueEndRandom)]) {
+		for (const further of [pickReplacedStore(storeRandom), pickEngineFault(world, engineRandom), pickEndlessFault(world, endlessRandom), pickLimit(world, limitRandom), pickSilence(world, silenceRandom), pickGarbled(world, garbledRandom), pickUntrueEnd(world, untrueEndRandom), ...pickDeparture(world, departureRandom)]) {
 			if (further) {
 				await startFault(further);
 			}
--- a/soak/vm.ts
+++ b/soak/vm.ts
@@ -9,10 +9,12 @@
 import {fileURLToPath} from 'node:url';
 import {settingsVariable} from '../platform/settings.js';
 import {createSettingsText} from '../standins/fleet/index.js';
+import {linksVariable} from './linkvariable.js';
 
 /** The entry's program as it is deployed: one bundled file, built by `npm run bundle`. */
 const entryProgram = fileURLToPath(new URL('../../target/crocus-platform.mjs', import.meta.url));
 const clockModule = fileURLToPath(new URL('clock.js', import.meta.url));
+const linksModule = fileURLToPath(new URL('links.js', import.meta.url));
 /** Ports that an entry listens on: for callers, for the balancer's readiness check, and for other entries. */
 export const ports = {callers: 8080, ready: 8081, peers: 8100} as const;
 /** Time between SIGTERM and SIGKILL that an entry is configured with, in milliseconds; it has to stop within this time. */
@@ -55,6 +57,8 @@
 	readonly quarantineLines: string[] = [];
 	/** Everything that its processes wrote to standard error. */
 	stderr = '';
+	/** Addresses of its links to engines and other VMs, by the addresses that these are known by. */
+	links: Readonly<Record<string, string>> = {};
 	#isClosed = false;
 	readonly #folder: string;
 	readonly #onExit: (vm: SoakVm, incarnation: Incarnation) => void;
@@ -91,8 +95,11 @@
 			return;
 		}
 
-		const child = spawn(process.execPath, ['--import', clockModule, entryProgram], {
-			env: {...process.env, [settingsVariable]: this.#settingsFile, ROARR_LOG: 'true'}, stdio: ['ignore', 'pipe', 'pipe'],
+		const child = spawn(process.execPath, ['--import', clockModule, '--import', linksModule, entryProgram], {
+			env: {
+				...process.env, [settingsVariable]: this.#settingsFile, [linksVariable]: JSON.stringify(this.links), ROARR_LOG: 'true',
+			},
+			stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		const incarnation: Incarnation = {child, startedAt: performance.now(), highestSeenVersion: 0};
 		this.incarnations.push(incarnation);
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -81,6 +81,9 @@
 	isUp: boolean;
 };
 
+/** An engine that left, and the monotonic time at which the store confirmed it, in milliseconds. */
+export type Departure = {readonly name: string; readonly engine: FleetEngine; readonly confirmedAt: number};
+
 /** A version of the configuration and the monotonic time at which the operator wrote it, in milliseconds. */
 export type WrittenVersion = {readonly version: number; readonly writtenAt: number};
 
@@ -97,6 +100,8 @@
 	readonly versions: WrittenVersion[] = [];
 	/** Monotonic times at which engines crashed on requests, in milliseconds. */
 	readonly crashes: number[] = [];
+	/** Engines that left, each with the monotonic time at which the store confirmed it, in milliseconds. */
+	readonly departures: Departure[] = [];
 	/** Copies of the store, the oldest first. */
 	readonly #copies: Array<{readonly madeAt: number; readonly copy: StoreCopy}> = [];
 	readonly #copyTimer = setInterval(() => {
@@ -122,7 +127,6 @@
 	/** Starts everything and waits until every entry is ready; throws if that takes longer than {@link startTimeoutMs}. */
 	async start(): Promise<void> {
 		await this.store.start();
-		this.store.rewriteRead = (key, text, caller) => this.#replaceAddress(key, text, caller);
 		this.writeConfiguration();
 		for (const {name, ...plainOptions} of engineShapes) {
 			const options = {...plainOptions, ...this.shape.isNarrow && narrowShapes[plainOptions.stage ?? plainOptions.service]};
@@ -136,13 +140,19 @@
 		for (const vm of this.vms) {
 			const link = await this.#openLink(`${vm.name}>store`, this.store.address, vm.ip);
 			vm.writeSettings(link.address, []);
-			for (const engineHost of this.engineHosts) {
-				await this.#openLink(`${vm.name}>${engineHost.name}`, engineHost.address);
+			const targets = [
+				...this.engineHosts.map(({name, address}) => ({name, address})),
+				...this.vms.filter(other => other !== vm).map(({name, ip}) => ({name, address: `${ip}:${ports.peers}`})),
+			];
+			const links: Record<string, string> = {};
+			for (const {name, address} of targets) {
+				const {address: linkAddress} = await this.#openLink(`${vm.name}>${name}`, address);
+				links[address] = linkAddress;
 			}
 
-			for (const other of this.vms) {
-				await this.#openLink(`${vm.name}>${other.name}`, `${other.ip}:${ports.peers}`);
-			}
+			vm.links = links;
+			// A fault may pick the link of a VM to itself, which nothing uses.
+			await this.#openLink(`${vm.name}>${vm.name}`, `${vm.ip}:${ports.peers}`);
 		}
 
 		for (const vm of this.vms) {
@@ -193,6 +203,21 @@
 		}
 	}
 
+	/** Removes the registration of an engine, which goes on serving; `isAnnounced` tells whether it says that it leaves first. */
+	removeRegistration(engineHost: EngineHost, isAnnounced: boolean): void {
+		const {name, engine, id} = engineHost;
+		if (isAnnounced) {
+			this.#writes++;
+			this.store.write(`servers/${id}`, {...engine.registration, state: 'draining', seq: 1 + this.#writes});
+		} else {
+			this.store.remove(`servers/${id}`);
+		}
+
+		if (!this.departures.some(departure => departure.engine === engine)) {
+			this.departures.push({name, engine, confirmedAt: performance.now()});
+		}
+	}
+
 	/** Writes the next version of the configuration, with a route that no other version has, so that an answer shows which version is in force. */
 	writeConfiguration(): void {
 		const version = this.versions.length + 1;
@@ -213,9 +238,10 @@
 	/** Writes the latest configuration and the registrations of the running engines again, and removes the others, as their owners do after the store came back from a copy. */
 	rewriteStore(): void {
 		this.store.write('op/config', this.#configuration);
-		const running = this.engineHosts.filter(({isUp}) => isUp);
+		const hasLeft = ({engine}: EngineHost) => this.departures.some(departure => departure.engine === engine);
+		const running = this.engineHosts.filter(engineHost => engineHost.isUp && !hasLeft(engineHost));
 		for (const key of this.store.listKeys('servers/')) {
-			if (!this.engineHosts.some(({id}) => key === `servers/${id}`)) {
+			if (!this.engineHosts.some(engineHost => key === `servers/${engineHost.id}` && !hasLeft(engineHost))) {
 				this.store.remove(key);
 			}
 		}
@@ -293,16 +319,4 @@
 		this.#links.set(name, link);
 		return link;
 	}
-
-	/** Replaces the address in a registration that a VM reads from the store by that of the VM's own link to the engine or entry. */
-	#replaceAddress(key: string, text: string, caller: string): string {
-		const vm = this.vms.find(({ip}) => ip === caller);
-		const [folder, id = ''] = key.split('/');
-		const target = folder === 'servers' ? id.split('-')[0]! : id;
-		if (!vm || (folder !== 'servers' && folder !== 'entries') || target === vm.name || target.startsWith(oddEntryPrefix)) {
-			return text;
-		}
-
-		return JSON.stringify({...JSON.parse(text) as Record<string, unknown>, address: this.getLink(vm.name, target).address});
-	}
 }
--- a/standins/fleet/store.ts
+++ b/standins/fleet/store.ts
@@ -6,8 +6,6 @@
 
 /** A key with its value in base64, its revisions and the id of its lease, 0 for none. */
 type StoredItem = {readonly key: string; readonly value: string; readonly revision: number; readonly createdRevision: number; readonly lease: number};
-/** Returns the value, in base64, that a reader gets for an item. */
-type RewriteValue = (item: StoredItem) => string;
 /** A change of a key; `item` is `undefined` when the key was removed. */
 type ChangeEvent = {readonly revision: number; readonly key: string; readonly item: StoredItem | undefined};
 type Lease = {readonly ttlMs: number; timer: NodeJS.Timeout};
@@ -46,8 +44,6 @@
 	lostAnswers = 0;
 	/** Called after each answer with the call's method and path, so that a test can change the store between two reads. */
 	onAnswered: ((call: string) => void) | undefined;
-	/** Rewrites the text that one caller, known by its IP address, reads from a key; used to give each caller another address of an engine. */
-	rewriteRead: ((key: string, text: string, caller: string) => string) | undefined;
 	/** Calls received, each as method and path. */
 	readonly calls: string[] = [];
 	/** Text of the era in the answers, instead of the store's own era; an empty text leaves the header out. */
@@ -209,7 +205,7 @@
 		const [, call = '', id = ''] = url.pathname.split('/');
 		if (method === 'GET' && call === 'kv-key') {
 			const item = this.#items.get(url.searchParams.get('key') ?? '');
-			sendJson(response, item ? 200 : 404, item ? {...encodeItem(item, this.#createRewrite(response)), as_of: this.#revision} : {error: 'none'});
+			sendJson(response, item ? 200 : 404, item ? {...encodeItem(item), as_of: this.#revision} : {error: 'none'});
 		} else if (method === 'GET' && call === 'kv-range') {
 			this.#sendRange(url, response);
 		} else if (method === 'GET' && call === 'kv-watch') {
@@ -306,21 +302,13 @@
 		}
 	}
 
-	#createRewrite(response: ServerResponse): RewriteValue {
-		const caller = response.socket?.remoteAddress ?? '';
-		return ({key, value}) => this.rewriteRead
-			? Buffer.from(this.rewriteRead(key, Buffer.from(value, 'base64').toString(), caller)).toString('base64')
-			: value;
-	}
-
 	#sendRange(url: URL, response: ServerResponse): void {
 		const prefix = url.searchParams.get('path_prefix') ?? '';
 		const after = url.searchParams.get('after') ?? '';
 		const pageSize = 3;
-		const rewriteValue = this.#createRewrite(response);
 		const keys = this.listKeys(prefix).filter(key => key > after).sort();
 		sendJson(response, 200, {
-			items: keys.slice(0, pageSize).map(key => encodeItem(this.#items.get(key)!, rewriteValue)), has_more: keys.length > pageSize, as_of: this.#revision,
+			items: keys.slice(0, pageSize).map(key => encodeItem(this.#items.get(key)!)), has_more: keys.length > pageSize, as_of: this.#revision,
 		});
 	}
 
@@ -328,13 +316,12 @@
 		const prefix = url.searchParams.get('path_prefix') ?? '';
 		const after = Number(url.searchParams.get('after'));
 		const watch: {timer?: NodeJS.Timeout} = {};
-		const rewriteValue = this.#createRewrite(response);
 		const isLost = () => after < this.#historyLostBefore - 1 || after > this.#revision;
 		const send = () => {
 			clearTimeout(watch.timer);
 			this.#watchers.delete(onChange);
 			const events = this.#events.filter(event => event.revision > after && event.key.startsWith(prefix));
-			sendJson(response, isLost() ? 410 : 200, {events: events.map(event => encodeEvent(event, rewriteValue)), as_of: this.#revision});
+			sendJson(response, isLost() ? 410 : 200, {events: events.map(event => encodeEvent(event)), as_of: this.#revision});
 		};
 
 		const isReady = () => isLost() || this.#events.some(event => event.revision > after && event.key.startsWith(prefix));
@@ -354,12 +341,12 @@
 	}
 }
 
-function encodeItem(item: StoredItem, rewriteValue: RewriteValue): Record<string, unknown> {
+function encodeItem(item: StoredItem): Record<string, unknown> {
 	return {
-		key: item.key, value: rewriteValue(item), revision: item.revision, created_rev: item.createdRevision, lease: item.lease,
+		key: item.key, value: item.value, revision: item.revision, created_rev: item.createdRevision, lease: item.lease,
 	};
 }
 
-function encodeEvent({key, revision, item}: ChangeEvent, rewriteValue: RewriteValue): Record<string, unknown> {
-	return item ? encodeItem(item, rewriteValue) : {key, revision, deleted: true};
+function encodeEvent({key, revision, item}: ChangeEvent): Record<string, unknown> {
+	return item ? encodeItem(item) : {key, revision, deleted: true};
 }
