--- a/src/changefeed/follower.ts
+++ b/src/changefeed/follower.ts
@@ -8,7 +8,7 @@
 /** Silence of the reader after which this entry reads the store itself, in milliseconds. */
 const maxSilenceMs = 1000;
 /** Maximum age of the reader's last answer from the store, in milliseconds; its own limit and the time of a message. */
-const maxAgeMs = 2000;
+const maxAgeMs = 2200;
 /** Time for which a reader that was lost or refused is not asked again, in milliseconds. */
 const backoffMs = 3000;
 
--- a/src/changefeed/publisher.ts
+++ b/src/changefeed/publisher.ts
@@ -8,7 +8,7 @@
 /** Interval at which followers are told that there is nothing new, in milliseconds: several fit into the silence after which they read the store themselves. */
 const aliveIntervalMs = 300;
 /** Maximum age of the store's last answer at which others are served, in milliseconds: a watch without changes, a pause and a slow answer. */
-const maxServedAgeMs = 1800;
+const maxServedAgeMs = 2000;
 /** Number of batches that are kept for entries that begin to follow from an earlier position. */
 const maxBatches = 64;
 /** Maximum size of the values of a batch that is passed on, in characters; larger ones are read from the store by each. */
