Missing registrations are not removed while the store is away again

By reading: the end of a grace period is a timer now; before, it took an answer to a watch. Where the store is away again within the two seconds after its return, live engines that had no time to register again would have been removed at its end.

Change: the period does not end while the latest known answer of the store, to whichever entry, is older than 3 s; a further outage begins a new one.

--- a/src/changefeed/grace.ts
+++ b/src/changefeed/grace.ts
@@ -3,6 +3,10 @@
 
 /** Time after an outage of the store in which owners of registrations that expired during it write them again, in milliseconds. */
 const reregistrationMs = 2000;
+/** Age of the latest known answer of the store above which it may be away again, in milliseconds: a pause and a watch without changes are shorter. */
+const maxQuietMs = 3000;
+/** Interval at which it is looked for answers after that, in milliseconds. */
+const quietCheckMs = 200;
 
 /**
 The time in which a registration that is missing from the store may be that of a live owner: after an outage of the store, in which registrations expire, or
@@ -66,9 +70,12 @@
 		this.#timer?.cancel();
 	}
 
+	/** Starts the timer anew, or tells of the end. It does not end while the store is away again: its owners can't have written since. */
 	#update(): void {
-		const leftMs = this.endsAt - this.#timers.getNow();
+		const now = this.#timers.getNow();
 		const wasActive = this.#timer !== undefined;
+		const isQuiet = wasActive && now - (this.#contact.span?.until ?? now) > maxQuietMs;
+		const leftMs = Math.max(this.endsAt - now, isQuiet ? quietCheckMs : 0);
 		this.#timer?.cancel();
 		this.#timer = undefined;
 		if (leftMs > 0) {
--- a/src/changefeed/test/contact.test.ts
+++ b/src/changefeed/test/contact.test.ts
@@ -162,6 +162,20 @@
 		expect([world.grace.isActive, world.countEnds()]).to.deep.equal([false, 1]);
 	});
 
+	it('does not end while the store is away again', async () => {
+		const world = createGrace();
+		await runOutage(world);
+		await world.timers.advance(500);
+		world.contact.onOwnFailure();
+		world.grace.onStoreReplaced(1500);
+		await world.timers.advance(6000);
+		expect(world.countEnds()).to.equal(0);
+		world.grace.onOwnAnswer();
+		expect([world.grace.isActive, world.countEnds()]).to.deep.equal([true, 0]);
+		await world.timers.advance(2010);
+		expect([world.grace.isActive, world.countEnds()]).to.deep.equal([false, 1]);
+	});
+
 	it('does not begin by what others tell while this process has not lost the store', async () => {
 		const world = createGrace();
 		world.grace.onOwnAnswer();
