An entry can be followed and asked while it knows limits or quarantines

What callers saw: nothing directly.

Cause: a slot allocator tells each new connection what it knows; these connections share one port with the feed, whose clients took such a message for a malformed one and closed.

Change: the clients of the feed pass over messages that are none of the feed's.

Found by reading the diff. The test 'passes over messages of the slot allocator' failed before (BadFrameError) and passes; 25 of the feed pass.

--- a/src/changefeed/asker.ts
+++ b/src/changefeed/asker.ts
@@ -1,7 +1,9 @@
 import type {MessageLink, MessageNetwork} from '../peers/index.js';
 import type {TimerService} from '../timers/index.js';
 import type {ContactSpan} from './contact.js';
-import {feedMessageKind, parseFeedItems, toFeedItems} from './messages.js';
+import {
+	feedMessageKind, isFeedMessage, parseFeedItems, toFeedItems,
+} from './messages.js';
 
 /** Time after which an entry that was asked is no longer awaited, in milliseconds. */
 const answerTimeoutMs = 1000;
@@ -43,6 +45,11 @@
 		});
 		const link = network.open(address, {
 			onMessage(items) {
+				// The other end's slot allocator tells each connection what it knows.
+				if (!isFeedMessage(items)) {
+					return;
+				}
+
 				const message = parseFeedItems(items);
 				if (message.kind === feedMessageKind.contact) {
 					const until = timers.getNow() - message.ageMs;
--- a/src/changefeed/follower.ts
+++ b/src/changefeed/follower.ts
@@ -1,7 +1,9 @@
 import type {MessageLink, MessageNetwork} from '../peers/index.js';
 import type {TimerService} from '../timers/index.js';
 import type {ContactSpan} from './contact.js';
-import {feedMessageKind, parseFeedItems, toFeedItems} from './messages.js';
+import {
+	feedMessageKind, isFeedMessage, parseFeedItems, toFeedItems,
+} from './messages.js';
 import type {FeedMessage} from './messages.js';
 import type {ChangeBatch, StoreChange, StorePosition} from './types.js';
 
@@ -144,7 +146,10 @@
 			address,
 			link: network.open(address, {
 				onMessage: items => {
-					this.#onMessage(connection, parseFeedItems(items));
+					// The other end's slot allocator tells each connection what it knows.
+					if (isFeedMessage(items)) {
+						this.#onMessage(connection, parseFeedItems(items));
+					}
 				},
 				onClose() {
 					connection.lostReason ??= 'connection closed';
--- a/src/changefeed/test/contact.test.ts
+++ b/src/changefeed/test/contact.test.ts
@@ -1,9 +1,10 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {DirectNetwork} from '../../peers/test/direct.js';
+import {allocatorMessageKind} from '../../places/index.js';
 import {ManualTimers} from '../../timers/index.js';
 import {
-	ChangePublisher, ContactAsker, listFallbackReaders, RegistrationGrace, StoreContact,
+	ChangeFollower, ChangePublisher, ContactAsker, listFallbackReaders, RegistrationGrace, StoreContact,
 } from '../index.js';
 import type {ContactSpan} from '../index.js';
 
@@ -211,6 +212,41 @@
 		expect(told).to.have.lengthOf(1);
 		expect([network.openCount, network.countOpen()]).to.deep.equal([3, 0]);
 	});
+
+	// Guards against an entry that nobody can ask, or follow, as its slot allocator greets each connection with what it knows.
+	it('passes over messages of the slot allocator at the other end, as a follower does', async () => {
+		const timers = new ManualTimers();
+		const network = new DirectNetwork();
+		const publisher = new ChangePublisher(timers, () => ({since: 0, until: timers.getNow()}));
+		publisher.publish({from: {revision: 0, era: 1}, to: {revision: 3, era: 1}, changes: []});
+		void network.serve('other:1', link => {
+			const handlers = publisher.serve(link);
+			return {
+				onMessage(items) {
+					link.send([allocatorMessageKind.limits, 0, 'other', []]);
+					handlers.onMessage(items);
+				},
+				onClose: handlers.onClose,
+			};
+		});
+		const told: ContactSpan[] = [];
+		new ContactAsker({
+			timers, network, onContact(_address, answer) {
+				told.push(answer);
+			},
+		}).ask(['other:1']);
+		const reasons: string[] = [];
+		const follower = new ChangeFollower({
+			timers, network, listReaders: () => ['other:1'], onReaderChange(_address, change) {
+				reasons.push(change);
+			},
+		});
+		const watch = follower.watch({revision: 3, era: 1}, 100);
+		await timers.advance(150);
+		const followed = await watch;
+		expect([told.length, followed?.position.revision, reasons]).to.deep.equal([1, 3, ['followed']]);
+		publisher.stop();
+	});
 });
 
 describe('listFallbackReaders', () => {
