--- a/src/changefeed/asker.ts
+++ b/src/changefeed/asker.ts
@@ -1,4 +1,4 @@
-import type {MessageLink, MessageNetwork} from '../peers/index.js';
+import type {MessageNetwork} from '../peers/index.js';
 import type {TimerService} from '../timers/index.js';
 import type {ContactSpan} from './contact.js';
 import {
@@ -18,7 +18,6 @@
 /** Asks other entries when the store answered them. */
 export class ContactAsker {
 	readonly #dependencies: ContactAskerDependencies;
-	readonly #links = new Set<MessageLink>();
 
 	constructor(dependencies: ContactAskerDependencies) {
 		this.#dependencies = dependencies;
@@ -31,13 +30,6 @@
 		}
 	}
 
-	/** Closes the connections to entries that have not answered. */
-	stop(): void {
-		for (const link of this.#links) {
-			link.close();
-		}
-	}
-
 	#askOne(address: string): void {
 		const {timers, network, onContact} = this.#dependencies;
 		const timer = timers.startTimer(answerTimeoutMs, () => {
@@ -58,12 +50,10 @@
 
 				link.close();
 			},
-			onClose: () => {
+			onClose() {
 				timer.cancel();
-				this.#links.delete(link);
 			},
 		});
-		this.#links.add(link);
 		link.send(toFeedItems({kind: feedMessageKind.ask}));
 	}
 }
--- a/src/changefeed/grace.ts
+++ b/src/changefeed/grace.ts
@@ -5,7 +5,7 @@
 const reregistrationMs = 2000;
 /** Age of the latest known answer of the store above which it may be away again, in milliseconds: a pause and a watch without changes are shorter. */
 const maxQuietMs = 3000;
-/** Interval at which it is looked for answers after that, in milliseconds. */
+/** Interval at which its answers are looked for after that, in milliseconds. */
 const quietCheckMs = 200;
 
 /**
@@ -44,11 +44,11 @@
 
 	/** Records that a call of this process was answered by the store. */
 	onOwnAnswer(): void {
-		const previous = this.#contact.outage;
+		const latestEnd = this.#contact.outage?.endedAt ?? Number.NEGATIVE_INFINITY;
 		this.#contact.onOwnAnswer(this.#timers.getNow());
 		this.#update();
 		const {outage} = this.#contact;
-		if (outage && outage.endedAt !== previous?.endedAt) {
+		if (outage && outage.endedAt > latestEnd) {
 			this.#onOutage(outage);
 		}
 	}
