--- a/src/changefeed/follower.ts
+++ b/src/changefeed/follower.ts
@@ -51,7 +51,7 @@
 
 /**
 Follows the changes of the store at another entry instead of watching the store. A reader that is silent, cut off from the
-store, or behind is left at once for the store itself; nothing is taken from it that does not continue what is known here.
+store, or behind is left at once, for another reader or the store itself; nothing is taken from it that does not continue what is known here.
 */
 export class ChangeFollower {
 	readonly #dependencies: ChangeFollowerDependencies;
@@ -63,7 +63,7 @@
 		this.#dependencies = dependencies;
 	}
 
-	/** Waits up to `waitMs` for changes after `position`, less when `signal` aborts. Returns `undefined` when the store has to be watched instead. */
+	/** Waits up to `waitMs` for changes after `position`, or until `signal` aborts. Returns `undefined` when there are none to be had from a reader now: the store, or the next reader, is to be asked. */
 	async watch(position: StorePosition, waitMs: number, signal?: AbortSignal): Promise<FollowedChanges | undefined> {
 		const {timers, listReaders} = this.#dependencies;
 		const readers = listReaders();
