Elapsed time on two clocks stands once, in src/timers

The lease measured its age on the larger of the monotonic and the wall clock by itself; revocation and duties need the same.

--- a/src/authority/lease.ts
+++ b/src/authority/lease.ts
@@ -1,6 +1,7 @@
 import {LeaseHeldError, StoreUnavailableError, StoreUncertainError} from '../errors/index.js';
 import type {Store} from '../store/index.js';
-import type {TimerService} from '../timers/index.js';
+import {measureElapsedMs, readClocks} from '../timers/index.js';
+import type {ClockReading, TimerService} from '../timers/index.js';
 
 /** Status of the authority over a failure domain, as seen by this process. */
 export abstract class AuthorityStatus {
@@ -21,9 +22,6 @@
 	readonly marginMs: number;
 };
 
-/** Both clocks at one moment, in milliseconds: `now` is monotonic. */
-type ClockReading = {readonly now: number; readonly wall: number};
-
 /**
 A lease in the store. Its age is counted from when the last successful renewal was sent, on the monotonic clock (which
 stops while the VM is suspended) or the wall clock (which may jump), whichever shows more elapsed time.
@@ -49,14 +47,12 @@
 			return false;
 		}
 
-		const {now, wall} = this.#readClocks();
-		const elapsedMs = Math.max(now - this.#renewalSentAt.now, wall - this.#renewalSentAt.wall);
-		return elapsedMs < this.#dependencies.ttlMs - this.#dependencies.marginMs;
+		return measureElapsedMs(this.#dependencies.timers, this.#renewalSentAt) < this.#dependencies.ttlMs - this.#dependencies.marginMs;
 	}
 
 	/** Tries once to acquire or renew the lease and returns whether it is held. */
 	async tryAcquire(): Promise<boolean> {
-		const sentAt = this.#readClocks();
+		const sentAt = readClocks(this.#dependencies.timers);
 		try {
 			await this.#dependencies.store.acquire(this.#dependencies.name, this.#dependencies.holder, this.#dependencies.ttlMs);
 		} catch (error) {
@@ -100,8 +96,4 @@
 			throw error;
 		}
 	}
-
-	#readClocks(): ClockReading {
-		return {now: this.#dependencies.timers.getNow(), wall: this.#dependencies.timers.getWallTime()};
-	}
 }
