Customers' API keys: checked on arrival and before each send; revocation fails closed

Where the settings bound revocation, each process knows the age of its configuration, counted from when the store was asked, with suspensions and hop by hop, and refuses requests with keys before the bound.

--- a/src/changefeed/follower.ts
+++ b/src/changefeed/follower.ts
@@ -1,5 +1,6 @@
 import type {MessageLink, MessageNetwork} from '../peers/index.js';
-import type {TimerService} from '../timers/index.js';
+import {measureElapsedMs, readClocks} from '../timers/index.js';
+import type {ClockReading, Timer, TimerService} from '../timers/index.js';
 import type {ContactSpan} from './contact.js';
 import {
 	feedMessageKind, isFeedMessage, parseFeedItems, toFeedItems,
@@ -13,6 +14,8 @@
 const maxAgeMs = 2200;
 /** Time for which a reader that was lost or refused is not asked again, in milliseconds. */
 const backoffMs = 3000;
+/** Maximum number of unanswered queries whose times are kept: those of several seconds. */
+const maxQueries = 16;
 
 /** What a reader told of the store. */
 export type FollowedChanges = {
@@ -22,6 +25,8 @@
 	readonly contact: ContactSpan | undefined;
 	/** Address of the reader. */
 	readonly address: string;
+	/** Age of the state after these changes, in milliseconds: it was the store's newest then. `undefined` when that is not known anew. */
+	readonly knownAgeMs: number | undefined;
 };
 
 export type ChangeFollowerDependencies = {
@@ -29,6 +34,8 @@
 	readonly network: MessageNetwork;
 	/** Lists the addresses of the entries that may read the store for this one, the preferred one first; none when this one reads it by itself. */
 	readonly listReaders: () => readonly string[];
+	/** Interval at which a reader is asked how old the state is that it told, in milliseconds; `undefined` where that is not needed. */
+	readonly confirmIntervalMs?: number;
 	/** Called with `followed`, or with the reason why a reader is no longer followed. */
 	readonly onReaderChange: (address: string, change: string) => void;
 };
@@ -44,6 +51,12 @@
 	answeredAt: number;
 	answeringSince: number;
 	hasAnswer: boolean;
+	/** When each unanswered query for the age of the state was sent, by its number. */
+	readonly queries: Map<number, ClockReading>;
+	queryCount: number;
+	queryTimer: Timer | undefined;
+	/** The age that the reader told, counted from the time at which it was asked: its answer may have been held up on the way. */
+	confirmation: {readonly askedAt: ClockReading; readonly ageMs: number} | undefined;
 	/** Why the connection is of no more use. */
 	lostReason: string | undefined;
 	wake: () => void;
@@ -77,7 +90,7 @@
 		}
 
 		const connection = this.#connection ?? this.#open(address, position);
-		if (connection.changes.length === 0 && connection.lostReason === undefined) {
+		if (connection.changes.length === 0 && connection.lostReason === undefined && !connection.confirmation) {
 			await this.#waitForChanges(connection, waitMs, signal);
 		}
 
@@ -88,10 +101,14 @@
 			return undefined;
 		}
 
-		const {changes, answeringSince, answeredAt, hasAnswer} = connection;
+		const {
+			changes, answeringSince, answeredAt, hasAnswer, confirmation,
+		} = connection;
 		connection.changes = [];
+		connection.confirmation = undefined;
 		return {
 			changes, position: connection.position, contact: hasAnswer ? {since: answeringSince, until: answeredAt} : undefined, address,
+			knownAgeMs: confirmation && confirmation.ageMs + Math.max(0, measureElapsedMs(timers, confirmation.askedAt)),
 		};
 	}
 
@@ -140,7 +157,9 @@
 	}
 
 	#open(address: string, position: StorePosition): Connection {
-		const {timers, network, onReaderChange} = this.#dependencies;
+		const {
+			timers, network, onReaderChange, confirmIntervalMs,
+		} = this.#dependencies;
 		const now = timers.getNow();
 		const connection: Connection = {
 			address,
@@ -162,15 +181,47 @@
 			answeredAt: now,
 			answeringSince: now,
 			hasAnswer: false,
+			queries: new Map(),
+			queryCount: 0,
+			queryTimer: undefined,
+			confirmation: undefined,
 			lostReason: undefined,
 			wake: () => undefined,
 		};
 		this.#connection = connection;
 		connection.link.send(toFeedItems({kind: feedMessageKind.follow, position}));
 		onReaderChange(address, 'followed');
+		if (confirmIntervalMs !== undefined) {
+			this.#askForAge(connection);
+			connection.queryTimer = timers.startInterval(confirmIntervalMs, () => {
+				this.#askForAge(connection);
+			});
+		}
+
 		return connection;
 	}
 
+	#askForAge(connection: Connection): void {
+		connection.queryCount++;
+		connection.queries.set(connection.queryCount, readClocks(this.#dependencies.timers));
+		if (connection.queries.size > maxQueries) {
+			connection.queries.delete(connection.queryCount - maxQueries);
+		}
+
+		connection.link.send(toFeedItems({kind: feedMessageKind.confirm, number: connection.queryCount}));
+	}
+
+	/** Handles the age that the reader told; what it told before on this connection is part of that state. */
+	#onConfirmed(connection: Connection, {number, position, ageMs}: Extract<FeedMessage, {readonly kind: typeof feedMessageKind.confirmed}>): void {
+		const askedAt = connection.queries.get(number);
+		connection.queries.delete(number);
+		this.#onBatch(connection, {from: connection.position, to: position, changes: []});
+		if (askedAt && connection.lostReason === undefined) {
+			connection.confirmation = {askedAt, ageMs};
+			connection.wake();
+		}
+	}
+
 	/** Handles a message from the reader; ignores the kinds that are no news of the store. */
 	#onMessage(connection: Connection, message: FeedMessage): void {
 		const now = this.#dependencies.timers.getNow();
@@ -181,6 +232,11 @@
 			return;
 		}
 
+		if (message.kind === feedMessageKind.confirmed) {
+			this.#onConfirmed(connection, message);
+			return;
+		}
+
 		if (message.kind !== feedMessageKind.alive && message.kind !== feedMessageKind.batch) {
 			return;
 		}
@@ -211,6 +267,7 @@
 		const connection = this.#connection;
 		if (connection) {
 			this.#connection = undefined;
+			connection.queryTimer?.cancel();
 			connection.link.close();
 			this.#dependencies.onReaderChange(connection.address, reason);
 		}
--- a/src/changefeed/messages.ts
+++ b/src/changefeed/messages.ts
@@ -3,7 +3,7 @@
 
 /** Number of each kind of message on the wire, where it is the first item; they differ from those of slot allocators, which use the same connections' port. */
 export const feedMessageKind = {
-	follow: 40, batch: 41, alive: 42, refuse: 43, ask: 44, contact: 45,
+	follow: 40, batch: 41, alive: 42, refuse: 43, ask: 44, contact: 45, confirm: 46, confirmed: 47,
 } as const;
 
 /** A message between an entry that reads the store and one that follows it. */
@@ -19,14 +19,18 @@
 	/** Asks when the store answered. */
 	| {readonly kind: typeof feedMessageKind.ask}
 	/** When the store answered, as far as the sender knows: as in `alive`. */
-	| {readonly kind: typeof feedMessageKind.contact; readonly ageMs: number; readonly answeringMs: number};
+	| {readonly kind: typeof feedMessageKind.contact; readonly ageMs: number; readonly answeringMs: number}
+	/** Asks how old the knowledge of the changes up to the answer's position is. */
+	| {readonly kind: typeof feedMessageKind.confirm; readonly number: number}
+	/** No further change up to a position, which was the store's newest state `ageMs` before; `number` is that of the query. */
+	| {readonly kind: typeof feedMessageKind.confirmed; readonly number: number; readonly position: StorePosition; readonly ageMs: number};
 
 /** Stands for a store that reports no eras. */
 const noEra = -1;
 
 /** Tells whether received items are a message of this kind of feed. */
 export function isFeedMessage(items: unknown): boolean {
-	return Array.isArray(items) && typeof items[0] === 'number' && items[0] >= feedMessageKind.follow && items[0] <= feedMessageKind.contact;
+	return Array.isArray(items) && typeof items[0] === 'number' && items[0] >= feedMessageKind.follow && items[0] <= feedMessageKind.confirmed;
 }
 
 /** Converts a message into the list of items that is sent. */
@@ -53,6 +57,14 @@
 		case feedMessageKind.contact: {
 			return [message.kind, Math.round(message.ageMs), Math.round(message.answeringMs)];
 		}
+
+		case feedMessageKind.confirm: {
+			return [message.kind, message.number];
+		}
+
+		case feedMessageKind.confirmed: {
+			return [message.kind, ...toPositionItems(message.position), message.number, Math.ceil(message.ageMs)];
+		}
 	}
 }
 
@@ -88,6 +100,16 @@
 			return {kind, ageMs: parseDuration(rest[0]), answeringMs: parseDuration(rest[1])};
 		}
 
+		case feedMessageKind.confirm: {
+			return {kind, number: parseNumber(rest[0])};
+		}
+
+		case feedMessageKind.confirmed: {
+			return {
+				kind, position: parsePosition(rest), number: parseNumber(rest[2]), ageMs: parseDuration(rest[3]),
+			};
+		}
+
 		default: {
 			throw new BadFrameError('feed message is of an unknown kind');
 		}
--- a/src/changefeed/publisher.ts
+++ b/src/changefeed/publisher.ts
@@ -18,16 +18,21 @@
 export class ChangePublisher {
 	readonly #timers: TimerService;
 	readonly #getContact: () => ContactSpan | undefined;
+	readonly #computeKnowledgeAgeMs: () => number;
 	readonly #followers = new Set<MessageLink>();
 	readonly #batches: ChangeBatch[] = [];
 	#position: StorePosition | undefined;
 	#answeredAt = Number.NEGATIVE_INFINITY;
 	#timer: Timer | undefined;
 
-	/** `getContact` returns the time in which the store has been answering, as far as this entry knows. */
-	constructor(timers: TimerService, getContact: () => ContactSpan | undefined) {
+	/**
+	`getContact` returns the time in which the store has been answering, as far as this entry knows; `computeKnowledgeAgeMs` the age of the state
+	that was published last, infinite if it is not known.
+	*/
+	constructor(timers: TimerService, getContact: () => ContactSpan | undefined, computeKnowledgeAgeMs: () => number = () => Number.POSITIVE_INFINITY) {
 		this.#timers = timers;
 		this.#getContact = getContact;
+		this.#computeKnowledgeAgeMs = computeKnowledgeAgeMs;
 	}
 
 	/** Number of entries that follow this one. */
@@ -83,9 +88,16 @@
 				const message = parseFeedItems(items);
 				if (message.kind === feedMessageKind.follow) {
 					this.#onFollow(link, message.position);
-				} else if (message.kind === feedMessageKind.ask) {
+					return;
+				}
+
+				if (message.kind === feedMessageKind.ask) {
 					link.send(toFeedItems(this.#createContactMessage()));
 				}
+
+				if (message.kind === feedMessageKind.confirm) {
+					this.#onConfirm(link, message.number);
+				}
 			},
 			onClose: () => {
 				this.#followers.delete(link);
@@ -118,6 +130,16 @@
 		});
 	}
 
+	/** Tells a follower how old the state is that it has been sent. */
+	#onConfirm(link: MessageLink, number: number): void {
+		const ageMs = this.#computeKnowledgeAgeMs();
+		if (this.#position && this.#followers.has(link) && Number.isFinite(ageMs)) {
+			link.send(toFeedItems({
+				kind: feedMessageKind.confirmed, position: this.#position, number, ageMs,
+			}));
+		}
+	}
+
 	#sendAliveToAll(): void {
 		const position = this.#position;
 		if (!position || this.#computeAgeMs() > maxServedAgeMs) {
--- a/src/errors/reasons.ts
+++ b/src/errors/reasons.ts
@@ -23,6 +23,10 @@
 	quarantined: 'quarantined',
 	/** All engines that could serve it have got as many requests as their limits allow. */
 	limited: 'limited',
+	/** The request carries no API key of a customer. */
+	unknownKey: 'unknown_key',
+	/** What this process knows of the configuration is so old that the request's key may have been revoked. */
+	configurationStale: 'configuration_stale',
 } as const;
 
 /** See {@link refusalReason}. */
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -143,6 +143,15 @@
 
 	/** Sends the request and waits for the status and header of the answer. Never throws; sets `reply` or `error`. */
 	async send(served: ServedRequest, options: AttemptOptions): Promise<void> {
+		const refusal = served.route.isPublic ? undefined : this.#dependencies.access?.check(served.request.credential);
+		if (refusal !== undefined) {
+			// Says nothing about the engine. The request is refused before another engine is sought.
+			this.isNotSent = true;
+			this.isNotRun = true;
+			this.#settle(undefined, refusal);
+			return;
+		}
+
 		try {
 			const reply = await this.#dependencies.link.send({
 				target: this.view.record,
--- a/src/gateway/ending.ts
+++ b/src/gateway/ending.ts
@@ -8,6 +8,9 @@
 /** Time after which to retry when a process that is stopping refused, in milliseconds: short, since a new connection goes to another process at once. */
 export const drainingRetryAfterMs = 50;
 
+/** Time after which to retry when this process may not know of a revoked key, in milliseconds: short, since a new connection goes to another process. */
+export const staleRetryAfterMs = 100;
+
 /** How a queued request chooses an engine. */
 export type EngineSearch<Choice> = {
 	/** Expected time from the choice of an engine to the first byte of its answer, in milliseconds. */
@@ -74,6 +77,22 @@
 	refuseUnadmitted(served, new NotRunError('The prompt has blocks that crash engines.', {props: {reason: refusalReason.quarantined, retryAfterMs: quarantineMs}}), mayHaveRun);
 }
 
+/** Ends a request that must not be sent to an engine now, as its API key is or may be revoked. Returns whether it did. */
+export function refuseAccess({access}: GatewayDependencies, served: ServedRequest, mayHaveRun: boolean): boolean {
+	const reason = served.route.isPublic ? undefined : access?.check(served.request.credential);
+	if (reason === undefined) {
+		return false;
+	}
+
+	if (reason === refusalReason.unknownKey && !mayHaveRun && !served.answer.isStarted && !served.answer.signal.aborted) {
+		refuse(served, 401, reason, undefined);
+	} else {
+		refuseUnadmitted(served, new NotRunError('The API key of the request is or may be revoked.', {props: {reason, retryAfterMs: staleRetryAfterMs}}), mayHaveRun);
+	}
+
+	return true;
+}
+
 /** Ends a request that may have run but has no answer to relay. */
 export function finishUnanswered(served: ServedRequest, attempt: Attempt): void {
 	if (served.answer.signal.aborted) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,9 +1,10 @@
+import type {AccessRefusal, Credential} from '../customers/index.js';
 import {AdmissionQueue} from '../dispatch/index.js';
 import type {EngineView, Fleet} from '../dispatch/index.js';
 import {DeadlineError, refusalReason} from '../errors/index.js';
 import {runProcedure} from '../procedures/index.js';
 import type {Timer} from '../timers/index.js';
-import {drainingRetryAfterMs} from './ending.js';
+import {drainingRetryAfterMs, staleRetryAfterMs} from './ending.js';
 import {serveGeneration} from './generation.js';
 import {servePlain} from './plain.js';
 import type {CallerAnswer} from './ports.js';
@@ -62,6 +63,7 @@
 
 		this.#configuration = configuration;
 		this.#routeTable = new RouteTable(configuration);
+		this.#dependencies.access?.apply(configuration.customers);
 		return true;
 	}
 
@@ -97,6 +99,25 @@
 		return count;
 	}
 
+	/**
+	Decides by its API key whether a request whose header has arrived may be served: returns its credential, why it is refused, or `undefined`
+	where it needs no key or can't be served anyway.
+	*/
+	authorize({host, path, key}: {readonly host: string; readonly path: string; readonly key: string | undefined}): Credential | AccessRefusal | undefined {
+		const route = this.#routeTable?.findRoute(host, path);
+		return !route || route.isPublic ? undefined : this.#dependencies.access?.decide(key);
+	}
+
+	/** Refuses a request whose header has arrived, by what `authorize` returned. */
+	refuseAccess(answer: CallerAnswer, reason: AccessRefusal, requestId: string | undefined): void {
+		this.#dependencies.reporter.onAccessRefused(reason, requestId);
+		if (reason === refusalReason.unknownKey) {
+			answer.refuse(401, reason, undefined);
+		} else {
+			answer.refuse(503, reason, staleRetryAfterMs);
+		}
+	}
+
 	/** Serves one request; never throws. */
 	async serve(request: GatewayRequest, answer: CallerAnswer): Promise<void> {
 		this.#inProgress++;
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -9,7 +9,7 @@
 import {Attempt} from './attempt.js';
 import type {AttemptOptions} from './attempt.js';
 import {
-	finishUnanswered, refusePaused, refuseQuarantined, refuseRetry, refuseUnadmitted,
+	finishUnanswered, refuseAccess, refusePaused, refuseQuarantined, refuseRetry, refuseUnadmitted,
 } from './ending.js';
 import {emptyStreamMessage} from './events.js';
 import type {KvCacheHandle} from './ports.js';
@@ -63,6 +63,11 @@
 export function * serveGeneration(dependencies: GatewayDependencies, served: ServedRequest): Procedure<void> {
 	const progress = new GenerationProgress(served);
 	for (;;) {
+		if (refuseAccess(dependencies, served, progress.runs > 0)) {
+			releaseHeldKvCache(dependencies, served, progress);
+			return;
+		}
+
 		const reservation = yield * callStep('wait for a place', async () => acquireReservation(dependencies, served, progress));
 		const decodeEngine = reservation && served.fleet.findAccepting(reservation.engines.decodeEngine, dependencies.timers.getNow());
 		if (!reservation) {
--- a/src/gateway/plain.ts
+++ b/src/gateway/plain.ts
@@ -5,7 +5,7 @@
 import type {Procedure} from '../procedures/index.js';
 import type {Attempt} from './attempt.js';
 import {
-	finishUnanswered, refusePaused, refuseRetry, waitForEngine,
+	finishUnanswered, refuseAccess, refusePaused, refuseRetry, waitForEngine,
 } from './ending.js';
 import {PlainProgress} from './plainprogress.js';
 import {PlainRace} from './plainrace.js';
@@ -20,6 +20,10 @@
 export function * servePlain(dependencies: GatewayDependencies, served: ServedRequest, queue: AdmissionQueue<EngineView>): Procedure<void> {
 	const progress = new PlainProgress();
 	for (;;) {
+		if (refuseAccess(dependencies, served, progress.runs > 0)) {
+			return;
+		}
+
 		if (isPausedUntil(served.deadlineAt, served.fleet.listServing(served.service), dependencies.timers.getNow())) {
 			refusePaused(dependencies, served, progress.runs > 0);
 			return;
--- a/src/gateway/reporter.ts
+++ b/src/gateway/reporter.ts
@@ -1,5 +1,6 @@
 import type {Histogram} from 'prom-client';
 import type {EngineView} from '../dispatch/index.js';
+import type {RefusalReason} from '../errors/index.js';
 import {formatError} from '../errors/index.js';
 import type {StructuredLogs} from '../logs/index.js';
 import type {Metrics} from '../metrics/index.js';
@@ -67,6 +68,11 @@
 		this.#metrics.count('retries', reason);
 	}
 
+	onAccessRefused(reason: RefusalReason, requestId: string | undefined): void {
+		this.#metrics.count('refusals', reason);
+		this.#logs.write('caller', {request: requestId ?? null, reason}, 'request refused by its API key before its body was read; nothing was sent to an engine');
+	}
+
 	onLeaving({record: {id, service}}: EngineView, requestId: string): void {
 		this.#metrics.count('registrations', 'leaving_by_answer');
 		this.#logs.write('engine', {engine: id, service, request: requestId}, 'answer says that the engine leaves; it gets no more requests, whatever its registration says');
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -1,3 +1,4 @@
+import type {CustomerAccess} from '../customers/index.js';
 import type {EngineView, Fleet} from '../dispatch/index.js';
 import type {WindowRetryBudget} from '../retries/index.js';
 import type {PermitProvider, ReservationProvider} from '../places/index.js';
@@ -22,6 +23,8 @@
 	/** Blocks of prompts that crash engines; requests with them are refused. */
 	readonly quarantine: BlockQuarantine;
 	readonly serviceTimes: ServiceTimes;
+	/** Decides which requests may run by their API keys. Default: requests need none. */
+	readonly access?: CustomerAccess;
 	readonly retryBudget: WindowRetryBudget;
 	readonly reporter: RequestReporter;
 	/** Returns a uniform random number in [0, 1). */
--- a/src/gateway/test/takeover.test.ts
+++ b/src/gateway/test/takeover.test.ts
@@ -230,6 +230,10 @@
 	readonly failedTasks: string[] = [];
 	readonly outcomes: Array<string | undefined> = [];
 
+	onAccessRefused(): void {
+		// Nothing to report.
+	}
+
 	onEnd({outcome}: RequestTrace): void {
 		this.outcomes.push(outcome);
 	}
--- a/src/gateway/trace.ts
+++ b/src/gateway/trace.ts
@@ -1,4 +1,5 @@
 import type {EngineOutcome, EngineView} from '../dispatch/index.js';
+import type {RefusalReason} from '../errors/index.js';
 import type {TimerService} from '../timers/index.js';
 import type {AnswerFraming} from './ports.js';
 import type {GatewayRequest, Route} from './types.js';
@@ -59,6 +60,9 @@
 	abstract onEnd(trace: RequestTrace): void;
 	abstract onRetry(reason: string): void;
 
+	/** Reports that a request was refused before its body was read, as its API key is unknown or may be revoked. */
+	abstract onAccessRefused(reason: RefusalReason, requestId: string | undefined): void;
+
 	/** Called when an answer was the first to say that its engine leaves. */
 	abstract onLeaving(view: EngineView, requestId: string): void;
 
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -1,3 +1,5 @@
+import type {Credential, CustomerTable} from '../customers/index.js';
+
 /** Kind of a request; it decides whether the request may be sent again after an engine may have run it. */
 export const requestKind = {idempotent: 'idempotent', unrepeatable: 'unrepeatable', stream: 'stream'} as const;
 
@@ -31,6 +33,8 @@
 	readonly priority: number;
 	/** Whether a broken stream may be resumed at another engine after the last event that was sent. */
 	readonly isResumable: boolean;
+	/** Whether its requests need no API key. Default: they do where the configuration lists customers. */
+	readonly isPublic?: boolean;
 };
 
 /** Capacity of each engine of a model service. */
@@ -66,6 +70,8 @@
 	readonly routes: readonly Route[];
 	readonly services: ReadonlyMap<string, ServiceSpec>;
 	readonly limits: IngressLimits;
+	/** The customers and their API keys; `undefined` where requests need none. */
+	readonly customers?: CustomerTable;
 };
 
 /** One block of a prompt; requests whose prompts share a block give it the same id. */
@@ -102,4 +108,6 @@
 	readonly prompt: Prompt | undefined;
 	/** Id of the last event that the caller has received, when it resumes a stream. */
 	readonly resumeAfter: string | undefined;
+	/** The caller's API key, with its customer; `undefined` where requests need none. */
+	readonly credential?: Credential;
 };
