--- a/src/duties/index.ts
+++ b/src/duties/index.ts
@@ -3,5 +3,9 @@
 	Duty, dutyOutcome, DutyPlatform, DutyStore,
 } from './types.js';
 export type {
-	DutyFence, DutyOutcome, EngineOrder, StoredValue,
+	DutyFence, DutyLease, DutyOutcome, EngineOrder, StoredValue, StoreWrite,
 } from './types.js';
+export {dutyKey, formatHolder, parseHolder} from './record.js';
+export type {DutyRecord} from './record.js';
+export {LeasedDuty} from './leasedduty.js';
+export type {LeasedDutyDependencies, LeasedDutyOptions} from './leasedduty.js';
--- a/src/duties/types.ts
+++ b/src/duties/types.ts
@@ -61,12 +61,29 @@
 	readonly era: number | undefined;
 };
 
+/** A lease of the store; keys that are written under it are removed when it ends. */
+export type DutyLease = {
+	readonly id: number;
+	readonly era: number | undefined;
+};
+
+/** A write of a transaction; without a lease it stays. */
+export type StoreWrite = {readonly key: string; readonly value: string; readonly lease?: DutyLease};
+
 /** What duties keep in the platform's store. Calls may throw `StoreUnavailableError`, and those that write `StoreUncertainError`. */
 export abstract class DutyStore {
-	abstract read(key: string): Promise<StoredValue>;
+	abstract acquireLease(ttlMs: number): Promise<DutyLease>;
 
-	/** Writes a key without a lease if its last change is `expectedRevision` (0: it does not exist); returns the new revision, `undefined` on a conflict. */
-	abstract tryWrite(key: string, value: string, expectedRevision: number): Promise<number | undefined>;
+	/** Renews a lease; returns `false` when it has ended or belongs to an earlier era. */
+	abstract renewLease(lease: DutyLease): Promise<boolean>;
+
+	/** Ends a lease, which removes its keys. */
+	abstract endLease(lease: DutyLease): Promise<void>;
+
+	/** Writes all keys if the last change of each expected one is the given revision (0: it does not exist). Returns the new revision, `undefined` on a conflict or when a lease has ended. */
+	abstract tryTransact(expected: ReadonlyMap<string, number>, writes: readonly StoreWrite[]): Promise<number | undefined>;
+
+	abstract read(key: string): Promise<StoredValue>;
 
 	/** Removes keys, whatever their values are. */
 	abstract remove(keys: readonly string[]): Promise<void>;
