--- a/src/changefeed/follower.ts
+++ b/src/changefeed/follower.ts
@@ -36,6 +36,8 @@
 	readonly listReaders: () => readonly string[];
 	/** Interval at which a reader is asked how old the state is that it told, in milliseconds; `undefined` where that is not needed. */
 	readonly confirmIntervalMs?: number;
+	/** Whether the age is needed now. Default: always. */
+	readonly isAgeNeeded?: () => boolean;
 	/** Called with `followed`, or with the reason why a reader is no longer followed. */
 	readonly onReaderChange: (address: string, change: string) => void;
 };
@@ -202,6 +204,10 @@
 	}
 
 	#askForAge(connection: Connection): void {
+		if (this.#dependencies.isAgeNeeded?.() === false) {
+			return;
+		}
+
 		connection.queryCount++;
 		connection.queries.set(connection.queryCount, readClocks(this.#dependencies.timers));
 		if (connection.queries.size > maxQueries) {
--- a/src/customers/credential.ts
+++ b/src/customers/credential.ts
@@ -10,6 +10,6 @@
 
 	/** Tells whether the customer still holds the key. */
 	isHeld(customers: CustomerTable): boolean {
-		return customers.findByKey(this.#key)?.name === this.customer.name;
+		return customers.has(this.customer.name, this.#key);
 	}
 }
--- a/src/customers/table.ts
+++ b/src/customers/table.ts
@@ -39,4 +39,9 @@
 	findByKey(key: string): Customer | undefined {
 		return this.#customersByKey.get(key);
 	}
+
+	/** Tells whether the customer of that name holds a key. */
+	has(name: string, key: string): boolean {
+		return this.#customersByKey.get(key)?.name === name;
+	}
 }
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -5,7 +5,7 @@
 import type {Timer, TimerService} from '../timers/index.js';
 import {isNotRunStatus} from './ports.js';
 import type {EngineCall, EngineReply} from './ports.js';
-import {trackSend} from './served.js';
+import {findAccessRefusal, trackSend} from './served.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
 import type {AttemptTrace} from './trace.js';
 
@@ -143,12 +143,7 @@
 
 	/** Sends the request and waits for the status and header of the answer. Never throws; sets `reply` or `error`. */
 	async send(served: ServedRequest, options: AttemptOptions): Promise<void> {
-		const refusal = served.route.isPublic ? undefined : this.#dependencies.access?.check(served.request.credential);
-		if (refusal !== undefined) {
-			// Says nothing about the engine. The request is refused before another engine is sought.
-			this.isNotSent = true;
-			this.isNotRun = true;
-			this.#settle(undefined, refusal);
+		if (this.#tryEndRefused(served)) {
 			return;
 		}
 
@@ -163,9 +158,17 @@
 				resumeAfter: options.resumeAfter,
 				mayReuseIdle: options.mayReuseIdle,
 				signal: this.#watchdog.controller.signal,
+				// The request may have come before the configuration listed customers.
+				dropsIdentity: this.#dependencies.access?.customers !== undefined,
+				isPermitted: () => findAccessRefusal(this.#dependencies, served) === undefined,
 			});
 			this.#onReply(reply);
 		} catch (error) {
+			if (error instanceof NotSentError && this.#tryEndRefused(served)) {
+				this.error = error;
+				return;
+			}
+
 			this.isNotSent = error instanceof NotSentError;
 			this.isNotRun = this.isNotSent;
 			this.#onFailure(error);
@@ -266,6 +269,20 @@
 		}
 	}
 
+	/** Ends the send if the request must not be sent now, as its API key is or may be revoked; returns whether it did. The request is refused before another engine is sought. */
+	#tryEndRefused(served: ServedRequest): boolean {
+		const refusal = findAccessRefusal(this.#dependencies, served);
+		if (refusal === undefined) {
+			return false;
+		}
+
+		// Says nothing about the engine.
+		this.isNotSent = true;
+		this.isNotRun = true;
+		this.#settle(undefined, refusal);
+		return true;
+	}
+
 	#onReply(reply: EngineReply): void {
 		this.reply = reply;
 		this.#recordWishes(reply);
--- a/src/gateway/ending.ts
+++ b/src/gateway/ending.ts
@@ -3,6 +3,7 @@
 import {NotRunError, refusalReason} from '../errors/index.js';
 import type {RefusalReason} from '../errors/index.js';
 import type {Attempt} from './attempt.js';
+import {findAccessRefusal} from './served.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
 
 /** Time after which to retry when a process that is stopping refused, in milliseconds: short, since a new connection goes to another process at once. */
@@ -78,8 +79,8 @@
 }
 
 /** Ends a request that must not be sent to an engine now, as its API key is or may be revoked. Returns whether it did. */
-export function refuseAccess({access}: GatewayDependencies, served: ServedRequest, mayHaveRun: boolean): boolean {
-	const reason = served.route.isPublic ? undefined : access?.check(served.request.credential);
+export function refuseAccess(dependencies: GatewayDependencies, served: ServedRequest, mayHaveRun: boolean): boolean {
+	const reason = findAccessRefusal(dependencies, served);
 	if (reason === undefined) {
 		return false;
 	}
@@ -119,6 +120,6 @@
 }
 
 function refuse(served: ServedRequest, status: number, reason: RefusalReason, retryAfterMs: number | undefined): void {
-	served.trace.finish(status === 503 ? 'refused' : 'failed', reason, status);
+	served.trace.finish(status === 503 || status === 401 ? 'refused' : 'failed', reason, status);
 	served.answer.refuse(status, reason, retryAfterMs);
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -103,7 +103,7 @@
 	Decides by its API key whether a request whose header has arrived may be served: returns its credential, why it is refused, or `undefined`
 	where it needs no key or can't be served anyway.
 	*/
-	authorize({host, path, key}: {readonly host: string; readonly path: string; readonly key: string | undefined}): Credential | AccessRefusal | undefined {
+	decideAccess({host, path, key}: {readonly host: string; readonly path: string; readonly key: string | undefined}): Credential | AccessRefusal | undefined {
 		const route = this.#routeTable?.findRoute(host, path);
 		return !route || route.isPublic ? undefined : this.#dependencies.access?.decide(key);
 	}
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -14,6 +14,7 @@
 import {emptyStreamMessage} from './events.js';
 import type {KvCacheHandle} from './ports.js';
 import {selectRetryReason, RequestProgress} from './progress.js';
+import {findAccessRefusal} from './served.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
 import {StreamSend} from './streamsend.js';
 import type {StreamSendOptions} from './streamsend.js';
@@ -186,7 +187,8 @@
 /** Creates the search for a further engine that begins when the engine of `send` is silent. */
 function createTakeover(dependencies: GatewayDependencies, served: ServedRequest, progress: GenerationProgress, send: StreamSend): StreamTakeover {
 	const takeover = new StreamTakeover(dependencies, served, send, {
-		isPermitted: () => hasRunsLeft(served, progress) && computeQuarantineMs(dependencies, progress) === 0 && hasOtherEngine(dependencies, served, send.attempt.view),
+		isPermitted: () => findAccessRefusal(dependencies, served) === undefined
+			&& hasRunsLeft(served, progress) && computeQuarantineMs(dependencies, progress) === 0 && hasOtherEngine(dependencies, served, send.attempt.view),
 		acquire: async signal => dependencies.reservations.acquire(createReservationRequest(dependencies, served, progress, [send.engineId]), signal),
 		createOptions: reservation => createSendOptions(served, progress, reservation, undefined),
 		onFailed(further) {
--- a/src/gateway/plainrace.ts
+++ b/src/gateway/plainrace.ts
@@ -4,6 +4,7 @@
 import type {AttemptOptions} from './attempt.js';
 import {checkEvents} from './events.js';
 import type {PlainProgress} from './plainprogress.js';
+import {findAccessRefusal} from './served.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
 import {requestKind} from './types.js';
 
@@ -127,7 +128,8 @@
 			return;
 		}
 
-		if (this.#settle && !this.#served.signal.aborted && retryBudget.tryTake(this.#served.service)) {
+		const isPermitted = findAccessRefusal(this.#dependencies, this.#served) === undefined;
+		if (isPermitted && this.#settle && !this.#served.signal.aborted && retryBudget.tryTake(this.#served.service)) {
 			permits.onSend(view.record);
 			reporter.onTakeover(silent.view, view, this.#served.request.id);
 			reporter.onRetry(retryReason.repeatable);
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -34,6 +34,10 @@
 	readonly mayReuseIdle: boolean;
 	/** Aborting it closes the connection, upon which the engine stops its work. */
 	readonly signal: AbortSignal;
+	/** Whether header fields that tell whose request it is must not be sent on as the caller sent them. Default: they were dealt with on arrival. */
+	readonly dropsIdentity?: boolean;
+	/** Asked again when a connection is open that was not at the call: returns whether the request may still be sent. Default: it may. */
+	readonly isPermitted?: () => boolean;
 };
 
 /** Statuses that promise a caller that its request has not run and never will, so that it may send it again. */
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -1,4 +1,4 @@
-import type {CustomerAccess} from '../customers/index.js';
+import type {AccessRefusal, CustomerAccess} from '../customers/index.js';
 import type {EngineView, Fleet} from '../dispatch/index.js';
 import type {WindowRetryBudget} from '../retries/index.js';
 import type {PermitProvider, ReservationProvider} from '../places/index.js';
@@ -51,6 +51,11 @@
 	readonly deadlineAt: number;
 };
 
+/** Finds why a request must not be sent to an engine now, by its API key; `undefined` when it may be, or needs none. */
+export function findAccessRefusal({access}: GatewayDependencies, {route, request}: ServedRequest): AccessRefusal | undefined {
+	return route.isPublic ? undefined : access?.check(request.credential);
+}
+
 /** Counts one more request of this process at an engine, until the returned function is called. */
 export function trackSend(view: EngineView): () => void {
 	view.localRequests++;
