--- a/src/gateway/test/keys.test.ts
+++ b/src/gateway/test/keys.test.ts
@@ -328,6 +328,7 @@
 					world[change]();
 					await world.timers.advance(8000);
 					expect([answer.end, world.link.calls.length, world.link.calls[0]!.signal.aborted], kind).to.deep.equal([undefined, 1, false]);
+					expect(world.lines.filter(line => line.includes('also sent') || line.includes('further')), kind).to.deep.equal([]);
 				}
 			});
 
