--- a/src/dispatch/engine.ts
+++ b/src/dispatch/engine.ts
@@ -23,6 +23,12 @@
 	readonly isStartAhead?: boolean;
 	/** Number that rises with each write of this incarnation; `undefined` when the engine does not report it. */
 	readonly sequence?: number;
+	/** Failure domain of its VM; `undefined` when the engine does not report it. */
+	readonly domain?: string;
+	/** Whether it costs less and may be reclaimed by the platform. */
+	readonly isSpot?: boolean;
+	/** Time after which an engine that is being reclaimed ends, in milliseconds; `undefined` while it is not. */
+	readonly leavesMs?: number;
 };
 
 /** Load that an engine reported with an answer: the requests that it processed, and those that waited there. */
--- a/src/dispatch/fleet.ts
+++ b/src/dispatch/fleet.ts
@@ -113,6 +113,11 @@
 		return (this.#viewsByService.get(service) ?? []).filter(view => !view.isLeaving);
 	}
 
+	/** Lists the engines of a service, also those that are leaving. */
+	listRegistered(service: string): readonly EngineView[] {
+		return this.#viewsByService.get(service) ?? [];
+	}
+
 	/** Lists the ids of the engines of a service that may get no request of this process at `now`. */
 	listUnavailable(service: string, now: number): string[] {
 		return (this.#viewsByService.get(service) ?? []).filter(view => !view.isAvailable(now)).map(view => view.record.id);
@@ -167,5 +172,6 @@
 }
 
 function hasChanged(known: EngineRecord, record: EngineRecord): boolean {
-	return known.stage !== record.stage || known.isLeaving !== record.isLeaving || known.slots !== record.slots;
+	return known.stage !== record.stage || known.isLeaving !== record.isLeaving || known.slots !== record.slots
+		|| known.domain !== record.domain || known.isSpot !== record.isSpot || (known.leavesMs === undefined) !== (record.leavesMs === undefined);
 }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -1,4 +1,5 @@
 import type {Credential, CustomerTable} from '../customers/index.js';
+import type {ScalingSpec} from '../scaling/index.js';
 
 /** Kind of a request; it decides whether the request may be sent again after an engine may have run it. */
 export const requestKind = {idempotent: 'idempotent', unrepeatable: 'unrepeatable', stream: 'stream'} as const;
@@ -54,6 +55,8 @@
 	readonly maxConnections: number;
 	/** Set where the engines generate streams from prompts. */
 	readonly model: ModelEngineSpec | undefined;
+	/** Set where the number of engines is ordered by the load. */
+	readonly scaling?: ScalingSpec;
 };
 
 /** Limits on the size of a caller's request, the time for its header, and the time that its connection may be idle. */
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -25,9 +25,10 @@
 import type {CrashReport, Run} from '../quarantine/index.js';
 import {RequestLimits, RequestPermits} from '../requestlimits/index.js';
 import type {LimitedEngine} from '../requestlimits/index.js';
+import {WorkMeter} from '../scaling/index.js';
 import type {Timer, TimerService} from '../timers/index.js';
 import {AllocatorClients} from './clients.js';
-import {formatRequestKind, Reservation} from './types.js';
+import {formatRequestKind, isLate, Reservation} from './types.js';
 import type {PermitAnswer, ReservedEngines, ReservationRequest} from './types.js';
 
 /** Time after a request's deadline at which its reservation is released if the holder has not released it, in milliseconds. */
@@ -78,6 +79,7 @@
 	readonly #permits: RequestPermits;
 	readonly #dependencies: SlotAllocatorDependencies;
 	readonly #queues = new Map<string, AdmissionQueue<Allocation>>();
+	readonly #workMeters = new Map<string, WorkMeter>();
 	readonly #grantRates = new Map<string, GrantRate>();
 	readonly #usages = new WeakMap<EngineView, EngineUsage>();
 	readonly #kindModels = new Map<string, PrefillModel>();
@@ -126,29 +128,27 @@
 
 	/** Waits for a reservation; returns a refusal where `acquire` throws. */
 	async tryAcquire(request: ReservationRequest, signal: AbortSignal): Promise<LocalReservation | QueueRefusal> {
-		const {timers, fleet} = this.#dependencies;
-		const now = timers.getNow();
-		const excluded = new Set(request.excludedEngines);
-		this.#loadCaches(request, now);
-		const allocation = await this.#getQueue(request.service).tryWait({
-			targetAt: now + request.targetMs, deadlineAt: now + request.deadlineMs, firstByteDeadlineAt: now + request.firstByteTimeoutMs, queuedAt: now, serviceMs: request.serviceMs,
-			group: isLong(request) ? 'long' : 'short',
-		}, at => {
-			const serving = fleet.listServing(request.service);
-			const result = this.#tryAllocate(request, serving.filter(view => !excluded.has(view.record.id)), {
-				now: at, targetAt: now + request.targetMs, callerLeavesAt: now + Math.min(request.deadlineMs, request.firstByteTimeoutMs),
-			});
-			// Engines that this request may not use may have places for those behind it.
-			const mayOthersPass = result === undefined && excluded.size > 0 && serving.some(view => excluded.has(view.record.id) && this.#isAvailableToDecode(view, at));
-			return mayOthersPass ? heldBack : result;
-		}, signal);
-		const isGranted = !(allocation instanceof QueueRefusal);
-		// What is wrong with one prompt says nothing about the requests of its kind, nor does a cancelled request, and a limit ends sooner than a rate would show it.
-		if (isGranted || (!signal.aborted && allocation.reason !== refusalReason.quarantined && allocation.reason !== refusalReason.limited)) {
-			this.#getGrantRate(request).onEnd(isGranted, timers.getNow());
+		const {timers} = this;
+		const meter = this.getWorkMeter(request.service);
+		const targetAt = timers.getNow() + request.targetMs;
+		const arrival = meter.onArrival(timers.getNow());
+		let result: LocalReservation | QueueRefusal | undefined;
+		try {
+			result = await this.#tryAcquire(request, signal);
+			return result;
+		} finally {
+			const isTooLate = result instanceof LocalReservation
+				? timers.getNow() + result.engines.firstTokenMs > targetAt
+				: !signal.aborted && result?.reason !== refusalReason.quarantined;
+			meter.onWaitEnd(arrival, result instanceof LocalReservation ? result.promptMs : undefined, isTooLate && !isLate(request), timers.getNow());
 		}
+	}
 
-		return isGranted ? new LocalReservation(this, allocation, request, {timers, isAdopted: false}) : allocation;
+	/** Returns what measures the work that callers ask of a service's engines. */
+	getWorkMeter(service: string): WorkMeter {
+		const meter = this.#workMeters.get(service) ?? new WorkMeter();
+		this.#workMeters.set(service, meter);
+		return meter;
 	}
 
 	/**
@@ -254,6 +254,32 @@
 		this.#queues.get(service)?.dispatch();
 	}
 
+	async #tryAcquire(request: ReservationRequest, signal: AbortSignal): Promise<LocalReservation | QueueRefusal> {
+		const {timers, fleet} = this.#dependencies;
+		const now = timers.getNow();
+		const excluded = new Set(request.excludedEngines);
+		this.#loadCaches(request, now);
+		const allocation = await this.#getQueue(request.service).tryWait({
+			targetAt: now + request.targetMs, deadlineAt: now + request.deadlineMs, firstByteDeadlineAt: now + request.firstByteTimeoutMs, queuedAt: now, serviceMs: request.serviceMs,
+			group: isLong(request) ? 'long' : 'short',
+		}, at => {
+			const serving = fleet.listServing(request.service);
+			const result = this.#tryAllocate(request, serving.filter(view => !excluded.has(view.record.id)), {
+				now: at, targetAt: now + request.targetMs, callerLeavesAt: now + Math.min(request.deadlineMs, request.firstByteTimeoutMs),
+			});
+			// Engines that this request may not use may have places for those behind it.
+			const mayOthersPass = result === undefined && excluded.size > 0 && serving.some(view => excluded.has(view.record.id) && this.#isAvailableToDecode(view, at));
+			return mayOthersPass ? heldBack : result;
+		}, signal);
+		const isGranted = !(allocation instanceof QueueRefusal);
+		// What is wrong with one prompt says nothing about the requests of its kind, nor does a cancelled request, and a limit ends sooner than a rate would show it.
+		if (isGranted || (!signal.aborted && allocation.reason !== refusalReason.quarantined && allocation.reason !== refusalReason.limited)) {
+			this.#getGrantRate(request).onEnd(isGranted, timers.getNow());
+		}
+
+		return isGranted ? new LocalReservation(this, allocation, request, {timers, isAdopted: false}) : allocation;
+	}
+
 	/** Returns the prefill model of the engines of the same service and stage. */
 	#getKindModel({record: {service, stage}}: EngineView): PrefillModel {
 		const kind = `${service} ${stage}`;
@@ -408,6 +434,8 @@
 /** A reservation granted by the allocator of this process. */
 export class LocalReservation extends Reservation {
 	readonly engines: ReservedEngines;
+	/** Estimated time that the prompt keeps its engine busy, in milliseconds. */
+	readonly promptMs: number;
 	readonly #allocator: SlotAllocator;
 	readonly #placement: GenerationPlacement;
 	readonly #prefill: Prefill;
@@ -417,6 +445,7 @@
 	readonly #timers: TimerService;
 	readonly #expiryTimer: Timer;
 	readonly #isAdopted: boolean;
+	readonly #meter: WorkMeter;
 	#isPrefillPending = true;
 	#isHeld = true;
 	/** Whether the request counts in the usage of its decode engine. */
@@ -438,6 +467,9 @@
 		this.engines = {
 			prefillEngine: placement.prefillEngine?.record.id, decodeEngine: placement.decodeEngine.record.id, prefixSource: placement.prefixSource?.record.id, firstTokenMs: placement.firstTokenMs,
 		};
+		this.promptMs = allocator.getUsage(placement.prefillEngine ?? placement.decodeEngine).computeBusyMs(placement.work);
+		this.#meter = allocator.getWorkMeter(request.service);
+		this.#meter.onHold(timers.getNow());
 		this.#expiryTimer = timers.startTimer(request.deadlineMs + expiryMarginMs, () => {
 			this.release(undefined);
 		});
@@ -449,6 +481,7 @@
 		}
 
 		this.#isPrefillPending = false;
+		this.#meter.onDecode(this.#timers.getNow());
 		const {prefillEngine, decodeEngine} = this.#placement;
 		this.#allocator.onRunPrefilled(this.#run, outcome);
 		this.#allocator.onBlocksRead(prefillEngine ?? decodeEngine, this.#blocks, outcome === engineOutcome.answered);
@@ -489,6 +522,7 @@
 
 		this.onPrefillEnd(undefined);
 		this.#isHeld = false;
+		this.#meter.onRelease(this.#timers.getNow());
 		this.#expiryTimer.cancel();
 		this.#allocator.onRunEnd(this.#run, outcome);
 		const {prefillEngine, decodeEngine} = this.#placement;
