--- a/src/duties/leasedduty.ts
+++ b/src/duties/leasedduty.ts
@@ -1,11 +1,10 @@
-import {StoreUnavailableError, StoreUncertainError} from '../errors/index.js';
 import {measureElapsedMs, readClocks} from '../timers/index.js';
 import type {ClockReading, Timer, TimerService} from '../timers/index.js';
 import {dutyKey, formatHolder, parseHolder} from './record.js';
 import type {DutyRecord} from './record.js';
-import {Duty} from './types.js';
+import {Duty, dutyOutcome} from './types.js';
 import type {
-	DutyFence, DutyLease, DutyOutcome, DutyStore,
+	DutyFence, DutyLease, DutyOutcome, DutyStore, StoredValue,
 } from './types.js';
 
 export type LeasedDutyOptions = {
@@ -27,7 +26,7 @@
 	readonly isPreferred: () => boolean;
 	/** Called with each change of the term of this entry: `acquired`, or why it was given up. */
 	readonly onTermChange: (duty: string, change: string, number: number) => void;
-	/** Called when the duty could not be acquired or renewed, or its lease not be ended. */
+	/** Called when a call of the store failed, so that the duty could not be acquired or renewed, or its key not be removed. */
 	readonly onStoreFailure: (duty: string, task: string, error: unknown) => void;
 };
 
@@ -35,27 +34,39 @@
 type Term = {
 	readonly number: number;
 	readonly lease: DutyLease;
-	readonly acquiredAt: ClockReading;
-	/** When the last renewal that succeeded was sent: the store counts the lease from a later time. */
-	renewedAt: ClockReading;
+	/** Revision of the holder's key. */
+	readonly revision: number;
+	/** Monotonic time from which the holder may call, in milliseconds. */
+	readonly callNotBefore: number;
+	/** When the last check that found the lease and the holder's key in place was sent: no other entry acquired the duty before. */
+	confirmedAt: ClockReading;
+	/** When the last such check was sent, whatever came of it. */
+	checkedAt: ClockReading;
 };
 
-/** Interval at which the lease is renewed, as a share of its lifetime. */
+/** The holder as the store names it at a revision of an era; no record when the key is absent or malformed. */
+type KnownHolder = {readonly record: DutyRecord | undefined; readonly revision: number; readonly era: number | undefined};
+
+/** Interval at which the lease is renewed, as a share of its lifetime. A renewal is not awaited by the next one, so that one lost answer does not end the term. */
 const renewShare = 1 / 3;
 /** How much longer than a call the lease has to hold for it to be made, in milliseconds: clocks of the store and of this VM run at slightly different rates. */
 const leaseMarginMs = 200;
-/** Interval at which a duty without a holder is looked at, in milliseconds. */
+/** Interval at which a duty is looked at, in milliseconds. */
 const checkIntervalMs = 200;
 /** Time for which a duty has been without a holder from which entries other than the preferred one try to acquire it, in milliseconds. */
 const minAbsentMs = 1000;
 /** Chance that such an entry tries at one look: of many entries few try at once, as each try takes several calls of the store. */
 const tryChance = 0.08;
+/** Time after a try that failed in which this entry makes no further one, in milliseconds, before jitter. */
+const retryDelayMs = 500;
 const millisecondsPerSecond = 1000;
 
 /**
-A duty whose holder has a lease in the store. The fencing token of a term is greater than any that is known, and than the seconds of the wall
-clock, so that it rises also when the store comes back from an older copy. The holder calls only while its lease lasts longer than the call, and a new one only when a whole
-lease has passed since it acquired the duty: two holders never take turns within that time.
+A duty whose holder has a lease in the store, made for a deployment of tens of entries of which each looks at it several times a second and only the holder calls the store.
+The fencing token of a term is greater than any that is known, and than the seconds of the wall clock, so that it rises also when the store comes back from an older copy.
+
+The holder confirms that its key is in place, and calls only while that is less than a lease old at the end of the call; a new holder makes its first call a whole lease
+after it acquired the duty. So calls of two holders never overlap or take turns within a lease, whatever became of the store's leases.
 */
 export class LeasedDuty extends Duty {
 	readonly name: string;
@@ -64,12 +75,15 @@
 	readonly #incarnation: number;
 	readonly #listeners = new Set<() => void>();
 	#term: Term | undefined;
-	/** The holder as the store names it; `undefined` while there is none. */
-	#holder: DutyRecord | undefined;
+	#wasHeld = false;
+	/** `undefined` until the store has told of the key. */
+	#known: KnownHolder | undefined;
 	/** Highest fencing token that this process has seen. */
 	#highestNumber = 0;
 	/** Monotonic time since which the store names no holder, in milliseconds; `undefined` while it names one or is not known. */
 	#absentSince: number | undefined;
+	/** Monotonic time since which the store names this process, which does not hold the duty, in milliseconds. */
+	#orphanedSince: number | undefined;
 	/** Monotonic time before which the duty is not acquired, in milliseconds. */
 	#acquireNotBefore = Number.NEGATIVE_INFINITY;
 	#isBusy = false;
@@ -85,8 +99,7 @@
 	}
 
 	get isHeld(): boolean {
-		const term = this.#term;
-		return term !== undefined && this.#isLeaseSafe(term) && measureElapsedMs(this.#dependencies.timers, term.acquiredAt) >= this.#options.leaseMs;
+		return this.#term !== undefined && this.#isCallAllowed(this.#term);
 	}
 
 	get number(): number | undefined {
@@ -95,7 +108,7 @@
 
 	/** Name of the VM that holds the duty, as far as this process knows; `undefined` while there is none. */
 	get holder(): string | undefined {
-		return this.#holder?.holder;
+		return this.#known?.record?.holder;
 	}
 
 	/** Highest fencing token that this process has seen. */
@@ -112,37 +125,53 @@
 
 	async tryCall(send: (fence: DutyFence) => Promise<DutyOutcome>): Promise<DutyOutcome | undefined> {
 		const term = this.#term;
-		return term && this.isHeld ? send({holder: this.#options.vm, number: term.number}) : undefined;
+		if (!term || !this.#isCallAllowed(term)) {
+			return undefined;
+		}
+
+		try {
+			return await send({holder: this.#options.vm, number: term.number, isSafe: () => this.#term === term && this.#isCallAllowed(term)});
+		} catch (error) {
+			this.#dependencies.onStoreFailure(this.name, 'call the platform', error);
+			return dutyOutcome.uncertain;
+		}
 	}
 
 	/** Starts to acquire the duty whenever it has no holder, and to renew its lease. */
 	start(): void {
 		this.#timer ??= this.#dependencies.timers.startInterval(checkIntervalMs, () => {
-			void this.#check();
+			this.#check();
 		});
 	}
 
-	/** Gives the duty up and no longer acquires it. */
+	/** Gives the duty up, for its calls at once, and no longer acquires it. */
 	async stop(): Promise<void> {
+		this.abort();
+		await this.#release('stopped');
+	}
+
+	/** Makes no further call of the store, as if the process had been killed. */
+	abort(): void {
 		this.#isStopped = true;
 		this.#timer?.cancel();
-		await this.#giveUp('stopped');
 	}
 
 	/** Handles the value of a key of this duty in the store: that of its holder, or that of its highest fencing token. `undefined` when the key does not exist. */
-	onChange(key: string, value: string | undefined): void {
+	onChange(key: string, value: string | undefined, {revision, era}: Omit<StoredValue, 'value'>): void {
 		if (key === dutyKey.formatNumberKey(this.name)) {
 			this.#onNumber(Number(value ?? 0));
 		} else if (key === dutyKey.formatHolderKey(this.name)) {
-			this.#onHolder(value === undefined ? undefined : parseHolder(value));
+			this.#onHolder({record: value === undefined ? undefined : parseHolder(value), revision, era});
 		}
 	}
 
-	/** Handles that the store came back from an older copy: what it says of leases no longer holds. */
+	/** Handles that the store came back from an older copy: what it says of holders no longer holds. */
 	onStoreReplaced(): void {
 		this.#acquireNotBefore = this.#dependencies.timers.getNow() + this.#options.leaseMs;
+		this.#known = undefined;
 		this.#absentSince = undefined;
-		void this.#giveUp('store came back from an older copy');
+		this.#orphanedSince = undefined;
+		this.#finishTerm('store came back from an older copy');
 	}
 
 	#onNumber(number: number): void {
@@ -151,148 +180,206 @@
 		}
 	}
 
-	#onHolder(record: DutyRecord | undefined): void {
-		this.#holder = record;
-		if (!record) {
-			this.#absentSince ??= this.#dependencies.timers.getNow();
+	#onHolder(found: KnownHolder): void {
+		const {record, revision, era} = found;
+		this.#onNumber(record?.number ?? 0);
+		// Changes come late through other entries, and after answers that are newer.
+		if (this.#known && this.#known.era === era && revision < this.#known.revision) {
 			return;
 		}
 
-		this.#absentSince = undefined;
-		this.#onNumber(record.number);
-		if (this.#term && record.number > this.#term.number) {
-			void this.#giveUp('another entry holds it');
+		this.#known = found;
+		const now = this.#dependencies.timers.getNow();
+		this.#absentSince = record ? undefined : this.#absentSince ?? now;
+		const term = this.#term;
+		const isOwn = record?.holder === this.#options.vm && record.incarnation === this.#incarnation;
+		this.#orphanedSince = isOwn && record.number !== term?.number ? this.#orphanedSince ?? now : undefined;
+		if (term && !(isOwn && record.number === term.number) && (era !== term.lease.era || revision > term.revision)) {
+			this.#finishTerm('another entry holds it');
 		}
 	}
 
-	async #check(): Promise<void> {
-		if (this.#isBusy || this.#isStopped) {
+	#check(): void {
+		if (this.#isStopped) {
 			return;
 		}
 
-		this.#isBusy = true;
-		try {
-			await (this.#term ? this.#tryRenew(this.#term) : this.#tryAcquire());
-		} finally {
-			this.#isBusy = false;
+		if (this.#term) {
+			void this.#tryConfirm(this.#term);
+		} else if (!this.#isBusy) {
+			void this.#tryAcquire();
 		}
+
+		this.#notifyChange();
 	}
 
-	async #tryRenew(term: Term): Promise<void> {
+	/** Renews the lease and checks that the store still names this term, if it is time for that. */
+	async #tryConfirm(term: Term): Promise<void> {
 		const {store, timers} = this.#dependencies;
-		if (!this.#isLeaseSafe(term)) {
-			await this.#giveUp('lease not renewed in time');
+		// On the monotonic clock: after a suspension or a jump of the wall clock, which let no call be made, the store tells whether the term goes on.
+		if (timers.getNow() - term.confirmedAt.now >= this.#options.leaseMs) {
+			await this.#release('lease not renewed in time');
 			return;
 		}
 
-		if (measureElapsedMs(timers, term.renewedAt) < this.#options.leaseMs * renewShare) {
+		if (measureElapsedMs(timers, term.checkedAt) < this.#options.leaseMs * renewShare) {
 			return;
 		}
 
 		const sentAt = readClocks(timers);
+		term.checkedAt = sentAt;
 		try {
-			if (await store.renewLease(term.lease)) {
-				term.renewedAt = sentAt;
-			} else if (this.#term === term) {
-				await this.#giveUp('lease ended');
+			const [isRenewed, {value, revision, era}] = await Promise.all([store.renewLease(term.lease), store.read(dutyKey.formatHolderKey(this.name))]);
+			if (this.#term !== term) {
+				return;
+			}
+
+			if (isRenewed && era === term.lease.era && revision === term.revision) {
+				term.confirmedAt = sentAt.now > term.confirmedAt.now ? sentAt : term.confirmedAt;
+			} else {
+				this.#onHolder({record: value === undefined ? undefined : parseHolder(value), revision, era});
+				await this.#release('lease ended');
 			}
 		} catch (error) {
-			this.#onStoreFailure('renew', error);
+			this.#dependencies.onStoreFailure(this.name, 'renew', error);
 		}
 	}
 
 	async #tryAcquire(): Promise<void> {
 		const {timers, isPreferred, getRandom} = this.#dependencies;
 		const now = timers.getNow();
-		if (this.#absentSince === undefined || now < this.#acquireNotBefore || !(isPreferred() || (now - this.#absentSince >= minAbsentMs && getRandom() < tryChance))) {
+		if (now < this.#acquireNotBefore) {
 			return;
 		}
 
-		// A failed try is repeated like a first one, so that a slow store is not called all the time.
-		this.#absentSince = now;
+		this.#isBusy = true;
 		try {
-			await this.#acquire();
+			if (this.#orphanedSince !== undefined && now - this.#orphanedSince >= this.#options.leaseMs) {
+				await this.#removeOrphan();
+			} else if (this.#absentSince !== undefined && (isPreferred() || (now - this.#absentSince >= minAbsentMs && getRandom() < tryChance))) {
+				await this.#acquire();
+			}
 		} catch (error) {
-			this.#onStoreFailure('acquire', error);
+			this.#scheduleTry();
+			this.#dependencies.onStoreFailure(this.name, 'acquire', error);
+		} finally {
+			this.#isBusy = false;
 		}
 	}
 
+	/** Puts the next try off, so that a slow store is not called all the time, and not by all entries together. */
+	#scheduleTry(): void {
+		const {timers, getRandom} = this.#dependencies;
+		this.#acquireNotBefore = Math.max(this.#acquireNotBefore, timers.getNow() + (retryDelayMs * (0.5 + getRandom())));
+	}
+
 	async #acquire(): Promise<void> {
 		const {store, timers, onTermChange} = this.#dependencies;
 		const {name, vm, leaseMs} = this.#options;
-		const holder = await store.read(dutyKey.formatHolderKey(name));
-		if (holder.value !== undefined) {
-			this.#onHolder(parseHolder(holder.value));
+		const holderKey = dutyKey.formatHolderKey(name);
+		const numberKey = dutyKey.formatNumberKey(name);
+		const found = await store.read(holderKey);
+		const record = found.value === undefined ? undefined : parseHolder(found.value);
+		this.#onHolder({record, revision: found.revision, era: found.era});
+		if (record) {
 			return;
 		}
 
-		const highest = await store.read(dutyKey.formatNumberKey(name));
+		const highest = await store.read(numberKey);
 		this.#onNumber(Number(highest.value ?? 0));
 		const number = Math.max(this.#highestNumber, Math.floor(timers.getWallTime() / millisecondsPerSecond)) + 1;
 		const sentAt = readClocks(timers);
 		const lease = await store.acquireLease(leaseMs);
-		const expected = new Map([[dutyKey.formatHolderKey(name), 0], [dutyKey.formatNumberKey(name), highest.revision]]);
-		let revision: number | undefined;
-		try {
-			revision = await store.tryTransact(expected, [
-				{key: dutyKey.formatHolderKey(name), value: formatHolder({holder: vm, number, incarnation: this.#incarnation}), lease},
-				{key: dutyKey.formatNumberKey(name), value: String(number)},
-			]);
-		} finally {
-			// A write whose answer was lost may have taken effect: it goes with its lease.
-			if (revision === undefined || this.#isStopped) {
-				await this.#tryEndLease(lease);
-			}
+		if (this.#isStopped || timers.getNow() < this.#acquireNotBefore || lease.era !== found.era || lease.era !== highest.era) {
+			return;
 		}
 
-		if (revision !== undefined && !this.#isStopped) {
-			this.#onNumber(number);
-			this.#term = {
-				number, lease, acquiredAt: readClocks(timers), renewedAt: sentAt,
-			};
-			onTermChange(name, 'acquired', number);
-			this.#notify();
+		// A malformed record is replaced: nothing else would end it. When the answer is lost, the key goes with its lease, which nobody renews.
+		const revision = await store.tryTransact(new Map([[holderKey, found.revision], [numberKey, highest.revision]]), [
+			{key: holderKey, value: formatHolder({holder: vm, number, incarnation: this.#incarnation}), lease},
+			{key: numberKey, value: String(number)},
+		]);
+		if (revision === undefined) {
+			this.#scheduleTry();
+			return;
+		}
+
+		this.#onNumber(number);
+		const now = timers.getNow();
+		if (now < this.#acquireNotBefore) {
+			// The store came back from an older copy meanwhile.
+			return;
+		}
+
+		this.#term = {
+			number, lease, revision, callNotBefore: now + leaseMs, confirmedAt: sentAt, checkedAt: sentAt,
+		};
+		this.#known = {record: {holder: vm, number, incarnation: this.#incarnation}, revision, era: lease.era};
+		this.#absentSince = undefined;
+		this.#orphanedSince = undefined;
+		if (this.#isStopped) {
+			await this.#release('stopped');
+			return;
+		}
+
+		onTermChange(name, 'acquired', number);
+	}
+
+	/** Removes a key that names this process, which does not hold the duty: a write that took effect late, under a lease that has become another's, would stay. */
+	async #removeOrphan(): Promise<void> {
+		const known = this.#known;
+		this.#orphanedSince = undefined;
+		if (known?.record) {
+			const key = dutyKey.formatHolderKey(this.name);
+			await this.#dependencies.store.tryTransact(new Map([[key, known.revision]]), [], [key]);
 		}
 	}
 
 	/** Ends the term of this entry, at once for its calls and then in the store. */
-	async #giveUp(reason: string): Promise<void> {
+	async #release(reason: string): Promise<void> {
 		const term = this.#term;
-		if (term) {
-			this.#term = undefined;
-			this.#dependencies.onTermChange(this.name, reason, term.number);
-			this.#notify();
-			await this.#tryEndLease(term.lease);
+		if (!term) {
+			return;
 		}
-	}
 
-	async #tryEndLease(lease: DutyLease): Promise<void> {
+		this.#finishTerm(reason);
+		const key = dutyKey.formatHolderKey(this.name);
 		try {
-			await this.#dependencies.store.endLease(lease);
+			// Not by the end of the lease: executed late, that could end a lease that has become another process's.
+			await this.#dependencies.store.tryTransact(new Map([[key, term.revision]]), [], [key]);
 		} catch (error) {
-			// It ends by itself.
-			this.#onStoreFailure('end the lease', error);
+			// The key goes with its lease.
+			this.#dependencies.onStoreFailure(this.name, 'give up', error);
 		}
 	}
 
-	/** Whether the lease lasts for longer than a call that begins now. */
-	#isLeaseSafe({renewedAt}: Term): boolean {
-		const {leaseMs, callTimeoutMs} = this.#options;
-		return measureElapsedMs(this.#dependencies.timers, renewedAt) + callTimeoutMs + leaseMarginMs < leaseMs;
+	#finishTerm(reason: string): void {
+		const term = this.#term;
+		if (term) {
+			this.#term = undefined;
+			this.#scheduleTry();
+			this.#dependencies.onTermChange(this.name, reason, term.number);
+			this.#notifyChange();
+		}
 	}
 
-	#onStoreFailure(task: string, error: unknown): void {
-		if (!(error instanceof StoreUnavailableError || error instanceof StoreUncertainError)) {
-			this.#dependencies.onStoreFailure(this.name, `${task}, unexpectedly`, error);
-			return;
-		}
+	/** Whether a call that begins now ends before another entry can make one. The wait of a new holder is measured on the monotonic clock alone: a jump of the wall clock must not shorten it. */
+	#isCallAllowed(term: Term): boolean {
+		return this.#isSafe(term) && this.#dependencies.timers.getNow() >= term.callNotBefore;
+	}
 
-		this.#dependencies.onStoreFailure(this.name, task, error);
+	#isSafe({confirmedAt}: Term): boolean {
+		const {leaseMs, callTimeoutMs} = this.#options;
+		return measureElapsedMs(this.#dependencies.timers, confirmedAt) + callTimeoutMs + leaseMarginMs < leaseMs;
 	}
 
-	#notify(): void {
-		for (const listener of this.#listeners) {
-			listener();
+	#notifyChange(): void {
+		const {isHeld} = this;
+		if (isHeld !== this.#wasHeld) {
+			this.#wasHeld = isHeld;
+			for (const listener of this.#listeners) {
+				listener();
+			}
 		}
 	}
 }
--- a/src/duties/types.ts
+++ b/src/duties/types.ts
@@ -18,6 +18,8 @@
 	readonly holder: string;
 	/** Fencing token; rises with each change of the holder. */
 	readonly number: number;
+	/** Whether the lease still lasts for longer than a call. Checked again just before a call's bytes are sent, as this process may have been held up or suspended since the call began. */
+	readonly isSafe: () => boolean;
 };
 
 /** A duty that one entry at a time holds. */
@@ -32,7 +34,7 @@
 	/** Makes a call of the holder, which ends within its time-out; returns `undefined` without calling when the lease does not hold for that long. Never throws for a call that failed. */
 	abstract tryCall(send: (fence: DutyFence) => Promise<DutyOutcome>): Promise<DutyOutcome | undefined>;
 
-	/** Calls `listener` when the duty is acquired or given up. Returns a function that ends this. */
+	/** Calls `listener` when `isHeld` has changed. Returns a function that ends this. */
 	abstract subscribe(listener: () => void): () => void;
 }
 
@@ -77,14 +79,11 @@
 	/** Renews a lease; returns `false` when it has ended or belongs to an earlier era. */
 	abstract renewLease(lease: DutyLease): Promise<boolean>;
 
-	/** Ends a lease, which removes its keys. */
-	abstract endLease(lease: DutyLease): Promise<void>;
-
-	/** Writes all keys if the last change of each expected one is the given revision (0: it does not exist). Returns the new revision, `undefined` on a conflict or when a lease has ended. */
-	abstract tryTransact(expected: ReadonlyMap<string, number>, writes: readonly StoreWrite[]): Promise<number | undefined>;
+	/**
+	Writes and removes all keys if the last change of each expected one is the given revision (0: it does not exist), whatever happened in an earlier era.
+	Returns the new revision, `undefined` on a conflict, when a lease has ended, or when it took place in another era than that of a lease.
+	*/
+	abstract tryTransact(expected: ReadonlyMap<string, number>, writes: readonly StoreWrite[], removedKeys?: readonly string[]): Promise<number | undefined>;
 
 	abstract read(key: string): Promise<StoredValue>;
-
-	/** Removes keys, whatever their values are. */
-	abstract remove(keys: readonly string[]): Promise<void>;
 }
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -33,6 +33,10 @@
 	quarantines: {name: 'crocus_quarantine_changes_total', help: 'Changes of the quarantined blocks of prompts, by cause', label: 'cause'},
 	/** Changes of what is known of engines' limits on requests. */
 	requestLimits: {name: 'crocus_request_limit_changes_total', help: 'Limits on requests that engines named, changed or dropped, by cause', label: 'cause'},
+	/** Calls of the platform by holders of duties; see `dutyOutcome` for the outcomes. */
+	dutyCalls: {name: 'crocus_duty_calls_total', help: 'Calls of the platform by the holder of a duty, by outcome', label: 'outcome'},
+	dutyTerms: {name: 'crocus_duty_terms_total', help: 'Terms of this entry as the holder of a duty, by what happened', label: 'change'},
+	dutyStoreFailures: {name: 'crocus_duty_store_failures_total', help: 'Failed calls of the store for duties, by task', label: 'task'},
 	/** Errors that ended neither a request nor the process; each has a log line. */
 	unhandledErrors: {name: 'crocus_unhandled_errors_total', help: 'Errors that no code expected, by where they surfaced', label: 'kind'},
 	peerBytes: {name: 'crocus_peer_bytes_total', help: 'Bytes sent to and received from other entries', label: 'direction'},
