--- a/src/duties/leasedduty.ts
+++ b/src/duties/leasedduty.ts
@@ -137,6 +137,14 @@
 		}
 	}
 
+	async releaseToPreferred(): Promise<void> {
+		const {timers, isPreferred} = this.#dependencies;
+		if (this.#term && !isPreferred()) {
+			this.#acquireNotBefore = timers.getNow() + this.#options.leaseMs;
+			await this.#release('another entry is preferred');
+		}
+	}
+
 	/** Starts to acquire the duty whenever it has no holder, and to renew its lease. */
 	start(): void {
 		this.#timer ??= this.#dependencies.timers.startInterval(checkIntervalMs, () => {
--- a/src/duties/types.ts
+++ b/src/duties/types.ts
@@ -34,6 +34,9 @@
 	/** Makes a call of the holder, which ends within its time-out; returns `undefined` without calling when the lease does not hold for that long. Never throws for a call that failed. */
 	abstract tryCall(send: (fence: DutyFence) => Promise<DutyOutcome>): Promise<DutyOutcome | undefined>;
 
+	/** Gives the duty up if another entry is preferred, and leaves it the time to acquire it. Has no effect while this entry is preferred or has no term. Never throws. */
+	abstract releaseToPreferred(): Promise<void>;
+
 	/** Calls `listener` when `isHeld` has changed. Returns a function that ends this. */
 	abstract subscribe(listener: () => void): () => void;
 }
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -37,6 +37,8 @@
 	dutyCalls: {name: 'crocus_duty_calls_total', help: 'Calls of the platform by the holder of a duty, by outcome', label: 'outcome'},
 	dutyTerms: {name: 'crocus_duty_terms_total', help: 'Terms of this entry as the holder of a duty, by what happened', label: 'change'},
 	dutyStoreFailures: {name: 'crocus_duty_store_failures_total', help: 'Failed calls of the store for duties, by task', label: 'task'},
+	/** Orders of engines; see `dutyOutcome` for the outcomes. */
+	engineOrders: {name: 'crocus_engine_orders_total', help: 'Orders of numbers of engines, by outcome', label: 'outcome'},
 	/** Errors that ended neither a request nor the process; each has a log line. */
 	unhandledErrors: {name: 'crocus_unhandled_errors_total', help: 'Errors that no code expected, by where they surfaced', label: 'kind'},
 	peerBytes: {name: 'crocus_peer_bytes_total', help: 'Bytes sent to and received from other entries', label: 'direction'},
--- a/src/scaling/orderer.ts
+++ b/src/scaling/orderer.ts
@@ -63,6 +63,10 @@
 const maxRaiseFactor = 2;
 const raiseMs = 15_000;
 const assumedSlots = 8;
+/** Time for which this entry holds the duty without seeing the work before it hands the duty over, in milliseconds: entries agree on the allocator of a service within some seconds. */
+const handoverMs = 3000;
+/** Interval of handovers, in milliseconds: an entry that is preferred but can't acquire the duty must not keep it from the others. */
+const handoverIntervalMs = 30_000;
 
 /**
 Orders the engines of one service while this entry holds the duty. What will be ordered is written to the store before the calls, so that the next holder knows it. An order without an answer is
@@ -78,6 +82,9 @@
 	#loadedNumber: number | undefined;
 	/** Time since which this entry sees the work of all callers. */
 	#workKnownSince: number | undefined;
+	/** Time since which the duty is held without that. */
+	#blindSince: number | undefined;
+	#handedOverAt = Number.NEGATIVE_INFINITY;
 	#removedAt = Number.NEGATIVE_INFINITY;
 	#minNeed = 0;
 	#minNeedUntil = Number.NEGATIVE_INFINITY;
@@ -130,6 +137,7 @@
 		const {number} = duty;
 		if (!spec || number === undefined) {
 			this.#loadedNumber = undefined;
+			this.#blindSince = undefined;
 			return;
 		}
 
@@ -138,12 +146,30 @@
 			this.#loadedNumber = number;
 		}
 
+		this.#blindSince = work ? undefined : this.#blindSince ?? timers.getNow();
+		if (await this.#tryHandOver()) {
+			return;
+		}
+
 		this.#addStates(spec, engines);
 		this.#decide(spec, engines, work?.summary, {slotsPerEngine, workStartedAt: work?.startedAt});
 		this.#markRepeated(spec, engines);
 		await this.#send();
 	}
 
+	/** Hands the duty over to the entry that sees the work, if another does. Returns whether it tried. */
+	async #tryHandOver(): Promise<boolean> {
+		const {duty, timers} = this.#dependencies;
+		const now = timers.getNow();
+		if (this.#blindSince === undefined || now - this.#blindSince < handoverMs || now - this.#handedOverAt < handoverIntervalMs) {
+			return false;
+		}
+
+		this.#handedOverAt = now;
+		await duty.releaseToPreferred();
+		return true;
+	}
+
 	/** Takes over what the holder before this one ordered. What is registered beyond it stays: the record may come from an older copy of the store. */
 	async #load(spec: ScalingSpec, engines: readonly ScalingEngine[]): Promise<void> {
 		const {value, revision} = await this.#dependencies.store.read(formatOrdersKey(this.#service));
--- a/src/scaling/test/scaling.test.ts
+++ b/src/scaling/test/scaling.test.ts
@@ -103,5 +103,6 @@
 		await world.run(60_000, () => 10);
 		expect(world.platform.orders).to.deep.equal([]);
 		expect(world.platform.count(false)).to.equal(15);
+		expect(world.entries[0].duty.handoverCount).to.equal(2);
 	});
 });
--- a/src/scaling/test/world.ts
+++ b/src/scaling/test/world.ts
@@ -144,18 +144,11 @@
 	async renewLease(): Promise<boolean> {
 		throw new Error('not expected');
 	}
-
-	async endLease(): Promise<void> {
-		throw new Error('not expected');
-	}
-
-	async remove(): Promise<void> {
-		throw new Error('not expected');
-	}
 }
 
 class ModelDuty extends Duty {
 	number: number | undefined;
+	handoverCount = 0;
 
 	get name(): string {
 		return 'scale/model';
@@ -166,7 +159,11 @@
 	}
 
 	async tryCall(send: (fence: DutyFence) => Promise<DutyOutcome>): Promise<DutyOutcome | undefined> {
-		return this.number === undefined ? undefined : send({holder: 'vm', number: this.number});
+		return this.number === undefined ? undefined : send({holder: 'vm', number: this.number, isSafe: () => true});
+	}
+
+	async releaseToPreferred(): Promise<void> {
+		this.handoverCount++;
 	}
 
 	subscribe(): () => void {
