--- a/src/duties/leasedduty.ts
+++ b/src/duties/leasedduty.ts
@@ -304,8 +304,9 @@
 
 		// A malformed record is replaced: nothing else would end it. When the answer is lost, the key goes with its lease, which nobody renews.
 		const revision = await store.tryTransact(new Map([[holderKey, found.revision], [numberKey, highest.revision]]), [
-			{key: holderKey, value: formatHolder({holder: vm, number, incarnation: this.#incarnation}), lease},
 			{key: numberKey, value: String(number)},
+			// Last: a store that counts each write of a transaction answers with the revision of the last one, by which the term is confirmed.
+			{key: holderKey, value: formatHolder({holder: vm, number, incarnation: this.#incarnation}), lease},
 		]);
 		if (revision === undefined) {
 			this.#scheduleTry();
