Plain calls are placed by expected completion time where engines report a slowdown

Application engines share their machines: reports of load now carry the machine's slowdown. The choice used durations as measured, so a slow moment counted as a slow engine. Learned speed and reported slowdown are now kept apart, reports fade to long-run means, and the choice among engines is random with chances that fall with the expected completion time. Calls that no engine can answer in time are refused at once. Without reports the choice is as before.

--- a/src/dispatch/engine.ts
+++ b/src/dispatch/engine.ts
@@ -1,4 +1,5 @@
 import {EngineHealth} from './health.js';
+import {LoadReports} from './loadreports.js';
 
 /** Stages of a generation that an engine serves: the prompt's prefill, the decoding of the answer, or both (`any`). */
 export const engineStage = {prefill: 'prefill', decode: 'decode', any: 'any'} as const;
@@ -29,6 +30,8 @@
 export type EngineLoad = {
 	readonly running: number;
 	readonly waiting: number;
+	/** Factor by which work takes longer on the engine's machine at that moment; 1 as usual. `undefined` where the engine does not report it. */
+	readonly slowdown?: number;
 };
 
 /** Age up to which a load report counts in full, in milliseconds: a few service times of short requests. */
@@ -46,6 +49,8 @@
 /** What this process knows of one engine: its registration, its load and its health. */
 export class EngineView {
 	readonly health = new EngineHealth();
+	/** Its load reports, and its speed apart from the slowdown that they tell. */
+	readonly reports = new LoadReports();
 	/** Number of requests of this process that the engine has now. */
 	localRequests = 0;
 	/** Average duration of a request at this engine, in milliseconds; `undefined` before the first one ended. */
@@ -90,6 +95,7 @@
 
 	/** Records the load that the engine reported with an answer. */
 	onLoad(load: EngineLoad, now: number): void {
+		this.reports.onLoad(load, this.localRequests, now);
 		this.#remoteRequestsAtReport = Math.max(0, load.running + load.waiting - this.localRequests);
 		this.#reportedAt = now;
 	}
@@ -102,9 +108,11 @@
 		this.turn = turn;
 	}
 
-	/** Adds the duration of a request to the average. */
-	onDuration(durationMs: number): void {
-		this.averageDurationMs = this.averageDurationMs === undefined ? durationMs : this.averageDurationMs + ((durationMs - this.averageDurationMs) * this.#nextDurationWeight);
+	/** Adds the duration of a request to the average, without the slowdown that its answer reported in `load`: it says nothing about the engine's own speed. */
+	onDuration(durationMs: number, load?: EngineLoad): void {
+		this.reports.onDuration(durationMs, load, this.record.slots);
+		const usualMs = durationMs / (load?.slowdown ?? 1);
+		this.averageDurationMs = this.averageDurationMs === undefined ? usualMs : this.averageDurationMs + ((usualMs - this.averageDurationMs) * this.#nextDurationWeight);
 		this.#nextDurationWeight = minDurationWeight;
 	}
 
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -13,6 +13,9 @@
 export type {QueuedRequest} from './queue.js';
 export {chooseGenerationPlacement, choosePlainEngine, estimateFirstTokenMs} from './placement.js';
 export {isPausedUntil} from './pause.js';
+export {
+	computeFallbackMs, estimateCompletionMs, isReportingSlowdown, isTooLateFor,
+} from './plainchoice.js';
 export type {GenerationNeeds} from './needs.js';
 export type {GenerationPlacement, PlacementContext} from './placement.js';
 export {AdaptiveThrottle} from './throttle.js';
--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -1,6 +1,7 @@
 import {engineStage} from './engine.js';
 import type {EngineView} from './engine.js';
 import type {GenerationNeeds} from './needs.js';
+import {choosePlainEngineByReports, isReportingSlowdown} from './plainchoice.js';
 import {createPrefillWork} from './prefillmodel.js';
 import type {PrefillWork} from './prefillmodel.js';
 import {
@@ -78,9 +79,13 @@
 requests take: alike engines share the load, a slow one gets few requests, by which its estimate stays fresh. One that got
 nothing for a while joins within a round and does not make up for missed turns, as all other entries send to it as well.
 With `getRandom`, a uniform random number in [0, 1), entries that know of an engine since the same moment don't choose it
-at the same moment.
+at the same moment. Where engines report the slowdown of their machines, `choosePlainEngineByReports` chooses instead.
 */
 export function choosePlainEngine(views: readonly EngineView[], tried: ReadonlySet<EngineView>, now: number, getRandom?: () => number): EngineView | undefined {
+	if (getRandom && isReportingSlowdown(views)) {
+		return choosePlainEngineByReports(views, tried, now, getRandom);
+	}
+
 	const open = views.filter(view => view.isAvailable(now) && !tried.has(view) && view.computeLoad(now) < view.record.slots * maxLoadPerSlot);
 	const lowestMs = Math.min(...open.map(view => view.averageDurationMs ?? Number.POSITIVE_INFINITY));
 	const fallbackMs = Number.isFinite(lowestMs) ? lowestMs : assumedDurationMs;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -225,7 +225,7 @@
 	/** Records that the answer is complete. */
 	finish(): void {
 		const tookMs = this.#dependencies.timers.getNow() - this.#startedAt;
-		this.view.onDuration(tookMs);
+		this.view.onDuration(tookMs, this.reply?.load);
 		this.#settle(this.isSuccess ? engineOutcome.answered : engineOutcome.failed, undefined);
 	}
 
--- a/src/gateway/plainprogress.ts
+++ b/src/gateway/plainprogress.ts
@@ -1,4 +1,6 @@
-import {choosePlainEngine, maxReturnShare, QueueRefusal} from '../dispatch/index.js';
+import {
+	choosePlainEngine, computeRetryAfterMs, isTooLateFor, maxReturnShare, QueueRefusal,
+} from '../dispatch/index.js';
 import type {EngineView} from '../dispatch/index.js';
 import {refusalReason} from '../errors/index.js';
 import type {Attempt} from './attempt.js';
@@ -28,7 +30,7 @@
 
 	/**
 	Chooses an engine that was not tried yet, or any one if none of those can take the request. Refuses the request when all engines that are
-	available have got as many requests as their limits allow.
+	available have got as many requests as their limits allow, and when none is fast enough to answer by its deadline.
 	*/
 	chooseEngine(dependencies: GatewayDependencies, served: ServedRequest, now: number): EngineView | QueueRefusal | undefined {
 		const {permits} = dependencies;
@@ -38,6 +40,10 @@
 			return new QueueRefusal(refusalReason.limited, permits.scheduleReturnMs(available.map(({record}) => record), (served.deadlineAt - now) * maxReturnShare));
 		}
 
+		if (open.length > 0 && isTooLateFor(served.deadlineAt, open, now)) {
+			return new QueueRefusal(refusalReason.deadline, computeRetryAfterMs(served.deadlineAt - now, dependencies.getRandom()));
+		}
+
 		return choosePlainEngine(open, this.triedEngines, now, dependencies.getRandom) ?? choosePlainEngine(open, new Set(), now, dependencies.getRandom);
 	}
 
