Load reports of application engines are passed on within a failure domain

An entry gets some two calls a second, so that its own reports of a machine's slowdown, which lasts 600 ms, are mostly too old. Entries send the reports that name a slowdown to one of them (the domain's reader), which passes the latest of each engine on to the others: collected for 50 ms each way, no bytes between failure domains, nothing where engines report no slowdown. CPU time of the passing entry is not measured.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -284,6 +284,10 @@
 			this.view.onLoad(reply.load, this.#dependencies.timers.getNow());
 		}
 
+		if (reply.load?.slowdown !== undefined) {
+			this.#dependencies.onLoadReport?.(this.view, reply.load);
+		}
+
 		if (reply.isOtherEngine || reply.isNotRun) {
 			this.isNotRun = true;
 			reply.abort();
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -1,5 +1,5 @@
 import type {CustomerAccess} from '../customers/index.js';
-import type {EngineView, Fleet} from '../dispatch/index.js';
+import type {EngineLoad, EngineView, Fleet} from '../dispatch/index.js';
 import type {WindowRetryBudget} from '../retries/index.js';
 import type {PermitProvider, ReservationProvider} from '../places/index.js';
 import type {BlockQuarantine} from '../quarantine/index.js';
@@ -27,6 +27,8 @@
 	readonly access?: CustomerAccess;
 	readonly retryBudget: WindowRetryBudget;
 	readonly reporter: RequestReporter;
+	/** Called with each load report that names a slowdown. */
+	readonly onLoadReport?: (view: EngineView, load: EngineLoad) => void;
 	/** Returns a uniform random number in [0, 1). */
 	readonly getRandom: () => number;
 };
--- /dev/null
+++ b/src/loadexchange/index.ts
@@ -0,0 +1,4 @@
+/** Passes the load reports of application engines on between the entries of a failure domain. */
+export {LoadExchange} from './exchange.js';
+export type {LoadExchangeDependencies} from './exchange.js';
+export {isLoadMessage} from './messages.js';
