--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -228,7 +228,7 @@
 	/** Records that the answer is complete. */
 	finish(): void {
 		const tookMs = this.#dependencies.timers.getNow() - this.#startedAt;
-		this.view.onDuration(tookMs);
+		this.view.onDuration(tookMs, this.reply?.load);
 		this.#settle(this.isSuccess ? engineOutcome.answered : engineOutcome.failed, undefined);
 	}
 
@@ -301,6 +301,10 @@
 			this.view.onLoad(reply.load, this.#dependencies.timers.getNow());
 		}
 
+		if (reply.load?.slowdown !== undefined) {
+			this.#dependencies.onLoadReport?.(this.view, reply.load);
+		}
+
 		if (reply.isOtherEngine || reply.isNotRun) {
 			this.isNotRun = true;
 			reply.abort();
