Long streams go to engines that keep their pauses short while their machines are slow

Entries tell the slot allocator the mean time between events of each stream whose answer reports a slowdown; engines whose interval, at the largest slowdown of late, exceeds the streams' longest pause get no long streams while another has room. Where no slowdown is reported nothing changes. What is left: pauses beside prompts that are read, and the first streams on engines not yet known.

--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -24,3 +24,5 @@
 export {computeTransferMs, countPrefixTokens} from './prefillplan.js';
 export {EngineUsage, isLong} from './usage.js';
 export type {Prefill} from './usage.js';
+export {EnginePace, ServicePace} from './eventpace.js';
+export type {StreamPace} from './eventpace.js';
--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -126,7 +126,7 @@
 	const {getUsage} = context;
 	const promptTokens = needs.uniqueTokens + countPrefixTokens(needs);
 	if (isLong(needs)) {
-		const decodeEngine = findLowest(decodeEngines, view => computeDecodeLoad(getUsage(view)))!;
+		const decodeEngine = findLowest(selectSteady(decodeEngines, context), view => computeDecodeLoad(getUsage(view)))!;
 		const work = createPrefillWork(promptTokens, promptTokens);
 		return {
 			prefillEngine: undefined, decodeEngine, prefixSource: undefined, work, firstTokenMs: getUsage(decodeEngine).computePrefillMs(work),
@@ -184,6 +184,12 @@
 	return hasKvRoom(usage, needs, slotShare) && usage.hasPrefillRoom(slotShare, now);
 }
 
+/** Selects the engines that keep the pauses of streams short also while their machines are slow; where none does, those that come nearest. */
+function selectSteady(views: readonly EngineView[], {getUsage}: PlacementContext): readonly EngineView[] {
+	const lowestShare = Math.min(...views.map(view => getUsage(view).pace.computeWorstShare()));
+	return views.filter(view => getUsage(view).pace.computeWorstShare() <= Math.max(1, lowestShare));
+}
+
 /** Tells whether a prompt is so long that those which are prefilled elsewhere and will be decoded at the engine would wait too long behind it. */
 function isBlocking(usage: EngineUsage, work: PrefillWork): boolean {
 	return usage.awaitingPrefillCount > 0 && usage.computeBusyMs(work) > usage.computeMeanMs() * maxBlockingPrompts;
--- a/src/dispatch/usage.ts
+++ b/src/dispatch/usage.ts
@@ -4,6 +4,8 @@
 } from './prefillmodel.js';
 import type {PrefillWork} from './prefillmodel.js';
 import {PrefillWindow} from './prefillwindow.js';
+import {EnginePace} from './eventpace.js';
+import type {ServicePace} from './eventpace.js';
 import {EngineHealth} from './health.js';
 import type {GenerationNeeds} from './needs.js';
 
@@ -46,6 +48,8 @@
 	sees in its own sends also go to `EngineView.health`; the two are kept apart so that no send counts twice in either.
 	*/
 	readonly health = new EngineHealth();
+	/** How fast it sends the events of streams. */
+	readonly pace: EnginePace;
 	/** Number of prompts that it has to prefill, for itself or for another engine. */
 	prefillCount = 0;
 	/** Work of those prompts. */
@@ -64,8 +68,9 @@
 	#ownKvTokens = 0;
 	#sharedKvTokens = 0;
 
-	/** Takes whether the engine only prefills, and the prefill model of all engines of its kind. */
-	constructor(isPrefillOnly: boolean, kindModel = new PrefillModel()) {
+	/** Takes whether the engine only prefills, the prefill model of all engines of its kind, and the pace of all of its service. */
+	constructor(isPrefillOnly: boolean, kindModel = new PrefillModel(), servicePace?: ServicePace) {
+		this.pace = new EnginePace(servicePace);
 		this.#prefillModel = new PrefillModel(kindModel);
 		this.#unmeasuredModel = isPrefillOnly ? unmeasuredPrefillOnlyModel : unmeasuredMixedModel;
 	}
--- a/src/gateway/streamsend.ts
+++ b/src/gateway/streamsend.ts
@@ -1,7 +1,8 @@
 import {engineOutcome} from '../dispatch/index.js';
-import type {EngineView} from '../dispatch/index.js';
+import type {EngineView, StreamPace} from '../dispatch/index.js';
 import {BrokenAnswerError} from '../errors/index.js';
 import type {Reservation} from '../places/index.js';
+import type {TimerService} from '../timers/index.js';
 import {Attempt} from './attempt.js';
 import type {AttemptOptions} from './attempt.js';
 import {checkContinuation, EventSplitter, hasEvent} from './events.js';
@@ -11,6 +12,9 @@
 /** Options of a {@link StreamSend}. */
 export type StreamSendOptions = Omit<AttemptOptions, 'onSilence' | 'onSilenceChange'>;
 
+/** Smallest number of times between events from which the pace of an engine is told: fewer may all lie in one slow moment. */
+const minPaceIntervals = 4;
+
 /** One send of a generation to its reserved decode engine, whose stream is read event by event. */
 export class StreamSend {
 	readonly attempt: Attempt;
@@ -19,6 +23,7 @@
 	readonly #served: ServedRequest;
 	readonly #options: AttemptOptions;
 	readonly #reservation: Reservation;
+	readonly #timers: TimerService;
 	readonly #splitter = new EventSplitter();
 	#hasEnded = false;
 	#opened: Promise<void> | undefined;
@@ -28,9 +33,14 @@
 	#lastId: string | undefined;
 	/** Whether the engine has sent an event. */
 	#hasEvent = false;
+	/** Monotonic times of its first and latest events, in milliseconds, and the number of times between events that they span. */
+	#firstEventAt = 0;
+	#latestEventAt = 0;
+	#intervalCount = -1;
 
 	constructor(dependencies: GatewayDependencies, served: ServedRequest, {reservation, engine}: {readonly reservation: Reservation; readonly engine: EngineView}, options: StreamSendOptions) {
 		this.#served = served;
+		this.#timers = dependencies.timers;
 		this.#reservation = reservation;
 		this.#lastId = options.purpose === 'resume' ? options.resumeAfter : undefined;
 		this.#options = {
@@ -102,9 +112,23 @@
 
 	/** Releases the reservation; call it once the attempt has ended. */
 	close(): void {
+		const pace = this.#computePace();
+		if (pace) {
+			this.#reservation.onPace(pace);
+		}
+
 		this.#reservation.release(this.attempt.trace.sign);
 	}
 
+	/** Computes how fast the engine sent the events; `undefined` where it does not share its machine or there were too few of them. */
+	#computePace(): StreamPace | undefined {
+		const slowdown = this.attempt.reply?.load?.slowdown;
+		const {targetGapMs} = this.#served.route;
+		return slowdown === undefined || targetGapMs === undefined || this.#intervalCount < minPaceIntervals
+			? undefined
+			: {intervalMs: (this.#latestEventAt - this.#firstEventAt) / this.#intervalCount, slowdown, targetGapMs};
+	}
+
 	async #read(): Promise<CompleteEvents | undefined> {
 		this.#chunks ??= this.attempt.generateBody();
 		while (!this.#hasEnded) {
@@ -127,6 +151,9 @@
 				// The first event shows that the prefill has ended, whichever engine ran it.
 				this.#reservation.onPrefillEnd(engineOutcome.answered);
 				this.attempt.onProgress();
+				this.#latestEventAt = this.#timers.getNow();
+				this.#firstEventAt = this.#intervalCount < 0 ? this.#latestEventAt : this.#firstEventAt;
+				this.#intervalCount++;
 				return events;
 			}
 		}
--- a/src/gateway/test/takeover.test.ts
+++ b/src/gateway/test/takeover.test.ts
@@ -164,6 +164,10 @@
 		// Nothing is accounted for.
 	}
 
+	onPace(): void {
+		// Nothing is accounted for.
+	}
+
 	onSilence(): void {
 		// Nothing is accounted for.
 	}
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -28,6 +28,8 @@
 	readonly targetMs: number;
 	/** Time without a first byte after which the caller of a stream leaves, in milliseconds; equals `timeoutMs` for other requests. */
 	readonly firstByteTimeoutMs: number;
+	/** Longest time between two events of a stream that is on time, in milliseconds; `undefined` where any is. */
+	readonly targetGapMs?: number;
 	/** Number of engines that one request may run on. */
 	readonly maxRuns: number;
 	/** Priority of the requests; 0 is the most urgent. */
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -16,9 +16,10 @@
 	PrefillModel,
 	PrefixCacheIndex,
 	QueueRefusal,
+	ServicePace,
 } from '../dispatch/index.js';
 import type {
-	EngineOutcome, EngineRecord, EngineView, Fleet, GenerationPlacement, PlacementContext, Prefill, PrefixBlock,
+	EngineOutcome, EngineRecord, EngineView, Fleet, GenerationPlacement, PlacementContext, Prefill, PrefixBlock, StreamPace,
 } from '../dispatch/index.js';
 import {refusalReason} from '../errors/index.js';
 import {BlockQuarantine, CrashAttribution} from '../quarantine/index.js';
@@ -83,6 +84,7 @@
 	readonly #grantRates = new Map<string, GrantRate>();
 	readonly #usages = new WeakMap<EngineView, EngineUsage>();
 	readonly #kindModels = new Map<string, PrefillModel>();
+	readonly #servicePaces = new Map<string, ServicePace>();
 	readonly #prefixCaches = new PrefixCacheIndex();
 	readonly #attribution: CrashAttribution;
 	#allocationCount = 0;
@@ -217,7 +219,7 @@
 	getUsage(view: EngineView): EngineUsage {
 		let usage = this.#usages.get(view);
 		if (!usage) {
-			usage = new EngineUsage(view.record.stage === engineStage.prefill, this.#getKindModel(view));
+			usage = new EngineUsage(view.record.stage === engineStage.prefill, this.#getKindModel(view), this.#getServicePace(view.record.service));
 			this.#usages.set(view, usage);
 		}
 
@@ -280,6 +282,12 @@
 		return isGranted ? new LocalReservation(this, allocation, request, {timers, isAdopted: false}) : allocation;
 	}
 
+	#getServicePace(service: string): ServicePace {
+		const pace = this.#servicePaces.get(service) ?? new ServicePace();
+		this.#servicePaces.set(service, pace);
+		return pace;
+	}
+
 	/** Returns the prefill model of the engines of the same service and stage. */
 	#getKindModel({record: {service, stage}}: EngineView): PrefillModel {
 		const kind = `${service} ${stage}`;
@@ -515,6 +523,10 @@
 		this.#allocator.onCapacityFreed(this.#request.service);
 	}
 
+	onPace(pace: StreamPace): void {
+		this.#allocator.getUsage(this.#placement.decodeEngine).pace.add(pace, this.#timers.getNow());
+	}
+
 	release(outcome: EngineOutcome | undefined): void {
 		if (!this.#isHeld) {
 			return;
--- a/src/places/messages.ts
+++ b/src/places/messages.ts
@@ -1,5 +1,5 @@
 import {engineOutcome} from '../dispatch/index.js';
-import type {EngineOutcome, PrefixBlock} from '../dispatch/index.js';
+import type {EngineOutcome, PrefixBlock, StreamPace} from '../dispatch/index.js';
 import {BadFrameError, refusalReason} from '../errors/index.js';
 import type {RefusalReason} from '../errors/index.js';
 import type {Quarantine} from '../quarantine/index.js';
@@ -8,7 +8,7 @@
 
 /** Number of each kind of message on the wire, where it is the first item. Add new kinds at the end. */
 export const allocatorMessageKind = {
-	request: 1, grant: 2, refuse: 3, prefillEnd: 4, release: 5, cancel: 6, ping: 7, pong: 8, adopt: 9, quarantine: 10, limits: 11, permitRequest: 12, permit: 13, silence: 14,
+	request: 1, grant: 2, refuse: 3, prefillEnd: 4, release: 5, cancel: 6, ping: 7, pong: 8, adopt: 9, quarantine: 10, limits: 11, permitRequest: 12, permit: 13, silence: 14, pace: 15,
 } as const;
 
 /** A message between an entry and a slot allocator. `id` identifies the reservation request, or the ping, on its connection. */
@@ -29,6 +29,8 @@
 	| {readonly kind: typeof allocatorMessageKind.permit; readonly id: number; readonly isGranted: boolean; readonly waitMs: number}
 	/** Tells that the decode engine of a reservation sends nothing for its request, or goes on after that. */
 	| {readonly kind: typeof allocatorMessageKind.silence; readonly id: number; readonly isSilent: boolean}
+	/** Tells how fast the decode engine of a reservation sent the events of the answer. */
+	| {readonly kind: typeof allocatorMessageKind.pace; readonly id: number; readonly pace: StreamPace}
 	| {readonly kind: typeof allocatorMessageKind.cancel; readonly id: number}
 	| {readonly kind: typeof allocatorMessageKind.ping; readonly id: number}
 	| {readonly kind: typeof allocatorMessageKind.pong; readonly id: number};
@@ -80,6 +82,11 @@
 			return [message.kind, message.id, message.isSilent];
 		}
 
+		case allocatorMessageKind.pace: {
+			const {intervalMs, slowdown, targetGapMs} = message.pace;
+			return [message.kind, message.id, Math.round(intervalMs), slowdown, targetGapMs];
+		}
+
 		case allocatorMessageKind.prefillEnd:
 		case allocatorMessageKind.release: {
 			return [message.kind, message.id, message.outcome ?? ''];
@@ -177,6 +184,10 @@
 			return {kind, id, isSilent: rest[0] === true};
 		}
 
+		case allocatorMessageKind.pace: {
+			return {kind, id, pace: {intervalMs: parseNumber(rest[0]), slowdown: parseNumber(rest[1]), targetGapMs: parseNumber(rest[2])}};
+		}
+
 		case allocatorMessageKind.prefillEnd:
 		case allocatorMessageKind.release: {
 			return {kind, id, outcome: outcomes.find(known => known === rest[0])};
--- a/src/places/remoteallocator.ts
+++ b/src/places/remoteallocator.ts
@@ -1,5 +1,5 @@
 import {QueueRefusal} from '../dispatch/index.js';
-import type {EngineOutcome} from '../dispatch/index.js';
+import type {EngineOutcome, StreamPace} from '../dispatch/index.js';
 import {NotRunError, refusalReason} from '../errors/index.js';
 import type {MessageLink, MessageNetwork} from '../peers/index.js';
 import type {BlockQuarantine} from '../quarantine/index.js';
@@ -322,7 +322,8 @@
 
 type ReservationUpdate =
 	| {readonly kind: typeof allocatorMessageKind.prefillEnd | typeof allocatorMessageKind.release; readonly outcome: EngineOutcome | undefined}
-	| {readonly kind: typeof allocatorMessageKind.silence; readonly isSilent: boolean};
+	| {readonly kind: typeof allocatorMessageKind.silence; readonly isSilent: boolean}
+	| {readonly kind: typeof allocatorMessageKind.pace; readonly pace: StreamPace};
 
 /** A reservation granted by the allocator of another entry. */
 export class RemoteReservation extends Reservation {
@@ -350,6 +351,12 @@
 		}
 	}
 
+	onPace(pace: StreamPace): void {
+		if (this.#isHeld) {
+			this.#send({kind: allocatorMessageKind.pace, pace});
+		}
+	}
+
 	release(outcome: EngineOutcome | undefined): void {
 		if (this.#isHeld) {
 			this.#isHeld = false;
--- a/src/places/serve.ts
+++ b/src/places/serve.ts
@@ -113,6 +113,11 @@
 			return;
 		}
 
+		if (message.kind === allocatorMessageKind.pace) {
+			requests.get(message.id)?.reservation?.onPace(message.pace);
+			return;
+		}
+
 		if (message.kind === allocatorMessageKind.silence) {
 			requests.get(message.id)?.reservation?.onSilence(message.isSilent);
 			return;
--- a/src/places/tracked.ts
+++ b/src/places/tracked.ts
@@ -1,4 +1,4 @@
-import type {EngineOutcome} from '../dispatch/index.js';
+import type {EngineOutcome, StreamPace} from '../dispatch/index.js';
 import type {TimerService} from '../timers/index.js';
 import {Reservation} from './types.js';
 import type {ReservedEngines, ReservationRequest} from './types.js';
@@ -72,6 +72,12 @@
 		}
 	}
 
+	onPace(pace: StreamPace): void {
+		for (const holder of this.#holders.values()) {
+			holder.onPace(pace);
+		}
+	}
+
 	release(outcome: EngineOutcome | undefined): void {
 		this.#onRelease(this);
 		for (const holder of this.#holders.values()) {
--- a/src/places/types.ts
+++ b/src/places/types.ts
@@ -1,5 +1,5 @@
 import {isLong} from '../dispatch/index.js';
-import type {EngineOutcome, GenerationNeeds} from '../dispatch/index.js';
+import type {EngineOutcome, GenerationNeeds, StreamPace} from '../dispatch/index.js';
 import type {LimitedEngine} from '../requestlimits/index.js';
 
 /**
@@ -52,6 +52,9 @@
 	*/
 	abstract onPrefillEnd(outcome: EngineOutcome | undefined): void;
 
+	/** Records how fast the decode engine sent the events of the answer; called before the release. */
+	abstract onPace(pace: StreamPace): void;
+
 	/** Records that the decode engine sends nothing for the request, or that it goes on after that. */
 	abstract onSilence(isSilent: boolean): void;
 
