Fair queueing by customer: customers that got the most of the recent work yield

Cause: a customer that sends more than half of all requests took the capacity from all others in equal parts. In a service's queue the requests of customers above 1.5 times an equal share are served after the others, count as behind them when a request arrives, and are refused first, also for a place in a full queue; a customer whose part granted is under half of that of all does not yield. Reservation requests carry the customer and its priority as items at the end of the message; entries of an earlier build don't send them. Nothing orders requests by priority at present, so the priority is only carried.

With one customer the order of grants is that without customers. Each of rank, order, place in a full queue, arrival and floor was taken out once: a test fails each time.

--- a/src/customers/index.ts
+++ b/src/customers/index.ts
@@ -1,5 +1,5 @@
 /** Customers and their API keys, and how old the knowledge of them is. */
-export {CustomerTable} from './table.js';
+export {CustomerTable, normalizeCustomerName} from './table.js';
 export type {Customer, CustomerKeys} from './table.js';
 export {KnowledgeAge} from './age.js';
 export {Credential} from './credential.js';
--- a/src/customers/table.ts
+++ b/src/customers/table.ts
@@ -1,3 +1,5 @@
+import {createHash} from 'node:crypto';
+
 /** A customer whose requests carry one of its API keys. */
 export type Customer = {
 	readonly name: string;
@@ -5,6 +7,14 @@
 	readonly priority: number | undefined;
 };
 
+/** Maximum length of a customer's name in messages between entries, in characters. */
+const maxNameLength = 64;
+
+/** Returns a customer's name for messages between entries: a longer one than 64 characters is replaced by its hash, which has as many. */
+export function normalizeCustomerName(name: string): string {
+	return name.length <= maxNameLength ? name : createHash('sha256').update(name).digest('hex');
+}
+
 /** A customer and its API keys, as the configuration lists them. */
 export type CustomerKeys = Customer & {readonly keys: readonly string[]};
 
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -11,6 +11,7 @@
 	heldBack, isOnTimeAt, comparePriority, computeRetryAfterMs, maxReturnShare, isOverdue, QueueRefusal, AdmissionQueue,
 } from './queue.js';
 export type {QueuedRequest} from './queue.js';
+export {CustomerShares} from './customershares.js';
 export {chooseGenerationPlacement, choosePlainEngine, estimateFirstTokenMs} from './placement.js';
 export {isPausedUntil} from './pause.js';
 export type {GenerationNeeds} from './needs.js';
--- a/src/dispatch/queue.ts
+++ b/src/dispatch/queue.ts
@@ -1,6 +1,7 @@
 import {NotRunError, refusalReason} from '../errors/index.js';
 import type {RefusalReason} from '../errors/index.js';
 import type {Timer, TimerService} from '../timers/index.js';
+import {CustomerShares} from './customershares.js';
 
 /** A request that waits for a reservation. Times are monotonic, in milliseconds. */
 export type QueuedRequest = {
@@ -16,6 +17,10 @@
 	readonly serviceMs: number;
 	/** Requests of one group need the same capacity: when the first of them gets no reservation, the others are not tried. */
 	readonly group: string;
+	/** The customer whose request it is; `undefined` where requests have none. */
+	readonly customer?: string;
+	/** What it costs to serve, in a unit that all requests of the queue share. Default: 1. */
+	readonly work?: number;
 };
 
 /**
@@ -71,8 +76,13 @@
 	readonly late: Array<Waiter<Reservation>> = [];
 	/** Average time between two grants while requests waited, in milliseconds. */
 	grantIntervalMs = initialGrantIntervalMs;
+	readonly #shares: CustomerShares;
 	#lastGrantAt: number | undefined;
 
+	constructor(shares: CustomerShares) {
+		this.#shares = shares;
+	}
+
 	get size(): number {
 		return this.onTime.length + this.late.length;
 	}
@@ -107,12 +117,24 @@
 			this.add(this.onTime.shift()!, false, now);
 		}
 
-		return this.onTime[skipped] ?? this.late[skipped - this.onTime.length];
+		return skipped < this.onTime.length ? this.#sortByRank(this.onTime, now)[skipped] : this.#sortByRank(this.late, now)[skipped - this.onTime.length];
 	}
 
-	/** Counts the queued requests that would be served before `request`. */
-	countAhead(request: QueuedRequest, now: number): number {
-		return isOnTimeAt(request, now) ? this.onTime.length : this.size;
+	/** Counts the queued requests that would be served before `request`, if it is on time or, as `isLate` tells, late. */
+	countAhead(request: QueuedRequest, now: number, isLate = !isOnTimeAt(request, now)): number {
+		const waiters = isLate ? [...this.onTime, ...this.late] : this.onTime;
+		if (this.#shares.size < 2) {
+			return waiters.length;
+		}
+
+		const rank = this.#shares.computeRank(request.customer, now);
+		return waiters.filter((waiter, index) => (isLate && index < this.onTime.length) || this.#shares.computeRank(waiter.request.customer, now) <= rank).length;
+	}
+
+	/** Finds the request that yields to `request` first, for its place in a full queue; `undefined` when none does. */
+	findYielding(request: QueuedRequest, now: number): Waiter<Reservation> | undefined {
+		const last = this.#sortByRank([...this.onTime, ...this.late], now).at(-1);
+		return last && this.#shares.computeRank(last.request.customer, now) > this.#shares.computeRank(request.customer, now) ? last : undefined;
 	}
 
 	onGrant(now: number): void {
@@ -125,25 +147,37 @@
 
 	/** Removes and returns the late requests that are overdue, or would be when their turn comes. */
 	takeOverdue(now: number): Array<Waiter<Reservation>> {
-		const overdue = this.late.filter(({request}, index) => isOverdue(request, now + ((this.onTime.length + index) * this.grantIntervalMs)));
+		const overdue = this.#sortByRank(this.late, now).filter(({request}, index) => isOverdue(request, now + ((this.onTime.length + index) * this.grantIntervalMs)));
 		for (const waiter of overdue) {
 			this.remove(waiter);
 		}
 
 		return overdue;
 	}
+
+	/** Sorts requests so that those of customers that yield come last; otherwise their order stays. */
+	#sortByRank(waiters: ReadonlyArray<Waiter<Reservation>>, now: number): ReadonlyArray<Waiter<Reservation>> {
+		if (this.#shares.size < 2 || waiters.length < 2) {
+			return waiters;
+		}
+
+		const ranks = new Map(waiters.map(waiter => [waiter, this.#shares.computeRank(waiter.request.customer, now)]));
+		return [...waiters].sort((left, right) => ranks.get(left)! - ranks.get(right)!);
+	}
 }
 
 /**
 Queue of the requests of one service that wait for a reservation. Requests that can still be on time are served first,
 by earliest target; late ones get the capacity that is left, by earliest deadline. The expected wait is estimated from
 the rate of recent grants: a request that would be late by its turn joins the late ones, and one that would wait too long
-there is refused at once, with a time after which its caller should retry.
+there is refused at once, with a time after which its caller should retry. Where requests of several customers wait, those of the customers
+that have received the most of the recent work are served last and refused first.
 */
 export class AdmissionQueue<Reservation> {
 	readonly #timers: TimerService;
 	readonly #getRandom: () => number;
 	readonly #groups = new Map<string, QueueGroup<Reservation>>();
+	readonly #shares = new CustomerShares();
 	#timer: Timer | undefined;
 
 	/** Takes a function that returns a uniform random number in [0, 1), which spreads the retries of refused callers. */
@@ -192,22 +226,24 @@
 			return this.#createRefusal(request, now, refusalReason.deadline);
 		}
 
+		this.#shares.onRequest(request.customer, now);
 		const group = this.#getGroup(request.group);
 		const aheadCount = group.countAhead(request, now);
 		if (aheadCount === 0) {
 			const reservation = tryReserve(now);
 			if (reservation !== undefined && reservation !== heldBack) {
+				this.#countGrant(request, reservation, now);
 				return reservation;
 			}
 		}
 
-		if (group.size >= maxGroupSize) {
+		if (group.size >= maxGroupSize && !this.#tryRefuseYielding(group, request, now)) {
 			return this.#createRefusal(request, now, refusalReason.queueFull);
 		}
 
 		// A request that would be late by its turn must not delay those that can be on time: it is queued with the late ones.
 		const isOnTime = isOnTimeAt(request, now + ((aheadCount + 1) * group.grantIntervalMs * waitMargin));
-		if (!isOnTime && isOverdue(request, now + ((group.size + 1) * group.grantIntervalMs))) {
+		if (!isOnTime && isOverdue(request, now + ((group.countAhead(request, now, true) + 1) * group.grantIntervalMs))) {
 			return this.#createRefusal(request, now, refusalReason.deadline);
 		}
 
@@ -271,14 +307,34 @@
 				group.onGrant(now);
 			}
 
+			this.#countGrant(waiter.request, reservation, now);
+
 			waiter.resolve(reservation);
 		}
 	}
 
+	#countGrant({customer, work = 1}: QueuedRequest, result: Reservation | QueueRefusal, now: number): void {
+		if (!(result instanceof QueueRefusal)) {
+			this.#shares.onGrant(customer, work, now);
+		}
+	}
+
+	/** Refuses the queued request that yields to `request`, if one does, so that there is a place for it; returns whether there is. */
+	#tryRefuseYielding(group: QueueGroup<Reservation>, request: QueuedRequest, now: number): boolean {
+		const yielding = group.findYielding(request, now);
+		if (!yielding) {
+			return false;
+		}
+
+		group.remove(yielding);
+		yielding.resolve(this.#createRefusal(yielding.request, now, refusalReason.queueFull));
+		return true;
+	}
+
 	#getGroup(name: string): QueueGroup<Reservation> {
 		let group = this.#groups.get(name);
 		if (!group) {
-			group = new QueueGroup<Reservation>();
+			group = new QueueGroup<Reservation>(this.#shares);
 			this.#groups.set(name, group);
 		}
 
--- a/src/gateway/ending.ts
+++ b/src/gateway/ending.ts
@@ -33,6 +33,7 @@
 	try {
 		const choice = await queue.wait({
 			targetAt, deadlineAt, firstByteDeadlineAt: deadlineAt, queuedAt: dependencies.timers.getNow(), serviceMs: search.serviceMs, group: route.kind,
+			customer: served.request.credential?.customer.name,
 		}, search.tryChoose, search.mayHaveRun ? served.signal : served.waitSignal);
 		served.trace.onAdmitted();
 		return choice;
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -1,3 +1,4 @@
+import {normalizeCustomerName} from '../customers/index.js';
 import {engineOutcome, engineStage, isPausedUntil} from '../dispatch/index.js';
 import type {EngineView, GenerationNeeds} from '../dispatch/index.js';
 import {
@@ -305,6 +306,7 @@
 
 function createReservationRequest(dependencies: GatewayDependencies, served: ServedRequest, progress: GenerationProgress, excludedEngines: readonly string[] = []): ReservationRequest {
 	const now = dependencies.timers.getNow();
+	const customer = served.request.credential?.customer;
 	served.trace.estimatedMs = dependencies.serviceTimes.estimateMs(served.route.name, served.deadlineAt - now);
 	return {
 		...progress.needs,
@@ -315,6 +317,7 @@
 		firstByteTimeoutMs: progress.waitsSince + served.route.firstByteTimeoutMs - now,
 		serviceMs: served.trace.estimatedMs,
 		excludedEngines: [...progress.triedIds, ...excludedEngines, ...served.fleet.listUnavailable(served.service, now)],
+		...(customer && {customer: normalizeCustomerName(customer.name), priority: customer.priority ?? served.route.priority}),
 	};
 }
 
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -39,6 +39,8 @@
 /** Maximum time for which an entry is told to ask for no further permit, in milliseconds, unless none can be granted for longer; and the time for each entry that asks, which bounds their messages. */
 const maxPermitWaitMs = 250;
 const permitWaitPerClientMs = 5;
+/** Work of reading a token of a prompt, in that of generating one: an engine reads many at once. It weighs the customers' requests against each other. */
+const promptTokenWork = 1 / 64;
 /** Share of the capacity that is open to answers which will be late. */
 const lateShare = 0.5;
 
@@ -133,6 +135,7 @@
 		const allocation = await this.#getQueue(request.service).tryWait({
 			targetAt: now + request.targetMs, deadlineAt: now + request.deadlineMs, firstByteDeadlineAt: now + request.firstByteTimeoutMs, queuedAt: now, serviceMs: request.serviceMs,
 			group: isLong(request) ? 'long' : 'short',
+			customer: request.customer, work: request.outputTokens + (request.uniqueTokens * promptTokenWork),
 		}, at => {
 			const serving = fleet.listServing(request.service);
 			const result = this.#tryAllocate(request, serving.filter(view => !excluded.has(view.record.id)), {
--- a/src/places/messages.ts
+++ b/src/places/messages.ts
@@ -33,9 +33,14 @@
 	| {readonly kind: typeof allocatorMessageKind.ping; readonly id: number}
 	| {readonly kind: typeof allocatorMessageKind.pong; readonly id: number};
 
+/** Stands for a request without a priority. */
+const noPriority = -1;
 /** Stands for an engine that names no limit. */
 const noLimit = -1;
 
+/** Maximum length of a customer's name, in characters; longer ones are hashed by the sender. */
+const maxCustomerLength = 64;
+
 const outcomes = Object.values(engineOutcome);
 const reasons = Object.values(refusalReason);
 
@@ -106,6 +111,7 @@
 		request.kvCapacityTokens,
 		request.excludedEngines,
 		request.kvTransferMsPerToken,
+		...(request.customer === undefined ? [] : [request.customer, request.priority ?? noPriority]),
 	];
 }
 
@@ -195,7 +201,7 @@
 }
 
 function parseReservationRequest(items: readonly unknown[]): ReservationRequest {
-	const [service, targetMs, deadlineMs, firstByteTimeoutMs, serviceMs, prefixBlocks, uniqueTokens, outputTokens, kvCapacityTokens, excludedEngines, kvTransferMsPerToken] = items;
+	const [service, targetMs, deadlineMs, firstByteTimeoutMs, serviceMs, prefixBlocks, uniqueTokens, outputTokens, kvCapacityTokens, excludedEngines, kvTransferMsPerToken, customer, priority] = items;
 	return {
 		service: parseString(service),
 		targetMs: parseNumber(targetMs),
@@ -208,9 +214,25 @@
 		kvCapacityTokens: parseNumber(kvCapacityTokens),
 		kvTransferMsPerToken: parseOptionalNumber(kvTransferMsPerToken),
 		excludedEngines: Array.isArray(excludedEngines) ? excludedEngines.map(id => parseString(id)) : [],
+		...parseCustomer(customer, priority),
 	};
 }
 
+/** Parses the customer of a request, which entries of an earlier build don't send. */
+function parseCustomer(customer: unknown, priority: unknown): Pick<ReservationRequest, 'customer' | 'priority'> {
+	if (customer === undefined) {
+		return {};
+	}
+
+	const name = parseString(customer);
+	const number = parseNumber(priority);
+	if (name.length > maxCustomerLength) {
+		throw new BadFrameError('allocator message has a customer that is too long');
+	}
+
+	return number === noPriority ? {customer: name} : {customer: name, priority: number};
+}
+
 function parseQuarantines(value: unknown): Quarantine[] {
 	if (!Array.isArray(value)) {
 		throw new BadFrameError('allocator message has no list of quarantines');
--- a/src/places/types.ts
+++ b/src/places/types.ts
@@ -18,6 +18,10 @@
 	readonly serviceMs: number;
 	/** Ids of engines that may not be chosen: they failed this request, or the requesting entry sends them no work at present. */
 	readonly excludedEngines: readonly string[];
+	/** The customer whose request it is, in at most 64 characters; `undefined` where requests have none. */
+	readonly customer?: string;
+	/** The customer's priority, or that of the route where it has none; 0 is the most urgent. Sent where there is a customer. */
+	readonly priority?: number;
 };
 
 /** Returns whether a request that is granted now would be answered after its target. */
