Keys: an entry that reads the complete state asks others for a later configuration

Cause: an entry that started while the store was back from an older copy, or that had missed a revocation, took the copy's configuration for the newest and served keys that had been revoked since.

--- a/src/changefeed/index.ts
+++ b/src/changefeed/index.ts
@@ -1,6 +1,8 @@
 /** Passes the changes of the store on between entries of a failure domain, so that one of them watches it for all. */
 export {ContactAsker} from './asker.js';
 export type {ContactAskerDependencies} from './asker.js';
+export {ConfigurationAsker, maxConfigurationLength} from './configurations.js';
+export type {HeldConfiguration} from './configurations.js';
 export {StoreContact} from './contact.js';
 export type {ContactSpan, StoreOutage} from './contact.js';
 export {ChangeFollower} from './follower.js';
--- a/src/changefeed/messages.ts
+++ b/src/changefeed/messages.ts
@@ -3,7 +3,7 @@
 
 /** Number of each kind of message on the wire, where it is the first item; they differ from those of slot allocators, which use the same connections' port. */
 export const feedMessageKind = {
-	follow: 40, batch: 41, alive: 42, refuse: 43, ask: 44, contact: 45, confirm: 46, confirmed: 47,
+	follow: 40, batch: 41, alive: 42, refuse: 43, ask: 44, contact: 45, confirm: 46, confirmed: 47, askConfiguration: 48, configuration: 49,
 } as const;
 
 /** A message between an entry that reads the store and one that follows it. */
@@ -23,14 +23,20 @@
 	/** Asks how old the knowledge of the changes up to the answer's position is. */
 	| {readonly kind: typeof feedMessageKind.confirm; readonly number: number}
 	/** No further change up to a position, which was the store's newest state `ageMs` before; `number` is that of the query. */
-	| {readonly kind: typeof feedMessageKind.confirmed; readonly number: number; readonly position: StorePosition; readonly ageMs: number};
-
+	| {readonly kind: typeof feedMessageKind.confirmed; readonly number: number; readonly position: StorePosition; readonly ageMs: number}
+	/** Asks for the configuration in force there, if it is later than `version`. */
+	| {readonly kind: typeof feedMessageKind.askConfiguration; readonly version: number}
+	/** Version of the configuration in force, `noVersion` without one; `text` is empty when it is not later than that asked for, or too large for a message. */
+	| {readonly kind: typeof feedMessageKind.configuration; readonly version: number; readonly text: string};
+
+/** Stands for the version of a configuration where there is none. */
+export const noVersion = -1;
 /** Stands for a store that reports no eras. */
 const noEra = -1;
 
 /** Tells whether received items are a message of this kind of feed. */
 export function isFeedMessage(items: unknown): boolean {
-	return Array.isArray(items) && typeof items[0] === 'number' && items[0] >= feedMessageKind.follow && items[0] <= feedMessageKind.confirmed;
+	return Array.isArray(items) && typeof items[0] === 'number' && items[0] >= feedMessageKind.follow && items[0] <= feedMessageKind.configuration;
 }
 
 /** Converts a message into the list of items that is sent. */
@@ -65,6 +71,14 @@
 		case feedMessageKind.confirmed: {
 			return [message.kind, ...toPositionItems(message.position), message.number, Math.ceil(message.ageMs)];
 		}
+
+		case feedMessageKind.askConfiguration: {
+			return [message.kind, message.version];
+		}
+
+		case feedMessageKind.configuration: {
+			return [message.kind, message.version, message.text];
+		}
 	}
 }
 
@@ -110,6 +124,18 @@
 			};
 		}
 
+		case feedMessageKind.askConfiguration: {
+			return {kind, version: parseNumber(rest[0])};
+		}
+
+		case feedMessageKind.configuration: {
+			if (typeof rest[1] !== 'string') {
+				throw new BadFrameError('feed message has no text of a configuration');
+			}
+
+			return {kind, version: parseNumber(rest[0]), text: rest[1]};
+		}
+
 		default: {
 			throw new BadFrameError('feed message is of an unknown kind');
 		}
--- a/src/changefeed/publisher.ts
+++ b/src/changefeed/publisher.ts
@@ -1,5 +1,7 @@
 import type {MessageHandlers, MessageLink} from '../peers/index.js';
 import type {Timer, TimerService} from '../timers/index.js';
+import {createConfigurationAnswer} from './configurations.js';
+import type {HeldConfiguration} from './configurations.js';
 import {feedMessageKind, parseFeedItems, toFeedItems} from './messages.js';
 import type {FeedMessage} from './messages.js';
 import type {ContactSpan} from './contact.js';
@@ -19,6 +21,7 @@
 	readonly #timers: TimerService;
 	readonly #getContact: () => ContactSpan | undefined;
 	readonly #computeKnowledgeAgeMs: () => number;
+	readonly #getConfiguration: () => HeldConfiguration | undefined;
 	readonly #followers = new Set<MessageLink>();
 	readonly #batches: ChangeBatch[] = [];
 	#position: StorePosition | undefined;
@@ -27,12 +30,18 @@
 
 	/**
 	`getContact` returns the time in which the store has been answering, as far as this entry knows; `computeKnowledgeAgeMs` the age of the state
-	that was published last, infinite if it is not known.
+	that was published last, infinite if it is not known; `getConfiguration` the configuration in force here.
 	*/
-	constructor(timers: TimerService, getContact: () => ContactSpan | undefined, computeKnowledgeAgeMs: () => number = () => Number.POSITIVE_INFINITY) {
+	constructor(
+		timers: TimerService,
+		getContact: () => ContactSpan | undefined,
+		computeKnowledgeAgeMs: () => number = () => Number.POSITIVE_INFINITY,
+		getConfiguration: () => HeldConfiguration | undefined = () => undefined,
+	) {
 		this.#timers = timers;
 		this.#getContact = getContact;
 		this.#computeKnowledgeAgeMs = computeKnowledgeAgeMs;
+		this.#getConfiguration = getConfiguration;
 	}
 
 	/** Number of entries that follow this one. */
@@ -95,6 +104,10 @@
 					link.send(toFeedItems(this.#createContactMessage()));
 				}
 
+				if (message.kind === feedMessageKind.askConfiguration) {
+					link.send(toFeedItems(createConfigurationAnswer(this.#getConfiguration(), message.version)));
+				}
+
 				if (message.kind === feedMessageKind.confirm) {
 					this.#onConfirm(link, message.number);
 				}
