Usage reports; tests of LeasedDuty without a network; a note on duties

The world's test found that a store may give each write of a transaction its own revision, so that the holder took its own key for another's. LeasedDuty compares what its key holds; a backward jump of the wall clock makes the last confirmation void; a newcomer leaves a duty to others for 3 s; numbers are made from the corrected time. Random runs with raw wall clocks of +-2,400 s found a lower number after a higher one when the store went back. Guards taken out of the built code one by one: first call waits a lease (3 tests fail), calls only while safe (4), suspension counted (3), confirmation reads the key (1), highest number (17), true time in the number (36), removal of an orphaned key (1), check before sending (1), malformed record (1), a jump keeps the term (1), newcomer (2), both expected revisions (all). CPU and bytes not measured.

--- a/src/duties/leasedduty.ts
+++ b/src/duties/leasedduty.ts
@@ -20,6 +20,8 @@
 export type LeasedDutyDependencies = {
 	readonly store: DutyStore;
 	readonly timers: TimerService;
+	/** Estimates the true time, in milliseconds since the Unix epoch, without the jumps of the wall clock: a number that is ahead of time could only be exceeded by those who know it. */
+	readonly getTrueTimeMs: () => number;
 	/** Returns a uniform random number in [0, 1). */
 	readonly getRandom: () => number;
 	/** Whether this entry is the first choice for the duty among the live entries. */
@@ -34,14 +36,16 @@
 type Term = {
 	readonly number: number;
 	readonly lease: DutyLease;
-	/** Revision of the holder's key. */
-	readonly revision: number;
+	/** Revision of the holder's key; a store may give each write of a transaction its own. */
+	revision: number;
 	/** Monotonic time from which the holder may call, in milliseconds. */
 	readonly callNotBefore: number;
 	/** When the last check that found the lease and the holder's key in place was sent: no other entry acquired the duty before. */
 	confirmedAt: ClockReading;
 	/** When the last such check was sent, whatever came of it. */
 	checkedAt: ClockReading;
+	/** Monotonic time of the last backward jump of the wall clock, in milliseconds: a suspension at that time would not show. */
+	jumpedAt: number;
 };
 
 /** The holder as the store names it at a revision of an era; no record when the key is absent or malformed. */
@@ -57,13 +61,21 @@
 const minAbsentMs = 1000;
 /** Chance that such an entry tries at one look: of many entries few try at once, as each try takes several calls of the store. */
 const tryChance = 0.08;
+/**
+Time after its start in which an entry leaves a duty to others, in milliseconds, and time for which the duty has been without a holder from which it tries all the same:
+after the store came back from an older copy only entries that were there before know the numbers that the copy lacks.
+*/
+const newcomerMs = 10_000;
+const newcomerMinAbsentMs = 3000;
 /** Time after a try that failed in which this entry makes no further one, in milliseconds, before jitter. */
 const retryDelayMs = 500;
+/** Fall of the wall clock against the monotonic one between two looks that is a jump, in milliseconds; adjustments of the rate are far smaller. */
+const minJumpMs = 20;
 const millisecondsPerSecond = 1000;
 
 /**
 A duty whose holder has a lease in the store, made for a deployment of tens of entries of which each looks at it several times a second and only the holder calls the store.
-The fencing token of a term is greater than any that is known, and than the seconds of the wall clock, so that it rises also when the store comes back from an older copy.
+The fencing token of a term is greater than any that is known, and than the seconds of the true time, so that it rises also when the store comes back from an older copy.
 
 The holder confirms that its key is in place, and calls only while that is less than a lease old at the end of the call; a new holder makes its first call a whole lease
 after it acquired the duty. So calls of two holders never overlap or take turns within a lease, whatever became of the store's leases.
@@ -73,11 +85,14 @@
 	readonly #options: LeasedDutyOptions;
 	readonly #dependencies: LeasedDutyDependencies;
 	readonly #incarnation: number;
+	/** Monotonic, in milliseconds. */
+	readonly #startedAt: number;
 	readonly #listeners = new Set<() => void>();
 	#term: Term | undefined;
 	#wasHeld = false;
 	/** `undefined` until the store has told of the key. */
 	#known: KnownHolder | undefined;
+	#lastHolder: string | undefined;
 	/** Highest fencing token that this process has seen. */
 	#highestNumber = 0;
 	/** Monotonic time since which the store names no holder, in milliseconds; `undefined` while it names one or is not known. */
@@ -86,6 +101,8 @@
 	#orphanedSince: number | undefined;
 	/** Monotonic time before which the duty is not acquired, in milliseconds. */
 	#acquireNotBefore = Number.NEGATIVE_INFINITY;
+	/** Wall clock less monotonic clock at the last look, in milliseconds. */
+	#clockOffsetMs = Number.NEGATIVE_INFINITY;
 	#isBusy = false;
 	#isStopped = false;
 	#timer: Timer | undefined;
@@ -95,6 +112,7 @@
 		this.name = options.name;
 		this.#options = options;
 		this.#dependencies = dependencies;
+		this.#startedAt = dependencies.timers.getNow();
 		this.#incarnation = Math.round(dependencies.timers.getWallTime());
 	}
 
@@ -111,6 +129,11 @@
 		return this.#known?.record?.holder;
 	}
 
+	/** Name of the VM that held the duty last, as far as this process knows, if it does not hold it now. */
+	get lastHolder(): string | undefined {
+		return this.#lastHolder;
+	}
+
 	/** Highest fencing token that this process has seen. */
 	get highestNumber(): number {
 		return this.#highestNumber;
@@ -189,21 +212,33 @@
 		}
 
 		this.#known = found;
+		this.#lastHolder = record?.holder ?? this.#lastHolder;
 		const now = this.#dependencies.timers.getNow();
 		this.#absentSince = record ? undefined : this.#absentSince ?? now;
 		const term = this.#term;
-		const isOwn = record?.holder === this.#options.vm && record.incarnation === this.#incarnation;
-		this.#orphanedSince = isOwn && record.number !== term?.number ? this.#orphanedSince ?? now : undefined;
-		if (term && !(isOwn && record.number === term.number) && (era !== term.lease.era || revision > term.revision)) {
+		const isOwn = this.#isOwn(record);
+		const isTerm = isOwn && record?.number === term?.number;
+		this.#orphanedSince = isOwn && !isTerm ? this.#orphanedSince ?? now : undefined;
+		if (term && !isTerm && (era !== term.lease.era || revision > term.revision)) {
 			this.#finishTerm('another entry holds it');
 		}
 	}
 
+	/** Whether a record was written by this process. */
+	#isOwn(record: DutyRecord | undefined): boolean {
+		return record?.holder === this.#options.vm && record.incarnation === this.#incarnation;
+	}
+
 	#check(): void {
 		if (this.#isStopped) {
 			return;
 		}
 
+		if (this.#hasJumpedBack() && this.#term) {
+			this.#term.jumpedAt = this.#dependencies.timers.getNow();
+		}
+
+		this.#clockOffsetMs = this.#computeClockOffsetMs();
 		if (this.#term) {
 			void this.#tryConfirm(this.#term);
 		} else if (!this.#isBusy) {
@@ -222,7 +257,7 @@
 			return;
 		}
 
-		if (measureElapsedMs(timers, term.checkedAt) < this.#options.leaseMs * renewShare) {
+		if (term.checkedAt.now >= term.jumpedAt && measureElapsedMs(timers, term.checkedAt) < this.#options.leaseMs * renewShare) {
 			return;
 		}
 
@@ -234,10 +269,12 @@
 				return;
 			}
 
-			if (isRenewed && era === term.lease.era && revision === term.revision) {
+			const record = value === undefined ? undefined : parseHolder(value);
+			if (isRenewed && era === term.lease.era && this.#isOwn(record) && record?.number === term.number) {
+				term.revision = revision;
 				term.confirmedAt = sentAt.now > term.confirmedAt.now ? sentAt : term.confirmedAt;
 			} else {
-				this.#onHolder({record: value === undefined ? undefined : parseHolder(value), revision, era});
+				this.#onHolder({record, revision, era});
 				await this.#release('lease ended');
 			}
 		} catch (error) {
@@ -246,8 +283,7 @@
 	}
 
 	async #tryAcquire(): Promise<void> {
-		const {timers, isPreferred, getRandom} = this.#dependencies;
-		const now = timers.getNow();
+		const now = this.#dependencies.timers.getNow();
 		if (now < this.#acquireNotBefore) {
 			return;
 		}
@@ -256,7 +292,7 @@
 		try {
 			if (this.#orphanedSince !== undefined && now - this.#orphanedSince >= this.#options.leaseMs) {
 				await this.#removeOrphan();
-			} else if (this.#absentSince !== undefined && (isPreferred() || (now - this.#absentSince >= minAbsentMs && getRandom() < tryChance))) {
+			} else if (this.#absentSince !== undefined && this.#isTryDue(now - this.#absentSince)) {
 				await this.#acquire();
 			}
 		} catch (error) {
@@ -267,6 +303,16 @@
 		}
 	}
 
+	/** Decides whether this entry tries to acquire a duty that has been without a holder for `absentMs`: the preferred one at once, of the others a few. */
+	#isTryDue(absentMs: number): boolean {
+		const {timers, isPreferred, getRandom} = this.#dependencies;
+		if (timers.getNow() - this.#startedAt < newcomerMs && absentMs < newcomerMinAbsentMs) {
+			return false;
+		}
+
+		return isPreferred() || (absentMs >= minAbsentMs && getRandom() < tryChance);
+	}
+
 	/** Puts the next try off, so that a slow store is not called all the time, and not by all entries together. */
 	#scheduleTry(): void {
 		const {timers, getRandom} = this.#dependencies;
@@ -287,7 +333,7 @@
 
 		const highest = await store.read(numberKey);
 		this.#onNumber(Number(highest.value ?? 0));
-		const number = Math.max(this.#highestNumber, Math.floor(timers.getWallTime() / millisecondsPerSecond)) + 1;
+		const number = Math.max(this.#highestNumber, Math.floor(this.#dependencies.getTrueTimeMs() / millisecondsPerSecond)) + 1;
 		const sentAt = readClocks(timers);
 		const lease = await store.acquireLease(leaseMs);
 		if (this.#isStopped || timers.getNow() < this.#acquireNotBefore || lease.era !== found.era || lease.era !== highest.era) {
@@ -296,8 +342,8 @@
 
 		// A malformed record is replaced: nothing else would end it. When the answer is lost, the key goes with its lease, which nobody renews.
 		const revision = await store.tryTransact(new Map([[holderKey, found.revision], [numberKey, highest.revision]]), [
-			{key: holderKey, value: formatHolder({holder: vm, number, incarnation: this.#incarnation}), lease},
 			{key: numberKey, value: String(number)},
+			{key: holderKey, value: formatHolder({holder: vm, number, incarnation: this.#incarnation}), lease},
 		]);
 		if (revision === undefined) {
 			this.#scheduleTry();
@@ -312,9 +358,10 @@
 		}
 
 		this.#term = {
-			number, lease, revision, callNotBefore: now + leaseMs, confirmedAt: sentAt, checkedAt: sentAt,
+			number, lease, revision, callNotBefore: now + leaseMs, confirmedAt: sentAt, checkedAt: sentAt, jumpedAt: Number.NEGATIVE_INFINITY,
 		};
 		this.#known = {record: {holder: vm, number, incarnation: this.#incarnation}, revision, era: lease.era};
+		this.#lastHolder = vm;
 		this.#absentSince = undefined;
 		this.#orphanedSince = undefined;
 		if (this.#isStopped) {
@@ -368,9 +415,19 @@
 		return this.#isSafe(term) && this.#dependencies.timers.getNow() >= term.callNotBefore;
 	}
 
-	#isSafe({confirmedAt}: Term): boolean {
+	#isSafe({confirmedAt, jumpedAt}: Term): boolean {
 		const {leaseMs, callTimeoutMs} = this.#options;
-		return measureElapsedMs(this.#dependencies.timers, confirmedAt) + callTimeoutMs + leaseMarginMs < leaseMs;
+		return confirmedAt.now >= jumpedAt && !this.#hasJumpedBack() && measureElapsedMs(this.#dependencies.timers, confirmedAt) + callTimeoutMs + leaseMarginMs < leaseMs;
+	}
+
+	/** Whether the wall clock has fallen since the last look. */
+	#hasJumpedBack(): boolean {
+		return this.#computeClockOffsetMs() < this.#clockOffsetMs - minJumpMs;
+	}
+
+	#computeClockOffsetMs(): number {
+		const {now, wall} = readClocks(this.#dependencies.timers);
+		return wall - now;
 	}
 
 	#notifyChange(): void {
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -14,6 +14,7 @@
 import {emptyStreamMessage} from './events.js';
 import type {KvCacheHandle} from './ports.js';
 import {selectRetryReason, RequestProgress} from './progress.js';
+import {reportBegun} from './served.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
 import {StreamSend} from './streamsend.js';
 import type {StreamSendOptions} from './streamsend.js';
@@ -460,6 +461,7 @@
 }
 
 async function writeEvents(dependencies: GatewayDependencies, served: ServedRequest, send: StreamSend, bytes: Uint8Array): Promise<void> {
+	reportBegun(dependencies, served);
 	startAnswer(dependencies, served, send);
 	send.attempt.stopSilenceTimer();
 	await served.answer.write(bytes);
--- a/src/gateway/plainrace.ts
+++ b/src/gateway/plainrace.ts
@@ -4,6 +4,7 @@
 import type {AttemptOptions} from './attempt.js';
 import {checkEvents} from './events.js';
 import type {PlainProgress} from './plainprogress.js';
+import {reportBegun} from './served.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
 import {requestKind} from './types.js';
 
@@ -72,6 +73,10 @@
 		this.#open.add(attempt);
 		this.#progress.openSends++;
 		await attempt.send(this.#served, options);
+		if (attempt.reply?.hasReceipt && !attempt.isNotRun && !attempt.isUnprovenRefusal) {
+			reportBegun(this.#dependencies, this.#served);
+		}
+
 		const body = attempt.isNotRun ? undefined : await readAnswer(this.#served, attempt);
 		if (body) {
 			attempt.finish();
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -27,6 +27,8 @@
 	readonly access?: CustomerAccess;
 	readonly retryBudget: WindowRetryBudget;
 	readonly reporter: RequestReporter;
+	/** Called once for each request that an engine begins to answer: with its first event, or with the head of its answer. */
+	readonly onBegun?: (request: GatewayRequest) => void;
 	/** Returns a uniform random number in [0, 1). */
 	readonly getRandom: () => number;
 };
@@ -51,6 +53,14 @@
 	readonly deadlineAt: number;
 };
 
+/** Reports that an engine has begun to answer a request, if it is the first one. */
+export function reportBegun({onBegun}: GatewayDependencies, {request, trace}: ServedRequest): void {
+	if (!trace.hasBegun) {
+		trace.hasBegun = true;
+		onBegun?.(request);
+	}
+}
+
 /** Counts one more request of this process at an engine, until the returned function is called. */
 export function trackSend(view: EngineView): () => void {
 	view.localRequests++;
--- a/src/gateway/trace.ts
+++ b/src/gateway/trace.ts
@@ -103,6 +103,8 @@
 	/** Time that the route's answers take from a reservation to their first byte, as estimated when the latest reservation was asked for, in milliseconds. */
 	estimatedMs: number | undefined;
 	firstByteMs: number | undefined;
+	/** Whether an engine has begun to answer. */
+	hasBegun = false;
 	outcome: RequestOutcome | undefined;
 	reason: string | undefined;
 	status: number | undefined;
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -36,6 +36,8 @@
 	/** Calls of the platform by holders of duties; see `dutyOutcome` for the outcomes. */
 	dutyCalls: {name: 'crocus_duty_calls_total', help: 'Calls of the platform by the holder of a duty, by outcome', label: 'outcome'},
 	dutyTerms: {name: 'crocus_duty_terms_total', help: 'Terms of this entry as the holder of a duty, by what happened', label: 'change'},
+	/** See `windowOutcome` for the outcomes. */
+	usageWindows: {name: 'crocus_usage_windows_total', help: 'Usage windows that this entry reported or gave up, by outcome', label: 'outcome'},
 	dutyStoreFailures: {name: 'crocus_duty_store_failures_total', help: 'Failed calls of the store for duties, by task', label: 'task'},
 	/** Errors that ended neither a request nor the process; each has a log line. */
 	unhandledErrors: {name: 'crocus_unhandled_errors_total', help: 'Errors that no code expected, by where they surfaced', label: 'kind'},
--- a/standins/fleet/index.ts
+++ b/standins/fleet/index.ts
@@ -1,7 +1,9 @@
-/** Stand-ins for the users' platform: its store and its engines. */
+/** Stand-ins for the users' platform: its store, its engines, and the calls that holders of duties make. */
 export {
 	callersHost, createConfiguration, createPromptHeaders, createSettingsText,
 } from './configuration.js';
+export {dutyApiMode, FleetDutyApi} from './dutyapi.js';
+export type {DutyApiMode, DutyCall} from './dutyapi.js';
 export {engineFault, FleetEngine, listBlocks} from './engine.js';
 export type {
 	Arrival, EngineFault, FleetEngineOptions, LimitChange,
