A suspended process learns nothing in the tests of duties; a clock that may be a long suspension behind reports nothing

Cause: in the tests a suspended process was told of changes, so that two guards had no effect there. Change: after a large step of the wall clock nothing is reported until the median of three entries or more has come. Reports are computed again after a write without an answer, as only what the store has is sent. Guards taken out one by one, each failing at least one test: limit of calls, backward jump, wait by the monotonic clock, overlapping renewals, pause after a failed try, conditional write of reports, abandoned windows, settled clock, the store's report after a conflict, repeat after a lost answer, removal of old keys, reading earlier reports, readings before a suspension, large steps, silent connections, only changes sent, counts never fall, counts by process. Without a failing test, as other checks cover them: the report kept in memory after its writing, clearing at a rise of the era, the check of the era after a write.

--- a/src/duties/test/leasedduty.test.ts
+++ b/src/duties/test/leasedduty.test.ts
@@ -44,8 +44,11 @@
 	});
 
 	it('counts a suspension that a backward jump of the wall clock just before it would hide', async () => {
+		// No confirmation comes in between, which would use the new time.
+		a.path.state.isCut = true;
 		a.timers.shiftWallTime(-10_000);
 		await world.advance(300);
+		a.path.state.isCut = false;
 		a.timers.startSuspension();
 		await world.advance(9500);
 		expect(listHolders().at(-1)).to.equal('b');
@@ -61,6 +64,30 @@
 		await world.advance(takeoverMs);
 	});
 
+	it('makes no call that could arrive when the next holder may call', async () => {
+		const next = world.startCandidate('c', true);
+		await world.advance(11_000);
+		const {calls} = world.store;
+		while (world.store.calls === calls) {
+			await world.advance(10);
+		}
+
+		// Just confirmed.
+		await world.advance(10);
+		a.path.state.isCut = true;
+		world.cutFeeds.add('a');
+		world.platform.transitMs = 450;
+		const key = dutyKey.formatHolderKey('usage');
+		world.store.tryTransact(new Map(), [], [key]);
+		while (!next.duty.isHeld) {
+			await world.advance(10);
+		}
+
+		world.platform.transitMs = 0;
+		await world.advance(takeoverMs);
+		expect(listHolders().at(-1)).to.equal('c');
+	});
+
 	it('passes to another entry when the holder is killed, and does not go back to a process that starts again on the VM', async () => {
 		world.abortCandidate(a);
 		world.startCandidate('a');
--- a/src/usage/reporter.ts
+++ b/src/usage/reporter.ts
@@ -71,8 +71,6 @@
 	readonly #dependencies: UsageReporterDependencies;
 	/** Reports that the store has, by window. */
 	readonly #written = new Map<number, UsageReport>();
-	/** Reports whose writing got no answer; tried again as they are. */
-	readonly #drafts = new Map<number, UsageReport>();
 	/** The windows up to this one are reported or given up; `undefined` until a term has begun. */
 	#settledWindow: number | undefined;
 	/** Number of the term whose reports were read from the store, and monotonic time of its begin, in milliseconds. */
@@ -103,7 +101,6 @@
 	onStoreReplaced(): void {
 		this.#certainSince = this.#dependencies.timers.getNow();
 		this.#written.clear();
-		this.#drafts.clear();
 		this.#term = undefined;
 	}
 
@@ -209,8 +206,8 @@
 			return undefined;
 		}
 
-		const draft = this.#drafts.get(window) ?? {window, counts: sumCounts(window), settledWindow: window - 1};
-		this.#drafts.set(window, draft);
+		// After a write without an answer the counts may have changed. Only what the store has is sent, so a late write does no harm.
+		const draft = {window, counts: sumCounts(window), settledWindow: window - 1};
 		const oldWindows = [...this.#written.keys()].filter(old => old < window - keptWindows);
 		const certainSince = this.#certainSince;
 		const revision = await store.tryTransact(new Map([[key, 0]]), [{key, value: formatReport(draft)}], oldWindows.map(old => reportKey.formatKey(old)));
@@ -220,7 +217,6 @@
 		}
 
 		const report = found ? parseReport(key, found.value ?? '') : draft;
-		this.#drafts.delete(window);
 		if (report) {
 			this.#written.set(window, report);
 		} else if (found?.value !== undefined) {
@@ -247,12 +243,6 @@
 
 	#settle(window: number, outcome: WindowOutcome, report?: UsageReport): void {
 		this.#settledWindow = window;
-		for (const drafted of this.#drafts.keys()) {
-			if (drafted <= window) {
-				this.#drafts.delete(drafted);
-			}
-		}
-
 		this.#dependencies.onWindow(window, outcome, {
 			ageMs: Math.round(this.#computeAgeMs(window)),
 			...(report && {customers: report.counts.size, requests: [...report.counts.values()].reduce((sum, count) => sum + count, 0)}),
--- a/src/usage/test/reporter.test.ts
+++ b/src/usage/test/reporter.test.ts
@@ -146,6 +146,30 @@
 		await world.advance(40_000);
 	});
 
+	it('never replaces a report that was sent by one that is written late', async () => {
+		const late = new ReportWorld();
+		const first = late.startReporter('a', true, 60_000);
+		const second = late.startReporter('b', false, 60_000);
+		await late.waitForReports(1);
+		await late.advance(windowMs - 1000);
+		// The first one's write takes effect when the second has sent its own report, without an answer.
+		first.path.state.lostAnswers = 100;
+		first.path.state.lateMs = 12_000;
+		while (second.duty.number === undefined) {
+			await late.advance(100);
+		}
+
+		late.abortCandidate(first);
+		late.platform.nextOutcomes.push('uncertain');
+		await late.waitForReports(1);
+		late.abortCandidate(second);
+		await late.advance(12_000);
+		late.startReporter('c', true, 60_000);
+		await late.advance(30_000);
+		expect(late.platform.reports.at(-1)!.counts).to.include('"c"');
+		expect(late.listContradictions()).to.deep.equal([]);
+	});
+
 	it('gives up the windows that may have been reported before the store went back', async () => {
 		const copy = world.store.exportCopy();
 		await world.waitForReports(2);
--- a/src/usage/truetime.ts
+++ b/src/usage/truetime.ts
@@ -30,6 +30,8 @@
 	#correctionMs = 0;
 	/** Monotonic time of the last step of the wall clock, in milliseconds. */
 	#steppedAt = Number.NEGATIVE_INFINITY;
+	/** Whether the wall clock has made a step that was ignored, but may have been a long suspension, and no median has come since. */
+	#isDoubtful = false;
 	readonly #readings = new Map<string, Reading>();
 
 	constructor(timers: TimerService) {
@@ -57,15 +59,16 @@
 			// After a suspension they would be as old as it was long.
 			this.#readings.clear();
 			this.#steppedAt = now;
+			this.#isDoubtful ||= stepMs > maxSuspensionMs;
 		}
 
 		return now + this.#ownOffsetMs;
 	}
 
-	/** Whether the other entries have had time to correct this clock after the last step of the wall clock, which was a suspension or a jump. */
+	/** Whether the other entries have had time to correct this clock after the last step of the wall clock, which was a suspension or a jump; after a large step, whether they have. */
 	get isSettled(): boolean {
 		this.getOwnTimeMs();
-		return this.#timers.getNow() - this.#steppedAt >= settleMs;
+		return !this.#isDoubtful && this.#timers.getNow() - this.#steppedAt >= settleMs;
 	}
 
 	/** Records another entry's own estimate, which has just arrived. */
@@ -97,6 +100,7 @@
 
 	/** Corrects this clock to the time that the entries agree on. Returns by how much it was off, in milliseconds; 0 when it is left as it is. */
 	applyMedian(timeMs: number): number {
+		this.#isDoubtful = false;
 		const differenceMs = timeMs - this.getTimeMs();
 		if (Math.abs(differenceMs) < minCorrectionMs) {
 			return 0;
