--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -15,7 +15,7 @@
 import {emptyStreamMessage} from './events.js';
 import type {KvCacheHandle} from './ports.js';
 import {selectRetryReason, RequestProgress} from './progress.js';
-import {findAccessRefusal} from './served.js';
+import {findAccessRefusal, reportBegun} from './served.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
 import {StreamSend} from './streamsend.js';
 import type {StreamSendOptions} from './streamsend.js';
@@ -465,6 +465,7 @@
 }
 
 async function writeEvents(dependencies: GatewayDependencies, served: ServedRequest, send: StreamSend, bytes: Uint8Array): Promise<void> {
+	reportBegun(dependencies, served);
 	startAnswer(dependencies, served, send);
 	send.attempt.stopSilenceTimer();
 	await served.answer.write(bytes);
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -29,6 +29,8 @@
 	readonly reporter: RequestReporter;
 	/** Called with each load report that names a slowdown. */
 	readonly onLoadReport?: (view: EngineView, load: EngineLoad) => void;
+	/** Called once for each request that an engine begins to answer: with its first event, or with the head of its answer. */
+	readonly onBegun?: (request: GatewayRequest) => void;
 	/** Returns a uniform random number in [0, 1). */
 	readonly getRandom: () => number;
 };
@@ -58,6 +60,14 @@
 	return route.isPublic ? undefined : access?.check(request.credential);
 }
 
+/** Reports that an engine has begun to answer a request, if it is the first one. */
+export function reportBegun({onBegun}: GatewayDependencies, {request, trace}: ServedRequest): void {
+	if (!trace.hasBegun) {
+		trace.hasBegun = true;
+		onBegun?.(request);
+	}
+}
+
 /** Counts one more request of this process at an engine, until the returned function is called. */
 export function trackSend(view: EngineView): () => void {
 	view.localRequests++;
