Ordered engines: what a refused order would bring is not counted on when others are removed

Cause: in a model without spot engines, each try of an order that is refused (409) every 2 s let 1 to 8 other engines be removed for it and ordered again half a second later. At the maximum of all failure domains no kind could be changed, as the need was above what the maximum allows. Change: removals follow a plan without what was refused in the last 10 s (EngineGroup.proven); where the maximum leaves no other way, kinds change one engine at a time.

--- a/src/scaling/decide.ts
+++ b/src/scaling/decide.ts
@@ -39,7 +39,7 @@
 
 	addEngines(facts, plan, desired);
 	const isGrowing = [...desired].some(([group, count]) => count > group.ordered);
-	const isRemoval = need !== undefined && isSettled && facts.canRemove && work?.waiting === 0 && removeEngines(facts, plan, need, desired);
+	const isRemoval = need !== undefined && isSettled && facts.canRemove && work?.waiting === 0 && removeEngines(facts, need, desired);
 	return {
 		orders: isGrowing || isRemoval
 			? [...desired].filter(([group, count]) => count !== group.ordered).map(([{domain, isSpot}, count]) => ({
@@ -93,8 +93,9 @@
 	}
 }
 
-/** Lowers the orders by one step towards the plan. Returns whether any was lowered. */
-function removeEngines({groups, spec}: ScalingFacts, plan: ReadonlyMap<string, DomainPlan>, need: EngineNeed, desired: Map<EngineGroup, number>): boolean {
+/** Lowers the orders by one step towards the plan of what can be had for certain. Returns whether any was lowered. */
+function removeEngines({groups, spec}: ScalingFacts, need: EngineNeed, desired: Map<EngineGroup, number>): boolean {
+	const plan = planEngines(need, spec, groups.map(group => ({...group, available: group.proven})));
 	const planned = sumPlan(plan);
 	const before = new Map(desired);
 	const left = new Map([true, false].map(isSpot => [isSpot, Math.ceil(sumGroups(groups.filter(group => group.isSpot === isSpot), ({ordered}) => ordered) * maxRemovedShare)]));
@@ -108,10 +109,12 @@
 		const paired = findGroup(groups, group.domain, !group.isSpot);
 		// No engine of the other kind can be added beside those of this one, which go first then.
 		const isBlocked = getPlanned(plan, paired) > desired.get(paired)! && group.ordered + desired.get(paired)! >= spec.maxEngines;
-		const floor = isBlocked ? Math.min(planned, Math.max(need.short, need.full - 1)) : planned;
-		while (desired.get(group)! > getPlanned(plan, group) && left.get(group.isSpot)! > 0 && isRemovable(groups, group, {
-			desired, before, floor, need,
-		})) {
+		const floor = isBlocked ? Math.min(planned - 1, Math.max(need.short, need.full - 1)) : planned;
+		const bounds = {
+			desired, before, floor, need, isBlocked,
+		};
+		const target = isBlocked ? Math.max(getPlanned(plan, group), desired.get(group)! - 1) : getPlanned(plan, group);
+		while (desired.get(group)! > target && left.get(group.isSpot)! > 0 && isRemovable(groups, group, bounds)) {
 			desired.set(group, desired.get(group)! - 1);
 			left.set(group.isSpot, left.get(group.isSpot)! - 1);
 			isRemoval = true;
@@ -128,17 +131,22 @@
 	/** Number of serving engines that have to be left. */
 	readonly floor: number;
 	readonly need: EngineNeed;
+	/** Whether the other kind can't be added before. */
+	readonly isBlocked: boolean;
 };
 
 /** Tells whether what serves without one more engine of a group is enough, also without any one failure domain, and has both stages. */
-function isRemovable(groups: readonly EngineGroup[], removed: EngineGroup, {desired, before, floor, need}: RemovalBounds): boolean {
+function isRemovable(groups: readonly EngineGroup[], removed: EngineGroup, {
+	desired, before, floor, need, isBlocked,
+}: RemovalBounds): boolean {
 	const countLeft = (group: EngineGroup) => Math.min(group.serving, desired.get(group)! - (group === removed ? 1 : 0));
 	const countBefore = (group: EngineGroup) => Math.min(group.serving, before.get(group)!);
 	if (sumGroups(groups, countLeft) < floor) {
 		return false;
 	}
 
-	const isSafe = listDomains(groups).every(domain => {
+	// Where the maximum leaves no other way, the kinds change one engine at a time, with less than that for a boot time.
+	const isSafe = isBlocked || listDomains(groups).every(domain => {
 		const others = groups.filter(group => group.domain !== domain);
 		return sumGroups(others, countLeft) >= Math.min(need.short, sumGroups(others, countBefore));
 	});
--- a/src/scaling/groups.ts
+++ b/src/scaling/groups.ts
@@ -32,11 +32,15 @@
 	sentAt: number;
 	/** Time until which no more can be had. */
 	unavailableUntil: number;
+	/** Time of the latest refusal since an order that raised the number was accepted. */
+	refusedAt: number;
 };
 
 /** Time beyond one and a half boot times after which an ordered engine that does not serve counts as lost, in milliseconds: its registration is seen a while after it begins to serve. */
 const bootMarginMs = 1000;
 const bootFactor = 1.5;
+/** Time after a refusal until which no more counts as available without another order, in milliseconds. */
+const refusalMs = 10_000;
 
 /** Creates the facts of each group from its engines and orders at `now`. */
 export function createGroups(states: readonly OrderState[], engines: readonly ScalingEngine[], {bootMs, maxEngines}: ScalingSpec, now: number): EngineGroup[] {
@@ -53,6 +57,7 @@
 			serving: serving.length,
 			prefillOnly: serving.filter(engine => engine.isPrefillOnly).length,
 			available: isShort ? serving.length : (now < state.unavailableUntil ? desired : maxEngines),
+			proven: isShort ? serving.length : (now - state.refusedAt < refusalMs ? desired : maxEngines),
 			isShort,
 		};
 	});
--- a/src/scaling/orderer.ts
+++ b/src/scaling/orderer.ts
@@ -281,6 +281,7 @@
 			state.isUnsent = false;
 			state.isConfirmed = true;
 			state.raisedAt = desired > accepted ? now : state.raisedAt;
+			state.refusedAt = desired > accepted ? Number.NEGATIVE_INFINITY : state.refusedAt;
 			state.changedAt = desired === accepted ? state.changedAt : now;
 			state.accepted = desired;
 		} else if (outcome === dutyOutcome.unavailable) {
@@ -288,6 +289,7 @@
 			state.isUnsent = false;
 			state.desired = Math.min(desired, accepted);
 			state.unavailableUntil = now + retryMs;
+			state.refusedAt = now;
 		}
 
 		onOrder({order, previous: accepted, outcome});
@@ -324,7 +326,7 @@
 		if (!state) {
 			state = {
 				domain, isSpot, accepted: 0, desired: 0, isUnsent: false, isConfirmed: false, raisedAt: Number.NEGATIVE_INFINITY, changedAt: Number.NEGATIVE_INFINITY,
-				sentAt: Number.NEGATIVE_INFINITY, unavailableUntil: Number.NEGATIVE_INFINITY,
+				sentAt: Number.NEGATIVE_INFINITY, unavailableUntil: Number.NEGATIVE_INFINITY, refusedAt: Number.NEGATIVE_INFINITY,
 			};
 			this.#states.set(key, state);
 		}
--- a/src/scaling/test/scaling.test.ts
+++ b/src/scaling/test/scaling.test.ts
@@ -77,6 +77,7 @@
 			await world.run(40_000, waves);
 			expect(world.shortAt).to.deep.equal([]);
 			expect(world.platform.count(false)).to.equal(0);
+			expect(world.platform.unrecorded).to.deep.equal([]);
 			const numbers = world.platform.orders.map(({number}) => number);
 			expect(numbers).to.deep.equal([...numbers].sort((left, right) => left - right));
 		});
@@ -97,6 +98,32 @@
 		});
 	}
 
+	it('are ordered again with the same number each half second while answers are lost', async () => {
+		const world = await start(1, () => 40);
+		world.platform.lossShare = 1;
+		await world.run(2600, () => 40);
+		const calls = world.platform.calls.filter(({domain}) => domain === 'a');
+		expect(calls.length).to.be.within(4, 6);
+		expect(new Set(calls.map(({desired}) => desired)).size).to.equal(1);
+	});
+
+	it('are others while no spot engines can be had, which are tried every 2 s', async () => {
+		const world = new ScalingWorld(new RandomSource(1));
+		for (const domain of ['a', 'b', 'c']) {
+			world.platform.addServing(domain, false, 2);
+			world.platform.removeOffer(domain, 60_000);
+		}
+
+		await world.replaceHolder(0, () => 30);
+		await world.run(20_000, at => at < 10_000 ? 30 : 90);
+		expect(world.platform.count(false)).to.be.above(12);
+		const tries = world.platform.calls.filter(({domain, isSpot}) => domain === 'a' && isSpot);
+		expect(tries.length).to.be.within(5, 11);
+		// Fails where an order that is tried again counts as had, and others are given up for it.
+		await world.run(10_000, () => 90);
+		expect(world.platform.calls.filter(({at, isSpot}) => at > 18_000 && !isSpot)).to.deep.equal([]);
+	});
+
 	it('stay above the minimum, and are not reduced, while another entry allocates their slots', async () => {
 		const world = await start(1, () => 10);
 		world.entries[0].isAllocator = false;
--- a/src/scaling/types.ts
+++ b/src/scaling/types.ts
@@ -41,6 +41,8 @@
 	readonly prefillOnly: number;
 	/** Number that can be counted on: no more than serve where engines were lost, no more than are ordered where the platform has none left. */
 	readonly available: number;
+	/** The same without what may be tried again after a refusal: engines of other groups are not given up for that. */
+	readonly proven: number;
 	/** Whether engines of the group were lost and have not come back; its order stands. */
 	readonly isShort: boolean;
 };
