--- a/src/scaling/need.ts
+++ b/src/scaling/need.ts
@@ -4,7 +4,7 @@
 Share of its time that an engine may be busy at the peak load: prompts are read one batch after another, and up to this share
 a prompt seldom waits for more than one of them.
 */
-const maxUtilisation = 0.45;
+const maxUtilisation = 0.5;
 /** The same for as long as it takes to replace engines that were reclaimed: prompts wait, and most are still on time. */
 const maxShortUtilisation = 0.65;
 /** Share of the slots that may be taken at the peak load. */
--- a/src/scaling/test/decide.test.ts
+++ b/src/scaling/test/decide.test.ts
@@ -49,13 +49,13 @@
 	});
 
 	it('replaces spot engines that can\'t be had by those of other failure domains, and by other engines where that is not enough', () => {
-		const groups = (available: readonly number[]) => ['a', 'b', 'c'].flatMap((domain, index) => [
+		const createAll = (available: readonly number[]) => ['a', 'b', 'c'].flatMap((domain, index) => [
 			createGroup(domain, true, 4, {
 				serving: Math.min(4, available[index]!), available: available[index]!, proven: available[index]!, isShort: available[index]! < 4,
 			}), createGroup(domain, false, 0),
 		]);
 		const decide = (available: readonly number[]) => decideOrders({
-			service: 'model', spec, groups: groups(available), slotsPerEngine: 8, work, isSettled: true, canRemove: true, minNeed: 0,
+			service: 'model', spec, groups: createAll(available), slotsPerEngine: 8, work, isSettled: true, canRemove: true, minNeed: 0,
 		}).orders.map(({domain, isSpot, desired}) => `${domain} ${isSpot ? 'spot' : 'other'} ${desired}`);
 		expect(decide([0, 10, 10])).to.deep.equal(['a other 1', 'b spot 7', 'c spot 7']);
 		expect(decide([0, 0, 10]).filter(order => order.includes('other'))).to.have.length.above(0);
--- a/src/scaling/types.ts
+++ b/src/scaling/types.ts
@@ -14,7 +14,7 @@
 
 /** Work that callers asked of the engines of a service, as its slot allocator measured it. */
 export type WorkSummary = {
-	/** Peak of the work in half a second, as engine-milliseconds each second: 1000 keeps one engine busy. */
+	/** Peak of the work in a second, as engine-milliseconds each second: 1000 keeps one engine busy. */
 	readonly peakWork: number;
 	/** Mean of that work over the latest 1.5 s, and over the 1.5 s before. */
 	readonly recentWork: number;
--- a/src/scaling/workmeter.ts
+++ b/src/scaling/workmeter.ts
@@ -4,6 +4,8 @@
 const bucketMs = 500;
 /** Number of buckets that are kept: the latest 15 s, longer than the usual waves of load. */
 const bucketCount = 30;
+/** Number of buckets in a row whose mean counts as a peak: in one alone, a single long prompt of a service with few requests would. */
+const peakBuckets = 2;
 /** Number of whole buckets of a recent mean. */
 const meanBuckets = 3;
 /** Number of buckets that count as the latest second, with the one that has begun. */
@@ -100,10 +102,10 @@
 		const current = Math.floor(now / bucketMs);
 		const kept = this.#buckets.filter(({index}) => index > current - bucketCount && index <= current);
 		const computeWork = ({promptMs, decodeMs}: Bucket) => (promptMs + (decodeMs / Math.max(1, slotsPerEngine))) * millisecondsPerSecond / bucketMs;
-		const computeMeanWork = (end: number) => sumOf(kept.filter(({index}) => index < end && index >= end - meanBuckets), computeWork) / meanBuckets;
+		const computeMeanWork = (end: number, count = meanBuckets) => sumOf(kept.filter(({index}) => index < end && index >= end - count), computeWork) / count;
 		const recent = kept.filter(({index}) => index > current - recentBuckets);
 		return {
-			peakWork: Math.max(0, ...kept.map(bucket => computeWork(bucket))),
+			peakWork: Math.max(0, ...kept.map(({index}) => computeMeanWork(index + 1, peakBuckets))),
 			recentWork: computeMeanWork(current),
 			earlierWork: computeMeanWork(current - meanBuckets),
 			peakSlots: Math.max(0, ...kept.map(({slotMs}) => slotMs / bucketMs)),
