--- a/src/scaling/types.ts
+++ b/src/scaling/types.ts
@@ -14,7 +14,7 @@
 
 /** Work that callers asked of the engines of a service, as its slot allocator measured it. */
 export type WorkSummary = {
-	/** Peak of the work in half a second, as engine-milliseconds each second: 1000 keeps one engine busy. */
+	/** Peak of the work in a second, as engine-milliseconds each second: 1000 keeps one engine busy. */
 	readonly peakWork: number;
 	/** Mean of that work over the latest 1.5 s, and over the 1.5 s before. */
 	readonly recentWork: number;
@@ -41,6 +41,8 @@
 	readonly prefillOnly: number;
 	/** Number that can be counted on: no more than serve where engines were lost, no more than are ordered where the platform has none left. */
 	readonly available: number;
+	/** The same without what may be tried again after a refusal: engines of other groups are not given up for that. */
+	readonly proven: number;
 	/** Whether engines of the group were lost and have not come back; its order stands. */
 	readonly isShort: boolean;
 };
