Hedged requests for plain calls that may be repeated, off by default

A call that takes longer than a quantile of its route's times, relative to what was expected of its engine, is also sent to an engine that is expected to answer sooner; the quantile follows what is left of the share. Share 0 leaves the path as it was. Each extra send is charged to the retry budget as well.

Under overload nothing is sent.

--- a/bench/model/plainload.ts
+++ b/bench/model/plainload.ts
@@ -1,5 +1,5 @@
 import {
-	choosePlainEngine, computeFallbackMs, engineOutcome, engineStage, EngineView, estimateCompletionMs,
+	choosePlainEngine, computeFallbackMs, engineOutcome, engineStage, EngineView, estimateCompletionMs, findFurther,
 } from '../../src/dispatch/index.js';
 import type {EngineLoad} from '../../src/dispatch/index.js';
 import {ExtraSends} from '../../src/hedging/index.js';
@@ -16,7 +16,7 @@
 const slowdownFactor = 2.5;
 const slowdownShare = 0.15;
 const slowdownPeriodMs = 600;
-const targetMs = 199;
+const defaultTargetMs = 199;
 const deadlineMs = 2000;
 /** Share of its target after which a call is also sent to a further engine, as in `PlainRace`. */
 const silenceShare = 0.6;
@@ -36,6 +36,8 @@
 	readonly speeds?: readonly number[];
 	readonly perSecond?: number;
 	readonly entryCount?: number;
+	/** Target of the calls, in milliseconds. Default: 199. */
+	readonly targetMs?: number;
 	/** Share of extra work for hedged requests. Default: 0. */
 	readonly extraShare?: number;
 	/** Time in which the last engine is gone, in seconds. */
@@ -172,10 +174,12 @@
 	readonly #engines: Engine[];
 	readonly #entries: Entry[];
 	readonly #timesMs: number[] = [];
+	readonly #targetMs: number;
 	readonly #counts = {onTime: 0, late: 0, refused: 0};
 
 	constructor(options: PlainLoadOptions) {
 		this.#options = options;
+		this.#targetMs = options.targetMs ?? defaultTargetMs;
 		this.#random = new RandomSource(options.seed);
 		this.#engines = (options.speeds ?? [0.55, 0.9, 1.2]).map((speed, index) => new Engine(index, speed, this.#random.pickBetween(0, slowdownPeriodMs), new RandomSource((options.seed * 10) + index)));
 		this.#entries = Array.from({length: options.entryCount ?? 62}, () => ({
@@ -283,9 +287,15 @@
 		this.#agenda.add(now + networkMs, () => {
 			this.#handleArrival(send);
 		});
-		this.#agenda.add(now + (targetMs * silenceShare), () => {
+		this.#agenda.add(now + (this.#targetMs * silenceShare), () => {
 			this.#handleSilence(send);
 		});
+		if (extra) {
+			this.#agenda.add(now + extra.maxMs, () => {
+				this.#abortUncovered(send);
+			});
+		}
+
 		const delayMs = extra ? undefined : call.entry.extraSends?.computeDelayMs('app', send.expectedMs);
 		if (delayMs !== undefined) {
 			this.#agenda.add(now + delayMs, () => {
@@ -395,6 +405,14 @@
 		}
 	}
 
+	/** Ends an extra send when further work is not covered. */
+	#abortUncovered(send: Send): void {
+		if (send.isOpen && !send.call.isDone && send.call.sends.some(other => other !== send && other.isOpen)) {
+			this.#abort(send);
+			send.extra?.finish(false, this.#agenda.now - send.sentAt);
+		}
+	}
+
 	#abort(send: Send): void {
 		send.isOpen = false;
 		send.view.localRequests--;
@@ -425,30 +443,25 @@
 	}
 
 	#trySendExtra(send: Send): void {
-		const {call, view: {localRequests}} = send;
+		const {call} = send;
 		const {entry} = call;
 		const {now} = this.#agenda;
-		if (!send.isOpen || call.isDone || call.sends.length > 1 || entry.waiting > 0 || localRequests === 0) {
+		if (!send.isOpen || call.isDone || call.sends.length > 1) {
 			return;
 		}
 
-		const fallbackMs = computeFallbackMs(entry.views);
-		const further = chooseForExtra(entry.views, call.tried, fallbackMs, now);
 		const elapsedMs = now - send.sentAt;
-		if (!further || !entry.extraSends!.isSooner('app', {elapsedMs, expectedMs: send.expectedMs, furtherMs: further.expectedMs})) {
+		const further = entry.waiting > 0 ? undefined : findFurther(entry.views, call.tried, now);
+		const loserMs = elapsedMs + (further?.expectedMs ?? 0);
+		const isUseful = further && entry.extraSends!.isSooner('app', {elapsedMs, expectedMs: send.expectedMs, furtherMs: further.expectedMs});
+		if (isUseful && entry.extraSends!.isCovered(loserMs) && this.#takeRetry(entry)) {
+			this.#send(call, further.view, entry.extraSends!.start(loserMs, elapsedMs));
 			return;
 		}
 
-		if (!this.#takeRetry(entry)) {
-			return;
-		}
-
-		const extra = entry.extraSends!.tryStart(elapsedMs + further.expectedMs);
-		if (extra) {
-			this.#send(call, further.view, extra);
-		} else {
-			entry.furtherSends--;
-		}
+		this.#agenda.add(now + entry.extraSends!.computeRecheckMs(elapsedMs), () => {
+			this.#trySendExtra(send);
+		});
 	}
 
 	#takeRetry(entry: Entry): boolean {
@@ -473,7 +486,7 @@
 		}
 
 		this.#timesMs.push(tookMs);
-		this.#counts[tookMs <= targetMs ? 'onTime' : 'late']++;
+		this.#counts[tookMs <= this.#targetMs ? 'onTime' : 'late']++;
 	}
 
 	#stopLastEngine(): void {
@@ -500,10 +513,3 @@
 		return callMeanMs * factor * (this.#random.getRandom() < longCallShare ? longCallFactor : 1);
 	}
 }
-
-function chooseForExtra(views: readonly EngineView[], tried: ReadonlySet<EngineView>, fallbackMs: number, now: number): {readonly view: EngineView; readonly expectedMs: number} | undefined {
-	return views
-		.filter(view => !tried.has(view) && view.isAvailable(now) && view.localRequests + view.reports.estimateRemoteRequests(now) + 1 <= view.record.slots)
-		.map(view => ({view, expectedMs: estimateCompletionMs(view, fallbackMs, now)}))
-		.toSorted((left, right) => left.expectedMs - right.expectedMs)[0];
-}
--- a/bench/model/test/plainload.test.ts
+++ b/bench/model/test/plainload.test.ts
@@ -40,3 +40,32 @@
 		expect(result.onTime + result.late).to.be.above(0.5);
 	});
 });
+
+describe('hedged requests beside the placement by load reports', function () {
+	this.timeout(60_000);
+
+	const base = {
+		isReporting: true, passing: {groupSize: 21, delayMs: 50}, seconds: 150, entryCount: 6, targetMs: 800,
+	};
+
+	for (const extraShare of [0.01, 0.02, 0.05]) {
+		it(`spend no more than a share of ${extraShare} at any entry, and some of it`, () => {
+			for (const seed of seeds.slice(0, 3)) {
+				const result = new PlainLoadRun({...base, seed, extraShare}).run();
+				expect(result.maxSpentShare).to.be.within(extraShare / 4, extraShare);
+			}
+		});
+	}
+
+	it('shorten the slowest answers', () => {
+		const getMeanP99 = (extraShare: number) => seeds.reduce((sum, seed) => sum + new PlainLoadRun({...base, seed, extraShare}).run().p99, 0) / seeds.length;
+		expect(getMeanP99(0.05)).to.be.below(getMeanP99(0) * 0.97);
+	});
+
+	it('are not sent under overload', () => {
+		const result = new PlainLoadRun({
+			...base, seed: 1, extraShare: 0.05, speeds: [0.55, 0.55, 0.55], perSecond: 230,
+		}).run();
+		expect(result.extraSendShare).to.be.below(0.0005);
+	});
+});
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -14,8 +14,9 @@
 export {chooseGenerationPlacement, choosePlainEngine, estimateFirstTokenMs} from './placement.js';
 export {isPausedUntil} from './pause.js';
 export {
-	computeFallbackMs, estimateCompletionMs, isReportingSlowdown, isTooLateFor,
+	computeFallbackMs, estimateCompletionMs, findFurther, isReportingSlowdown, isTooLateFor,
 } from './plainchoice.js';
+export type {FurtherEngine} from './plainchoice.js';
 export type {GenerationNeeds} from './needs.js';
 export type {GenerationPlacement, PlacementContext} from './placement.js';
 export {AdaptiveThrottle} from './throttle.js';
--- a/src/dispatch/plainchoice.ts
+++ b/src/dispatch/plainchoice.ts
@@ -85,3 +85,21 @@
 	const fallbackMs = computeFallbackMs(views);
 	return now + (Math.min(...views.map(view => estimateServiceMs(view, fallbackMs, now))) * minServiceShare) > deadlineAt;
 }
+
+/** An engine for an extra send, with the expected time from the send to the answer, in milliseconds. */
+export type FurtherEngine = {readonly view: EngineView; readonly expectedMs: number};
+
+/** Finds the engine that is expected to complete a further send first, of those with a free slot by what is known; `undefined` when there is none. Skips the engines in `tried`. */
+export function findFurther(views: readonly EngineView[], tried: ReadonlySet<EngineView>, now: number): FurtherEngine | undefined {
+	const fallbackMs = computeFallbackMs(views);
+	let best: FurtherEngine | undefined;
+	for (const view of views) {
+		const hasFreeSlot = view.localRequests + view.reports.estimateRemoteRequests(now) + 1 <= view.record.slots;
+		if (hasFreeSlot && !tried.has(view) && view.isAvailable(now)) {
+			const expectedMs = estimateCompletionMs(view, fallbackMs, now);
+			best = best && best.expectedMs <= expectedMs ? best : {view, expectedMs};
+		}
+	}
+
+	return best;
+}
--- a/src/errors/reasons.ts
+++ b/src/errors/reasons.ts
@@ -41,6 +41,8 @@
 	foreignAnswer: 'foreign_answer',
 	closedBeforeSend: 'closed_before_send',
 	repeatable: 'repeatable',
+	/** Sent to a second engine before the first one answered. */
+	hedged: 'hedged',
 	storeConflict: 'store_conflict',
 	upstreamFailed: 'upstream_failed',
 	prefillFailed: 'prefill_failed',
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -99,6 +99,8 @@
 	reply: EngineReply | undefined;
 	readonly view: EngineView;
 	readonly trace: AttemptTrace;
+	/** Monotonic time of the send, in milliseconds. */
+	readonly startedAt: number;
 	/** Set when the engine has not run the request and never will. */
 	isNotRun = false;
 	/** Set when no engine was reached: the send is not charged to the retry budget. */
@@ -108,7 +110,6 @@
 	readonly #dependencies: GatewayDependencies;
 	readonly #watchdog: SendWatchdog;
 	readonly #stopTracking: () => void;
-	readonly #startedAt: number;
 	readonly #requestId: string;
 	readonly #options: Pick<AttemptOptions, 'onSilence' | 'onSilenceChange'>;
 	#isCancelled = false;
@@ -119,7 +120,7 @@
 		this.#requestId = served.request.id;
 		this.trace = served.trace.onSend(view, options.purpose);
 		this.#stopTracking = trackSend(view);
-		this.#startedAt = dependencies.timers.getNow();
+		this.startedAt = dependencies.timers.getNow();
 		this.#options = options;
 		this.#watchdog = new SendWatchdog(dependencies.timers, served.signal, options.silenceTimeoutMs, isFirst => {
 			this.#recordSilence(isFirst);
@@ -156,7 +157,7 @@
 			const reply = await this.#dependencies.link.send({
 				target: this.view.record,
 				request: served.request,
-				remainingMs: Math.max(1, Math.floor(served.deadlineAt - this.#startedAt)),
+				remainingMs: Math.max(1, Math.floor(served.deadlineAt - this.startedAt)),
 				isPrefill: options.purpose === 'prefill',
 				continueFrom: options.continueFrom,
 				fetchFrom: options.fetchFrom,
@@ -224,7 +225,7 @@
 
 	/** Records that the answer is complete. */
 	finish(): void {
-		const tookMs = this.#dependencies.timers.getNow() - this.#startedAt;
+		const tookMs = this.#dependencies.timers.getNow() - this.startedAt;
 		this.view.onDuration(tookMs, this.reply?.load);
 		this.#settle(this.isSuccess ? engineOutcome.answered : engineOutcome.failed, undefined);
 	}
@@ -315,7 +316,7 @@
 
 		if (requestLimit !== undefined) {
 			this.trace.limitPerSecond = Number.isFinite(requestLimit) ? requestLimit : undefined;
-			limits.onAnswer(this.view.record, requestLimit, this.#startedAt, now);
+			limits.onAnswer(this.view.record, requestLimit, this.startedAt, now);
 		}
 
 		if (retryAfterMs !== undefined) {
@@ -374,7 +375,7 @@
 		}
 
 		const now = this.#dependencies.timers.getNow();
-		this.trace.tookMs = now - this.#startedAt;
+		this.trace.tookMs = now - this.startedAt;
 		this.trace.sign = outcome;
 		this.trace.detail = detail;
 		this.#watchdog.stop();
--- a/src/gateway/plain.ts
+++ b/src/gateway/plain.ts
@@ -46,9 +46,7 @@
 		}
 
 		dependencies.permits.onSend(view.record);
-		const race = new PlainRace(dependencies, served, progress, () => {
-			queue.dispatch();
-		});
+		const race = new PlainRace(dependencies, served, progress, queue);
 		const ended = yield * callStep('send to an engine', async () => race.run(view));
 		const {attempt, body} = ended;
 		if (body && (attempt.isSuccess || !progress.hasRunsLeft(served))) {
--- a/src/gateway/plainprogress.ts
+++ b/src/gateway/plainprogress.ts
@@ -1,7 +1,7 @@
 import {
-	choosePlainEngine, computeRetryAfterMs, isTooLateFor, maxReturnShare, QueueRefusal,
+	choosePlainEngine, computeRetryAfterMs, findFurther, isTooLateFor, maxReturnShare, QueueRefusal,
 } from '../dispatch/index.js';
-import type {EngineView} from '../dispatch/index.js';
+import type {EngineView, FurtherEngine} from '../dispatch/index.js';
 import {refusalReason} from '../errors/index.js';
 import type {Attempt} from './attempt.js';
 import {RequestProgress} from './progress.js';
@@ -53,6 +53,12 @@
 		return choosePlainEngine(this.#listOpen(dependencies, available), new Set([...this.triedEngines, ...current]), now, dependencies.getRandom);
 	}
 
+	/** Finds the engine that is expected to answer first, of those that were not tried, are none of those at which the request is now, and have neither a limit nor all slots in use. */
+	findExtraEngine(dependencies: GatewayDependencies, {fleet, service}: ServedRequest, current: readonly EngineView[], now: number): FurtherEngine | undefined {
+		const unlimited = fleet.listServing(service).filter(({record}) => !dependencies.permits.isLimited(record));
+		return findFurther(unlimited, new Set([...this.triedEngines, ...current]), now);
+	}
+
 	/** Lists the engines whose limits allow a request now. */
 	#listOpen({permits}: GatewayDependencies, views: readonly EngineView[]): EngineView[] {
 		return views.filter(view => !this.limitedEngines.has(view) && permits.computeWaitMs(view.record) === 0);
--- a/src/gateway/reporter.ts
+++ b/src/gateway/reporter.ts
@@ -5,7 +5,7 @@
 import type {StructuredLogs} from '../logs/index.js';
 import type {Metrics} from '../metrics/index.js';
 import {RequestReporter} from './trace.js';
-import type {RequestTrace, TakeoverEnd} from './trace.js';
+import type {ExtraSendEnd, RequestTrace, TakeoverEnd} from './trace.js';
 import type {Prompt} from './types.js';
 
 /** Upper bounds of the histograms' buckets, in seconds: they lie around the targets of the shortest and the longest kinds of request. */
@@ -94,6 +94,20 @@
 		}, 'engine is silent; its request is sent to a further engine, and the first to answer serves it');
 	}
 
+	onExtraSend({record: {id, service}}: EngineView, further: EngineView, requestId: string, elapsedMs: number): void {
+		this.#metrics.count('extraSends', 'sent');
+		this.#logs.write('engine', {
+			engine: id, service, request: requestId, further: further.record.id, elapsedMs: Math.round(elapsedMs),
+		}, 'request is slow; it is also sent to a further engine, and the first to answer serves it');
+	}
+
+	onExtraSendEnd({record: {id, service}}: EngineView, requestId: string, {isWon, extraMs}: ExtraSendEnd): void {
+		this.#metrics.count('extraSends', isWon ? 'won' : 'lost');
+		this.#logs.write('engine', {
+			engine: id, service, request: requestId, isWon, extraMs: Math.round(extraMs),
+		}, isWon ? 'extra send answers first; the other is ended' : 'extra send does not serve its request');
+	}
+
 	onTakeoverEnd({record: {id, service}}: EngineView, further: EngineView, requestId: string, {overlapMs, isTakenOver}: TakeoverEnd): void {
 		this.#overlapSeconds.observe(overlapMs / millisecondsPerSecond);
 		this.#logs.write('engine', {
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -1,5 +1,6 @@
 import type {CustomerAccess} from '../customers/index.js';
 import type {EngineLoad, EngineView, Fleet} from '../dispatch/index.js';
+import type {ExtraSends} from '../hedging/index.js';
 import type {WindowRetryBudget} from '../retries/index.js';
 import type {PermitProvider, ReservationProvider} from '../places/index.js';
 import type {BlockQuarantine} from '../quarantine/index.js';
@@ -27,6 +28,8 @@
 	readonly access?: CustomerAccess;
 	readonly retryBudget: WindowRetryBudget;
 	readonly reporter: RequestReporter;
+	/** Decides when slow requests are also sent to a second engine. Default: never. */
+	readonly extraSends?: ExtraSends;
 	/** Called with each load report that names a slowdown. */
 	readonly onLoadReport?: (view: EngineView, load: EngineLoad) => void;
 	/** Returns a uniform random number in [0, 1). */
--- a/src/gateway/test/takeover.test.ts
+++ b/src/gateway/test/takeover.test.ts
@@ -258,6 +258,14 @@
 		// Tests look at the sends.
 	}
 
+	onExtraSend(): void {
+		// Streams have none.
+	}
+
+	onExtraSendEnd(): void {
+		// Streams have none.
+	}
+
 	onTakeoverEnd(): void {
 		// Tests look at the sends.
 	}
--- a/src/gateway/trace.ts
+++ b/src/gateway/trace.ts
@@ -19,8 +19,8 @@
 /** One send to an engine and its result, as the log line of the request has them. */
 export type AttemptTrace = {
 	readonly engine: string;
-	/** What the engine was asked for: the whole request, only the prefill, or the rest of a stream. */
-	readonly purpose: 'run' | 'prefill' | 'resume';
+	/** What the engine was asked for: the whole request, also as an extra send beside another engine (`extra`), only the prefill, or the rest of a stream. */
+	readonly purpose: 'run' | 'extra' | 'prefill' | 'resume';
 	/** Time from the request's arrival to the send, in milliseconds. */
 	readonly atMs: number;
 	/** Load of the engine as this process knew it at the send, in requests. */
@@ -55,6 +55,9 @@
 /** How the work of two engines on one request ended. */
 export type TakeoverEnd = {readonly overlapMs: number; readonly isTakenOver: boolean};
 
+/** How an extra send ended: whether it answered first, and how long the losing engine worked, in milliseconds. */
+export type ExtraSendEnd = {readonly isWon: boolean; readonly extraMs: number};
+
 /** Receives ended requests and retries, for logs and metrics. */
 export abstract class RequestReporter {
 	abstract onEnd(trace: RequestTrace): void;
@@ -75,6 +78,12 @@
 	/** Called when a request is sent to a further engine while its first one, `view`, is silent. */
 	abstract onTakeover(view: EngineView, further: EngineView, requestId: string): void;
 
+	/** Called when a request that is slow at `view`, where it was sent `elapsedMs` before, is also sent to a further engine. */
+	abstract onExtraSend(view: EngineView, further: EngineView, requestId: string, elapsedMs: number): void;
+
+	/** Called when an extra send has ended, or the send beside which it was made. */
+	abstract onExtraSendEnd(further: EngineView, requestId: string, end: ExtraSendEnd): void;
+
 	/** Called when two engines no longer work on one request, `view` and `further`, which they did for `overlapMs`; `isTakenOver` tells whether the further one serves it. */
 	abstract onTakeoverEnd(view: EngineView, further: EngineView, requestId: string, end: TakeoverEnd): void;
 
--- a/src/hedging/account.ts
+++ b/src/hedging/account.ts
@@ -1,5 +1,7 @@
 /** Maximum number of extra sends that may be saved up: more would come in a burst when engines slow down together. */
 const maxSavedSends = 3;
+/** Time reserved for the loser of an extra send, relative to what is expected of it, if that much is left: the second engine may be slow as well. */
+const maxReserveFactor = 2;
 /** Weight of the newest request in the mean time of a request. */
 const meanWeight = 0.05;
 
@@ -36,20 +38,22 @@
 		this.#timeMs = Math.min(this.#maxTimeMs, this.#timeMs + (timeMs * this.#share));
 	}
 
-	/** Takes one extra send whose loser is expected to work for `loserMs`; returns whether the account covers it. */
-	tryTake(loserMs: number): boolean {
-		if (this.#sends < 1 || this.#timeMs - this.#reservedMs < loserMs) {
-			return false;
-		}
+	/** Tells whether the account covers one more extra send, whose loser is expected to work for `loserMs`. */
+	isCovered(loserMs: number): boolean {
+		return this.#sends >= 1 && this.#timeMs - this.#reservedMs >= loserMs;
+	}
 
+	/** Takes one extra send that is covered. Returns the time that its loser may work at most, in milliseconds. */
+	take(loserMs: number): number {
+		const reservedMs = Math.min(loserMs * maxReserveFactor, this.#timeMs - this.#reservedMs);
 		this.#sends--;
-		this.#reservedMs += loserMs;
-		return true;
+		this.#reservedMs += reservedMs;
+		return reservedMs;
 	}
 
-	/** Charges the time that the loser of an extra send worked, for which `loserMs` was reserved. May leave a debt, which later requests pay first. */
-	settle(loserMs: number, workedMs: number): void {
-		this.#reservedMs -= loserMs;
+	/** Charges the time that the loser of an extra send worked, for which `reservedMs` was reserved. */
+	settle(reservedMs: number, workedMs: number): void {
+		this.#reservedMs -= reservedMs;
 		this.#timeMs -= workedMs;
 	}
 }
--- a/src/hedging/extrasends.ts
+++ b/src/hedging/extrasends.ts
@@ -15,6 +15,11 @@
 /** Fullness of the account at which the share of slow requests stays as it is. */
 const balancedFill = 0.4;
 
+/** Time after which a slow request is looked at again when no extra send was made for it, relative to the time that it has taken. */
+const recheckShare = 0.25;
+/** Minimum of that time, in milliseconds. */
+const minRecheckMs = 5;
+
 /** Counts of extra sends since the start. */
 export type ExtraSendCounts = {
 	/** Requests that were answered, whose times are measured. */
@@ -30,6 +35,8 @@
 
 /** An extra send that is charged to the account until it ends. */
 export type OpenExtraSend = {
+	/** Time after which it has to be ended unless it is the only one left, in milliseconds: longer work of either engine is not covered. */
+	readonly maxMs: number;
 	/** Ends it; `extraMs` is the time that the loser worked, in milliseconds. */
 	readonly finish: (isWon: boolean, extraMs: number) => void;
 };
@@ -99,27 +106,35 @@
 		return Number.isFinite(delayMs) ? delayMs : undefined;
 	}
 
+	/** Computes the time after which a slow request that has taken `elapsedMs` is looked at again, in milliseconds: the longer it has taken, the longer it is likely to take. */
+	computeRecheckMs(elapsedMs: number): number {
+		return Math.max(minRecheckMs, elapsedMs * recheckShare);
+	}
+
 	/** Tells whether an engine of which `furtherMs` is expected answers sooner than one that has worked for `elapsedMs` on a request of which `expectedMs` was expected. */
 	isSooner(route: string, {elapsedMs, expectedMs, furtherMs}: {readonly elapsedMs: number; readonly expectedMs: number; readonly furtherMs: number}): boolean {
 		const usualMs = Math.max(1, expectedMs);
 		return furtherMs < (this.#times.get(route)?.estimateRest(elapsedMs / usualMs) ?? 0) * usualMs;
 	}
 
-	/** Takes an extra send from the account, whose loser is expected to work for `loserMs`; `undefined` when the account does not cover it. */
-	tryStart(loserMs: number): OpenExtraSend | undefined {
-		if (!this.#account.tryTake(loserMs)) {
-			return undefined;
-		}
+	/** Tells whether the account covers an extra send whose loser is expected to work for `loserMs`. */
+	isCovered(loserMs: number): boolean {
+		return this.#account.isCovered(loserMs);
+	}
 
+	/** Charges an extra send that is covered to the account, for a request that has taken `elapsedMs`. */
+	start(loserMs: number, elapsedMs: number): OpenExtraSend {
+		const reservedMs = this.#account.take(loserMs);
 		this.#counts.sent++;
 		let isOpen = true;
 		return {
+			maxMs: reservedMs - elapsedMs,
 			finish: (isWon, extraMs) => {
 				if (isOpen) {
 					isOpen = false;
 					this.#counts.won += isWon ? 1 : 0;
 					this.#counts.extraMs += extraMs;
-					this.#account.settle(loserMs, extraMs);
+					this.#account.settle(reservedMs, extraMs);
 				}
 			},
 		};
--- a/src/loadexchange/exchange.ts
+++ b/src/loadexchange/exchange.ts
@@ -58,7 +58,7 @@
 		return {
 			onMessage: items => {
 				this.#members.add(link);
-				this.#receive(items, link);
+				this.#handleReports(items, link);
 			},
 			onClose: () => {
 				this.#members.delete(link);
@@ -73,7 +73,7 @@
 		this.#backoffUntil = Number.POSITIVE_INFINITY;
 	}
 
-	#receive(items: unknown, source: MessageLink): void {
+	#handleReports(items: unknown, source: MessageLink): void {
 		const now = this.#dependencies.timers.getNow();
 		for (const {engineId, load, ageMs} of parseLoadItems(items)) {
 			const at = now - ageMs;
@@ -149,7 +149,7 @@
 				// The other end's slot allocator tells each connection what it knows.
 				if (this.#hub?.link === link && isLoadMessage(items)) {
 					this.#hub.unansweredSince = undefined;
-					this.#receive(items, link);
+					this.#handleReports(items, link);
 				}
 			},
 			onClose: () => {
