--- a/src/gateway/plainrace.ts
+++ b/src/gateway/plainrace.ts
@@ -7,6 +7,7 @@
 import type {AttemptOptions} from './attempt.js';
 import {checkEvents} from './events.js';
 import type {PlainProgress} from './plainprogress.js';
+import {findAccessRefusal} from './served.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
 import {requestKind} from './types.js';
 
@@ -157,7 +158,8 @@
 		const {timers, extraSends, retryBudget, permits, reporter} = this.#dependencies;
 		const {service, route, request, signal} = this.#served;
 		const isAlone = this.#open.size === 1 && this.#open.has(attempt) && !attempt.reply && !this.#isSearching;
-		if (!extraSends || !this.#settle || signal.aborted || !isAlone || !this.#progress.hasRunsLeft(this.#served)) {
+		const isAllowed = this.#progress.hasRunsLeft(this.#served) && findAccessRefusal(this.#dependencies, this.#served) === undefined;
+		if (!extraSends || !this.#settle || signal.aborted || !isAlone || !isAllowed) {
 			return;
 		}
 
@@ -236,7 +238,8 @@
 			return;
 		}
 
-		if (this.#settle && !this.#served.signal.aborted && retryBudget.tryTake(this.#served.service)) {
+		const isPermitted = findAccessRefusal(this.#dependencies, this.#served) === undefined;
+		if (isPermitted && this.#settle && !this.#served.signal.aborted && retryBudget.tryTake(this.#served.service)) {
 			permits.onSend(view.record);
 			reporter.onTakeover(silent.view, view, this.#served.request.id);
 			reporter.onRetry(retryReason.repeatable);
