--- a/src/loadexchange/test/exchange.test.ts
+++ b/src/loadexchange/test/exchange.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {DirectNetwork} from '../../peers/test/direct.js';
 import {ManualTimers} from '../../timers/index.js';
-import {LoadExchange} from '../index.js';
+import {chooseHub, LoadExchange} from '../index.js';
 
 const hubAddress = 'hub:1';
 const load = {running: 3, waiting: 1, slowdown: 2.5};
@@ -70,3 +70,17 @@
 		expect(links).to.equal(2);
 	});
 });
+
+describe('chooseHub', () => {
+	const createCandidate = (vm: string, domain: string, cores: number) => ({
+		vm, address: `${vm}:1`, domain, cores,
+	});
+
+	it('makes the same choice for all, of entries with enough cores, and none where an entry is alone', () => {
+		const candidates = [createCandidate('v1', 'd1', 0.25), createCandidate('v2', 'd1', 0.5), createCandidate('v3', 'd2', 2)];
+		expect(chooseHub('d1', candidates)).to.equal('v2:1');
+		expect(chooseHub('d1', candidates.toReversed())).to.equal('v2:1');
+		expect(chooseHub('d2', candidates)).to.equal(undefined);
+		expect(chooseHub('d1', [createCandidate('v1', 'd1', 0.25), createCandidate('v4', 'd1', 0.25)])).to.be.oneOf(['v1:1', 'v4:1']);
+	});
+});
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -25,6 +25,7 @@
 	pauses: {name: 'crocus_engine_pauses_total', help: 'Pauses that engines asked for, by service', label: 'service'},
 	engineSilences: {name: 'crocus_engine_silences_total', help: 'Engines that became suspect as they sent nothing, by service', label: 'service'},
 	furtherSends: {name: 'crocus_further_sends_total', help: 'Requests sent to a further engine while their first one was silent, by service', label: 'service'},
+	loadReports: {name: 'crocus_load_reports_total', help: 'Load reports of application engines that name a slowdown, by where they came from', label: 'source'},
 	extraSends: {name: 'crocus_extra_sends_total', help: 'Hedged requests: sends to a second engine before the first one answered, by what became of them', label: 'outcome'},
 	/** The label takes only the few statuses that promise this. */
 	unprovenRefusals: {name: 'crocus_unproven_refusals_total', help: 'Answers of engines with a status that promises that the request has not run, which do not state it, by status', label: 'status'},
--- a/standins/fleet/engine.ts
+++ b/standins/fleet/engine.ts
@@ -161,6 +161,8 @@
 	readonly eventIntervalMs?: number;
 	/** Time before the first event of a stream, in milliseconds; the same as before the others unless given. */
 	readonly firstEventMs?: number;
+	/** Slowdown of its machine that it reports with each answer, in percent of the usual; absent where it reports none. */
+	readonly slowdownPercent?: number;
 	/** Blocks of prompts on which the engine crashes as soon as it begins to generate an answer. */
 	readonly crashingBlocks?: ReadonlySet<string>;
 	/** Called when the engine has crashed, with the id of the request that it crashed on. */
@@ -326,7 +328,7 @@
 		}
 
 		const commonHeaders: Record<string, string> = {
-			'Crocusworks-Request-Id': arrival.id, 'Crocusworks-Server-Load': `${this.running},0,${this.#options.slots ?? 6}`, ...(this.isLeaving ? {'Server-Leaving': '1'} : {}), ...(arrival.namedLimit === undefined ? {} : {'Server-Limit': String(arrival.namedLimit)}),
+			'Crocusworks-Request-Id': arrival.id, 'Crocusworks-Server-Load': `${this.running},0,${this.#options.slots ?? 6}${this.#options.slowdownPercent === undefined ? '' : `,${this.#options.slowdownPercent}`}`, ...(this.isLeaving ? {'Server-Leaving': '1'} : {}), ...(arrival.namedLimit === undefined ? {} : {'Server-Limit': String(arrival.namedLimit)}),
 		};
 		if (arrival.isForOther) {
 			sendJson(response, 421, {error: 'other instance'}, {...commonHeaders, 'Crocusworks-Instance-Id': this.#options.id});
