Intake: bytes, connections and requests of clients are bounded by the machine's limits

Cause: bodies, heads and unread answers of clients outside the limits were held without a bound; each chunk of a body cost about 500 bytes besides its own; every connection was accepted; pipelined requests at the readiness, metrics and entries' ports were all taken. Change: a byte budget (12% of limits.memory_mb) for all that is held for callers, beyond which the largest and oldest is refused as not run or its connection closed; chunks merged into buffers of at most 64 KB; 64 requests in progress a connection; a bound on connections from limits.max_fds and memory, oldest idle first; a time for bodies; one request at a time on the readiness and metrics ports; bounds on connections, messages a second and queues between entries. Answers to requests that were sent ahead learn that their caller has left (Node reports that only for the first). Nothing else of it changes. Not measured: cost at the hot path.

--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -6,6 +6,8 @@
 /** Counters by their name in the code. Callers are never a label. */
 const counterDefinitions = {
 	refusals: {name: 'crocus_refusals_total', help: 'Requests refused, by reason', label: 'reason'},
+	/** Clients outside the limits. */
+	intakeRefusals: {name: 'crocus_intake_refusals_total', help: 'Clients outside the limits that were refused or whose connection was closed, by reason', label: 'reason'},
 	retries: {name: 'crocus_retries_total', help: 'Further attempts, by reason', label: 'reason'},
 	/** Answers whose engine was silent for too long. */
 	silences: {name: 'crocus_answer_silences_total', help: 'Answers of engines that fell silent, by what became of them', label: 'outcome'},
@@ -89,6 +91,22 @@
 		return gauge;
 	}
 
+	/** Creates a gauge with one value for each of a few values of a label; `read` is called each time metrics are collected. */
+	createLabelledGauge(name: string, help: string, label: string, read: () => Readonly<Record<string, number>>): Gauge {
+		const gauge: Gauge = new Gauge({
+			name,
+			help,
+			labelNames: [label],
+			registers: [this.registry],
+			collect() {
+				for (const [value, count] of Object.entries(read())) {
+					gauge.set({[label]: value}, count);
+				}
+			},
+		});
+		return gauge;
+	}
+
 	/** Creates a histogram; `buckets` are the upper bounds. */
 	createHistogram(name: string, help: string, buckets: number[]): Histogram {
 		return new Histogram({
--- a/src/peers/framedsocket.ts
+++ b/src/peers/framedsocket.ts
@@ -1,5 +1,6 @@
 import {Socket} from 'node:net';
 import {BadFrameError} from '../errors/index.js';
+import {ChunkBuffer} from '../intake/index.js';
 import type {Metrics} from '../metrics/index.js';
 import {encodeFrame, FrameSplitter} from './frames.js';
 
@@ -23,6 +24,8 @@
 	readonly #metrics: Metrics;
 	readonly #limits: FrameLimits;
 	readonly #splitter: FrameSplitter;
+	/** Frames that were put off until `sendPending`: merged, as thousands of short ones may be, each of which would cost some hundred bytes in the socket's queue. */
+	#pending = new ChunkBuffer();
 
 	constructor(socket: Socket, metrics: Metrics, limits: FrameLimits) {
 		this.#socket = socket;
@@ -52,7 +55,7 @@
 		}
 
 		if (this.#socket.writableLength > this.#limits.maxQueuedBytes) {
-			this.#abort('slow_link');
+			this.abort('slow_link');
 			return;
 		}
 
@@ -61,6 +64,43 @@
 		this.#socket.write(frame);
 	}
 
+	/** Bytes that wait to be sent. */
+	get queuedBytes(): number {
+		return this.#socket.destroyed ? 0 : this.#socket.writableLength + this.#pending.lengthBytes;
+	}
+
+	/** Like `send`, but the frame is sent with others at the next `sendPending`. Returns whether it is the first of these. */
+	enqueueFrame(encode: () => Uint8Array): boolean {
+		if (this.#socket.destroyed) {
+			return false;
+		}
+
+		if (this.queuedBytes > this.#limits.maxQueuedBytes) {
+			this.abort('slow_link');
+			return false;
+		}
+
+		const isFirst = this.#pending.lengthBytes === 0;
+		this.#pending.add(encodeFrame(encode()));
+		return isFirst;
+	}
+
+	/** Sends the frames that were put off. */
+	sendPending(): void {
+		const pending = this.#pending;
+		if (pending.lengthBytes > 0 && !this.#socket.destroyed) {
+			this.#pending = new ChunkBuffer();
+			this.#metrics.count('peerBytes', 'sent', pending.lengthBytes);
+			this.#socket.write(pending.joinChunks());
+		}
+	}
+
+	/** Closes the connection and counts why. */
+	abort(kind: string): void {
+		this.#metrics.count('dropped', kind);
+		this.#socket.destroy();
+	}
+
 	#onData(chunk: Uint8Array, {onFrame}: FrameHandlers): void {
 		try {
 			for (const frame of this.#splitter.generateFrames(chunk)) {
@@ -71,20 +111,15 @@
 			}
 		} catch (error) {
 			if (error instanceof BadFrameError) {
-				this.#abort(this.#splitter.hasOversizedFrame ? 'long_frame' : 'bad_frame');
+				this.abort(this.#splitter.hasOversizedFrame ? 'long_frame' : 'bad_frame');
 				return;
 			}
 
 			// What else was in the chunk is lost, so the connection can't go on. The process logs the error.
-			this.#abort('failed_handler');
+			this.abort('failed_handler');
 			throw error;
 		}
 	}
-
-	#abort(kind: string): void {
-		this.#metrics.count('dropped', kind);
-		this.#socket.destroy();
-	}
 }
 
 /** Opens a connection to `address` (`host:port`). Where that can't even be tried, returns a socket that emits the error and closes. */
