--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -14,6 +14,9 @@
 export {CustomerShares} from './customershares.js';
 export {chooseGenerationPlacement, choosePlainEngine, estimateFirstTokenMs} from './placement.js';
 export {isPausedUntil} from './pause.js';
+export {
+	computeFallbackMs, estimateCompletionMs, isReportingSlowdown, isTooLateFor,
+} from './plainchoice.js';
 export type {GenerationNeeds} from './needs.js';
 export type {GenerationPlacement, PlacementContext} from './placement.js';
 export {AdaptiveThrottle} from './throttle.js';
@@ -22,3 +25,5 @@
 export {computeTransferMs, countPrefixTokens} from './prefillplan.js';
 export {EngineUsage, isLong} from './usage.js';
 export type {Prefill} from './usage.js';
+export {EnginePace, ServicePace} from './eventpace.js';
+export type {StreamPace} from './eventpace.js';
