--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -11,8 +11,13 @@
 	heldBack, isOnTimeAt, comparePriority, computeRetryAfterMs, maxReturnShare, isOverdue, QueueRefusal, AdmissionQueue,
 } from './queue.js';
 export type {QueuedRequest} from './queue.js';
+export {CustomerShares} from './customershares.js';
 export {chooseGenerationPlacement, choosePlainEngine, estimateFirstTokenMs} from './placement.js';
 export {isPausedUntil} from './pause.js';
+export {
+	computeFallbackMs, estimateCompletionMs, findFurther, isReportingSlowdown, isTooLateFor,
+} from './plainchoice.js';
+export type {FurtherEngine} from './plainchoice.js';
 export type {GenerationNeeds} from './needs.js';
 export type {GenerationPlacement, PlacementContext} from './placement.js';
 export {AdaptiveThrottle} from './throttle.js';
@@ -21,3 +26,5 @@
 export {computeTransferMs, countPrefixTokens} from './prefillplan.js';
 export {EngineUsage, isLong} from './usage.js';
 export type {Prefill} from './usage.js';
+export {EnginePace, ServicePace} from './eventpace.js';
+export type {StreamPace} from './eventpace.js';
--- a/src/dispatch/placement.ts
+++ b/src/dispatch/placement.ts
@@ -1,6 +1,7 @@
 import {engineStage} from './engine.js';
 import type {EngineView} from './engine.js';
 import type {GenerationNeeds} from './needs.js';
+import {choosePlainEngineByReports, isReportingSlowdown} from './plainchoice.js';
 import {createPrefillWork} from './prefillmodel.js';
 import type {PrefillWork} from './prefillmodel.js';
 import {
@@ -78,9 +79,13 @@
 requests take: alike engines share the load, a slow one gets few requests, by which its estimate stays fresh. One that got
 nothing for a while joins within a round and does not make up for missed turns, as all other entries send to it as well.
 With `getRandom`, a uniform random number in [0, 1), entries that know of an engine since the same moment don't choose it
-at the same moment.
+at the same moment. Where engines report the slowdown of their machines, `choosePlainEngineByReports` chooses instead.
 */
 export function choosePlainEngine(views: readonly EngineView[], tried: ReadonlySet<EngineView>, now: number, getRandom?: () => number): EngineView | undefined {
+	if (getRandom && isReportingSlowdown(views)) {
+		return choosePlainEngineByReports(views, tried, now, getRandom);
+	}
+
 	const open = views.filter(view => view.isAvailable(now) && !tried.has(view) && view.computeLoad(now) < view.record.slots * maxLoadPerSlot);
 	const lowestMs = Math.min(...open.map(view => view.averageDurationMs ?? Number.POSITIVE_INFINITY));
 	const fallbackMs = Number.isFinite(lowestMs) ? lowestMs : assumedDurationMs;
@@ -121,7 +126,7 @@
 	const {getUsage} = context;
 	const promptTokens = needs.uniqueTokens + countPrefixTokens(needs);
 	if (isLong(needs)) {
-		const decodeEngine = findLowest(decodeEngines, view => computeDecodeLoad(getUsage(view)))!;
+		const decodeEngine = findLowest(selectSteady(decodeEngines, context), view => computeDecodeLoad(getUsage(view)))!;
 		const work = createPrefillWork(promptTokens, promptTokens);
 		return {
 			prefillEngine: undefined, decodeEngine, prefixSource: undefined, work, firstTokenMs: getUsage(decodeEngine).computePrefillMs(work),
@@ -179,6 +184,12 @@
 	return hasKvRoom(usage, needs, slotShare) && usage.hasPrefillRoom(slotShare, now);
 }
 
+/** Selects the engines that keep the pauses of streams short also while their machines are slow; where none does, those that come nearest. */
+function selectSteady(views: readonly EngineView[], {getUsage}: PlacementContext): readonly EngineView[] {
+	const lowestShare = Math.min(...views.map(view => getUsage(view).pace.computeWorstShare()));
+	return views.filter(view => getUsage(view).pace.computeWorstShare() <= Math.max(1, lowestShare));
+}
+
 /** Tells whether a prompt is so long that those which are prefilled elsewhere and will be decoded at the engine would wait too long behind it. */
 function isBlocking(usage: EngineUsage, work: PrefillWork): boolean {
 	return usage.awaitingPrefillCount > 0 && usage.computeBusyMs(work) > usage.computeMeanMs() * maxBlockingPrompts;
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -16,9 +16,10 @@
 	PrefillModel,
 	PrefixCacheIndex,
 	QueueRefusal,
+	ServicePace,
 } from '../dispatch/index.js';
 import type {
-	EngineOutcome, EngineRecord, EngineView, Fleet, GenerationPlacement, PlacementContext, Prefill, PrefixBlock,
+	EngineOutcome, EngineRecord, EngineView, Fleet, GenerationPlacement, PlacementContext, Prefill, PrefixBlock, StreamPace,
 } from '../dispatch/index.js';
 import {refusalReason} from '../errors/index.js';
 import {BlockQuarantine, CrashAttribution} from '../quarantine/index.js';
@@ -40,6 +41,8 @@
 /** Maximum time for which an entry is told to ask for no further permit, in milliseconds, unless none can be granted for longer; and the time for each entry that asks, which bounds their messages. */
 const maxPermitWaitMs = 250;
 const permitWaitPerClientMs = 5;
+/** Work of reading a token of a prompt, in that of generating one: an engine reads many at once. It weighs the customers' requests against each other. */
+const promptTokenWork = 1 / 64;
 /** Share of the capacity that is open to answers which will be late. */
 const lateShare = 0.5;
 
@@ -83,6 +86,7 @@
 	readonly #grantRates = new Map<string, GrantRate>();
 	readonly #usages = new WeakMap<EngineView, EngineUsage>();
 	readonly #kindModels = new Map<string, PrefillModel>();
+	readonly #servicePaces = new Map<string, ServicePace>();
 	readonly #prefixCaches = new PrefixCacheIndex();
 	readonly #attribution: CrashAttribution;
 	#allocationCount = 0;
@@ -217,7 +221,7 @@
 	getUsage(view: EngineView): EngineUsage {
 		let usage = this.#usages.get(view);
 		if (!usage) {
-			usage = new EngineUsage(view.record.stage === engineStage.prefill, this.#getKindModel(view));
+			usage = new EngineUsage(view.record.stage === engineStage.prefill, this.#getKindModel(view), this.#getServicePace(view.record.service));
 			this.#usages.set(view, usage);
 		}
 
@@ -262,6 +266,7 @@
 		const allocation = await this.#getQueue(request.service).tryWait({
 			targetAt: now + request.targetMs, deadlineAt: now + request.deadlineMs, firstByteDeadlineAt: now + request.firstByteTimeoutMs, queuedAt: now, serviceMs: request.serviceMs,
 			group: isLong(request) ? 'long' : 'short',
+			customer: request.customer, work: request.outputTokens + (request.uniqueTokens * promptTokenWork),
 		}, at => {
 			const serving = fleet.listServing(request.service);
 			const result = this.#tryAllocate(request, serving.filter(view => !excluded.has(view.record.id)), {
@@ -280,6 +285,12 @@
 		return isGranted ? new LocalReservation(this, allocation, request, {timers, isAdopted: false}) : allocation;
 	}
 
+	#getServicePace(service: string): ServicePace {
+		const pace = this.#servicePaces.get(service) ?? new ServicePace();
+		this.#servicePaces.set(service, pace);
+		return pace;
+	}
+
 	/** Returns the prefill model of the engines of the same service and stage. */
 	#getKindModel({record: {service, stage}}: EngineView): PrefillModel {
 		const kind = `${service} ${stage}`;
@@ -515,6 +526,10 @@
 		this.#allocator.onCapacityFreed(this.#request.service);
 	}
 
+	onPace(pace: StreamPace): void {
+		this.#allocator.getUsage(this.#placement.decodeEngine).pace.add(pace, this.#timers.getNow());
+	}
+
 	release(outcome: EngineOutcome | undefined): void {
 		if (!this.#isHeld) {
 			return;
--- a/src/places/messages.ts
+++ b/src/places/messages.ts
@@ -1,5 +1,5 @@
 import {engineOutcome} from '../dispatch/index.js';
-import type {EngineOutcome, PrefixBlock} from '../dispatch/index.js';
+import type {EngineOutcome, PrefixBlock, StreamPace} from '../dispatch/index.js';
 import {BadFrameError, refusalReason} from '../errors/index.js';
 import type {RefusalReason} from '../errors/index.js';
 import type {Quarantine} from '../quarantine/index.js';
@@ -8,7 +8,7 @@
 
 /** Number of each kind of message on the wire, where it is the first item. Add new kinds at the end. */
 export const allocatorMessageKind = {
-	request: 1, grant: 2, refuse: 3, prefillEnd: 4, release: 5, cancel: 6, ping: 7, pong: 8, adopt: 9, quarantine: 10, limits: 11, permitRequest: 12, permit: 13, silence: 14,
+	request: 1, grant: 2, refuse: 3, prefillEnd: 4, release: 5, cancel: 6, ping: 7, pong: 8, adopt: 9, quarantine: 10, limits: 11, permitRequest: 12, permit: 13, silence: 14, pace: 15,
 } as const;
 
 /** A message between an entry and a slot allocator. `id` identifies the reservation request, or the ping, on its connection. */
@@ -29,13 +29,20 @@
 	| {readonly kind: typeof allocatorMessageKind.permit; readonly id: number; readonly isGranted: boolean; readonly waitMs: number}
 	/** Tells that the decode engine of a reservation sends nothing for its request, or goes on after that. */
 	| {readonly kind: typeof allocatorMessageKind.silence; readonly id: number; readonly isSilent: boolean}
+	/** Tells how fast the decode engine of a reservation sent the events of the answer. */
+	| {readonly kind: typeof allocatorMessageKind.pace; readonly id: number; readonly pace: StreamPace}
 	| {readonly kind: typeof allocatorMessageKind.cancel; readonly id: number}
 	| {readonly kind: typeof allocatorMessageKind.ping; readonly id: number}
 	| {readonly kind: typeof allocatorMessageKind.pong; readonly id: number};
 
+/** Stands for a request without a priority. */
+const noPriority = -1;
 /** Stands for an engine that names no limit. */
 const noLimit = -1;
 
+/** Maximum length of a customer's name, in characters; longer ones are hashed by the sender. */
+const maxCustomerLength = 64;
+
 const outcomes = Object.values(engineOutcome);
 const reasons = Object.values(refusalReason);
 
@@ -80,6 +87,11 @@
 			return [message.kind, message.id, message.isSilent];
 		}
 
+		case allocatorMessageKind.pace: {
+			const {intervalMs, slowdown, targetGapMs} = message.pace;
+			return [message.kind, message.id, Math.round(intervalMs), slowdown, targetGapMs];
+		}
+
 		case allocatorMessageKind.prefillEnd:
 		case allocatorMessageKind.release: {
 			return [message.kind, message.id, message.outcome ?? ''];
@@ -106,6 +118,7 @@
 		request.kvCapacityTokens,
 		request.excludedEngines,
 		request.kvTransferMsPerToken,
+		...(request.customer === undefined ? [] : [request.customer, request.priority ?? noPriority]),
 	];
 }
 
@@ -177,6 +190,10 @@
 			return {kind, id, isSilent: rest[0] === true};
 		}
 
+		case allocatorMessageKind.pace: {
+			return {kind, id, pace: {intervalMs: parseNumber(rest[0]), slowdown: parseNumber(rest[1]), targetGapMs: parseNumber(rest[2])}};
+		}
+
 		case allocatorMessageKind.prefillEnd:
 		case allocatorMessageKind.release: {
 			return {kind, id, outcome: outcomes.find(known => known === rest[0])};
@@ -195,7 +212,7 @@
 }
 
 function parseReservationRequest(items: readonly unknown[]): ReservationRequest {
-	const [service, targetMs, deadlineMs, firstByteTimeoutMs, serviceMs, prefixBlocks, uniqueTokens, outputTokens, kvCapacityTokens, excludedEngines, kvTransferMsPerToken] = items;
+	const [service, targetMs, deadlineMs, firstByteTimeoutMs, serviceMs, prefixBlocks, uniqueTokens, outputTokens, kvCapacityTokens, excludedEngines, kvTransferMsPerToken, customer, priority] = items;
 	return {
 		service: parseString(service),
 		targetMs: parseNumber(targetMs),
@@ -208,9 +225,25 @@
 		kvCapacityTokens: parseNumber(kvCapacityTokens),
 		kvTransferMsPerToken: parseOptionalNumber(kvTransferMsPerToken),
 		excludedEngines: Array.isArray(excludedEngines) ? excludedEngines.map(id => parseString(id)) : [],
+		...parseCustomer(customer, priority),
 	};
 }
 
+/** Parses the customer of a request, which entries of an earlier build don't send. */
+function parseCustomer(customer: unknown, priority: unknown): Pick<ReservationRequest, 'customer' | 'priority'> {
+	if (customer === undefined) {
+		return {};
+	}
+
+	const name = parseString(customer);
+	const number = parseNumber(priority);
+	if (name.length > maxCustomerLength) {
+		throw new BadFrameError('allocator message has a customer that is too long');
+	}
+
+	return number === noPriority ? {customer: name} : {customer: name, priority: number};
+}
+
 function parseQuarantines(value: unknown): Quarantine[] {
 	if (!Array.isArray(value)) {
 		throw new BadFrameError('allocator message has no list of quarantines');
