--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -5,7 +5,7 @@
 import type {Timer, TimerService} from '../timers/index.js';
 import {isNotRunStatus} from './ports.js';
 import type {EngineCall, EngineReply} from './ports.js';
-import {trackSend} from './served.js';
+import {findAccessRefusal, trackSend} from './served.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
 import type {AttemptTrace} from './trace.js';
 
@@ -99,6 +99,8 @@
 	reply: EngineReply | undefined;
 	readonly view: EngineView;
 	readonly trace: AttemptTrace;
+	/** Monotonic time of the send, in milliseconds. */
+	readonly startedAt: number;
 	/** Set when the engine has not run the request and never will. */
 	isNotRun = false;
 	/** Set when no engine was reached: the send is not charged to the retry budget. */
@@ -108,7 +110,6 @@
 	readonly #dependencies: GatewayDependencies;
 	readonly #watchdog: SendWatchdog;
 	readonly #stopTracking: () => void;
-	readonly #startedAt: number;
 	readonly #requestId: string;
 	readonly #options: Pick<AttemptOptions, 'onSilence' | 'onSilenceChange'>;
 	#isCancelled = false;
@@ -119,7 +120,7 @@
 		this.#requestId = served.request.id;
 		this.trace = served.trace.onSend(view, options.purpose);
 		this.#stopTracking = trackSend(view);
-		this.#startedAt = dependencies.timers.getNow();
+		this.startedAt = dependencies.timers.getNow();
 		this.#options = options;
 		this.#watchdog = new SendWatchdog(dependencies.timers, served.signal, options.silenceTimeoutMs, isFirst => {
 			this.#recordSilence(isFirst);
@@ -143,12 +144,7 @@
 
 	/** Sends the request and waits for the status and header of the answer. Never throws; sets `reply` or `error`. */
 	async send(served: ServedRequest, options: AttemptOptions): Promise<void> {
-		const refusal = served.route.isPublic ? undefined : this.#dependencies.access?.check(served.request.credential);
-		if (refusal !== undefined) {
-			// Says nothing about the engine. The request is refused before another engine is sought.
-			this.isNotSent = true;
-			this.isNotRun = true;
-			this.#settle(undefined, refusal);
+		if (this.#tryEndRefused(served)) {
 			return;
 		}
 
@@ -156,16 +152,24 @@
 			const reply = await this.#dependencies.link.send({
 				target: this.view.record,
 				request: served.request,
-				remainingMs: Math.max(1, Math.floor(served.deadlineAt - this.#startedAt)),
+				remainingMs: Math.max(1, Math.floor(served.deadlineAt - this.startedAt)),
 				isPrefill: options.purpose === 'prefill',
 				continueFrom: options.continueFrom,
 				fetchFrom: options.fetchFrom,
 				resumeAfter: options.resumeAfter,
 				mayReuseIdle: options.mayReuseIdle,
 				signal: this.#watchdog.controller.signal,
+				// The request may have come before the configuration listed customers.
+				dropsIdentity: this.#dependencies.access?.customers !== undefined,
+				isPermitted: () => findAccessRefusal(this.#dependencies, served) === undefined,
 			});
 			this.#onReply(reply);
 		} catch (error) {
+			if (error instanceof NotSentError && this.#tryEndRefused(served)) {
+				this.error = error;
+				return;
+			}
+
 			this.isNotSent = error instanceof NotSentError;
 			this.isNotRun = this.isNotSent;
 			this.#onFailure(error);
@@ -224,8 +228,8 @@
 
 	/** Records that the answer is complete. */
 	finish(): void {
-		const tookMs = this.#dependencies.timers.getNow() - this.#startedAt;
-		this.view.onDuration(tookMs);
+		const tookMs = this.#dependencies.timers.getNow() - this.startedAt;
+		this.view.onDuration(tookMs, this.reply?.load);
 		this.#settle(this.isSuccess ? engineOutcome.answered : engineOutcome.failed, undefined);
 	}
 
@@ -266,6 +270,20 @@
 		}
 	}
 
+	/** Ends the send if the request must not be sent now, as its API key is or may be revoked; returns whether it did. The request is refused before another engine is sought. */
+	#tryEndRefused(served: ServedRequest): boolean {
+		const refusal = findAccessRefusal(this.#dependencies, served);
+		if (refusal === undefined) {
+			return false;
+		}
+
+		// Says nothing about the engine.
+		this.isNotSent = true;
+		this.isNotRun = true;
+		this.#settle(undefined, refusal);
+		return true;
+	}
+
 	#onReply(reply: EngineReply): void {
 		this.reply = reply;
 		this.#recordWishes(reply);
@@ -284,6 +302,10 @@
 			this.view.onLoad(reply.load, this.#dependencies.timers.getNow());
 		}
 
+		if (reply.load?.slowdown !== undefined) {
+			this.#dependencies.onLoadReport?.(this.view, reply.load);
+		}
+
 		if (reply.isOtherEngine || reply.isNotRun) {
 			this.isNotRun = true;
 			reply.abort();
@@ -311,7 +333,7 @@
 
 		if (requestLimit !== undefined) {
 			this.trace.limitPerSecond = Number.isFinite(requestLimit) ? requestLimit : undefined;
-			limits.onAnswer(this.view.record, requestLimit, this.#startedAt, now);
+			limits.onAnswer(this.view.record, requestLimit, this.startedAt, now);
 		}
 
 		if (retryAfterMs !== undefined) {
@@ -370,7 +392,7 @@
 		}
 
 		const now = this.#dependencies.timers.getNow();
-		this.trace.tookMs = now - this.#startedAt;
+		this.trace.tookMs = now - this.startedAt;
 		this.trace.sign = outcome;
 		this.trace.detail = detail;
 		this.#watchdog.stop();
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -1,3 +1,4 @@
+import {normalizeCustomerName} from '../customers/index.js';
 import {engineOutcome, engineStage, isPausedUntil} from '../dispatch/index.js';
 import type {EngineView, GenerationNeeds} from '../dispatch/index.js';
 import {
@@ -14,6 +15,7 @@
 import {emptyStreamMessage} from './events.js';
 import type {KvCacheHandle} from './ports.js';
 import {selectRetryReason, RequestProgress} from './progress.js';
+import {findAccessRefusal, reportBegun} from './served.js';
 import type {GatewayDependencies, ServedRequest} from './served.js';
 import {StreamSend} from './streamsend.js';
 import type {StreamSendOptions} from './streamsend.js';
@@ -186,7 +188,8 @@
 /** Creates the search for a further engine that begins when the engine of `send` is silent. */
 function createTakeover(dependencies: GatewayDependencies, served: ServedRequest, progress: GenerationProgress, send: StreamSend): StreamTakeover {
 	const takeover = new StreamTakeover(dependencies, served, send, {
-		isPermitted: () => hasRunsLeft(served, progress) && computeQuarantineMs(dependencies, progress) === 0 && hasOtherEngine(dependencies, served, send.attempt.view),
+		isPermitted: () => findAccessRefusal(dependencies, served) === undefined
+			&& hasRunsLeft(served, progress) && computeQuarantineMs(dependencies, progress) === 0 && hasOtherEngine(dependencies, served, send.attempt.view),
 		acquire: async signal => dependencies.reservations.acquire(createReservationRequest(dependencies, served, progress, [send.engineId]), signal),
 		createOptions: reservation => createSendOptions(served, progress, reservation, undefined),
 		onFailed(further) {
@@ -303,6 +306,7 @@
 
 function createReservationRequest(dependencies: GatewayDependencies, served: ServedRequest, progress: GenerationProgress, excludedEngines: readonly string[] = []): ReservationRequest {
 	const now = dependencies.timers.getNow();
+	const customer = served.request.credential?.customer;
 	served.trace.estimatedMs = dependencies.serviceTimes.estimateMs(served.route.name, served.deadlineAt - now);
 	return {
 		...progress.needs,
@@ -313,6 +317,7 @@
 		firstByteTimeoutMs: progress.waitsSince + served.route.firstByteTimeoutMs - now,
 		serviceMs: served.trace.estimatedMs,
 		excludedEngines: [...progress.triedIds, ...excludedEngines, ...served.fleet.listUnavailable(served.service, now)],
+		...(customer && {customer: normalizeCustomerName(customer.name), priority: customer.priority ?? served.route.priority}),
 	};
 }
 
@@ -460,6 +465,7 @@
 }
 
 async function writeEvents(dependencies: GatewayDependencies, served: ServedRequest, send: StreamSend, bytes: Uint8Array): Promise<void> {
+	reportBegun(dependencies, served);
 	startAnswer(dependencies, served, send);
 	send.attempt.stopSilenceTimer();
 	await served.answer.write(bytes);
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -1,5 +1,6 @@
-import type {CustomerAccess} from '../customers/index.js';
-import type {EngineView, Fleet} from '../dispatch/index.js';
+import type {AccessRefusal, CustomerAccess} from '../customers/index.js';
+import type {EngineLoad, EngineView, Fleet} from '../dispatch/index.js';
+import type {ExtraSends} from '../hedging/index.js';
 import type {WindowRetryBudget} from '../retries/index.js';
 import type {PermitProvider, ReservationProvider} from '../places/index.js';
 import type {BlockQuarantine} from '../quarantine/index.js';
@@ -27,6 +28,12 @@
 	readonly access?: CustomerAccess;
 	readonly retryBudget: WindowRetryBudget;
 	readonly reporter: RequestReporter;
+	/** Decides when slow requests are also sent to a second engine. Default: never. */
+	readonly extraSends?: ExtraSends;
+	/** Called with each load report that names a slowdown. */
+	readonly onLoadReport?: (view: EngineView, load: EngineLoad) => void;
+	/** Called once for each request that an engine begins to answer: with its first event, or with the head of its answer. */
+	readonly onBegun?: (request: GatewayRequest) => void;
 	/** Returns a uniform random number in [0, 1). */
 	readonly getRandom: () => number;
 };
@@ -51,6 +58,19 @@
 	readonly deadlineAt: number;
 };
 
+/** Finds why a request must not be sent to an engine now, by its API key; `undefined` when it may be, or needs none. */
+export function findAccessRefusal({access}: GatewayDependencies, {route, request}: ServedRequest): AccessRefusal | undefined {
+	return route.isPublic ? undefined : access?.check(request.credential);
+}
+
+/** Reports that an engine has begun to answer a request, if it is the first one. */
+export function reportBegun({onBegun}: GatewayDependencies, {request, trace}: ServedRequest): void {
+	if (!trace.hasBegun) {
+		trace.hasBegun = true;
+		onBegun?.(request);
+	}
+}
+
 /** Counts one more request of this process at an engine, until the returned function is called. */
 export function trackSend(view: EngineView): () => void {
 	view.localRequests++;
--- a/src/gateway/test/takeover.test.ts
+++ b/src/gateway/test/takeover.test.ts
@@ -164,6 +164,10 @@
 		// Nothing is accounted for.
 	}
 
+	onPace(): void {
+		// Nothing is accounted for.
+	}
+
 	onSilence(): void {
 		// Nothing is accounted for.
 	}
@@ -258,6 +262,14 @@
 		// Tests look at the sends.
 	}
 
+	onExtraSend(): void {
+		// Streams have none.
+	}
+
+	onExtraSendEnd(): void {
+		// Streams have none.
+	}
+
 	onTakeoverEnd(): void {
 		// Tests look at the sends.
 	}
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -27,6 +27,8 @@
 	pauses: {name: 'crocus_engine_pauses_total', help: 'Pauses that engines asked for, by service', label: 'service'},
 	engineSilences: {name: 'crocus_engine_silences_total', help: 'Engines that became suspect as they sent nothing, by service', label: 'service'},
 	furtherSends: {name: 'crocus_further_sends_total', help: 'Requests sent to a further engine while their first one was silent, by service', label: 'service'},
+	loadReports: {name: 'crocus_load_reports_total', help: 'Load reports of application engines that name a slowdown, by where they came from', label: 'source'},
+	extraSends: {name: 'crocus_extra_sends_total', help: 'Hedged requests: sends to a second engine before the first one answered, by what became of them', label: 'outcome'},
 	/** The label takes only the few statuses that promise this. */
 	unprovenRefusals: {name: 'crocus_unproven_refusals_total', help: 'Answers of engines with a status that promises that the request has not run, which do not state it, by status', label: 'status'},
 	/** Crashes of engines with requests on them, as the slot allocator sees them. */
@@ -35,6 +37,14 @@
 	quarantines: {name: 'crocus_quarantine_changes_total', help: 'Changes of the quarantined blocks of prompts, by cause', label: 'cause'},
 	/** Changes of what is known of engines' limits on requests. */
 	requestLimits: {name: 'crocus_request_limit_changes_total', help: 'Limits on requests that engines named, changed or dropped, by cause', label: 'cause'},
+	/** Calls of the platform by holders of duties; see `dutyOutcome` for the outcomes. */
+	dutyCalls: {name: 'crocus_duty_calls_total', help: 'Calls of the platform by the holder of a duty, by outcome', label: 'outcome'},
+	dutyTerms: {name: 'crocus_duty_terms_total', help: 'Terms of this entry as the holder of a duty, by what happened', label: 'change'},
+	/** See `windowOutcome` for the outcomes. */
+	usageWindows: {name: 'crocus_usage_windows_total', help: 'Usage windows that this entry reported or gave up, by outcome', label: 'outcome'},
+	dutyStoreFailures: {name: 'crocus_duty_store_failures_total', help: 'Failed calls of the store for duties, by task', label: 'task'},
+	/** Orders of engines; see `dutyOutcome` for the outcomes. */
+	engineOrders: {name: 'crocus_engine_orders_total', help: 'Orders of numbers of engines, by outcome', label: 'outcome'},
 	/** Errors that ended neither a request nor the process; each has a log line. */
 	unhandledErrors: {name: 'crocus_unhandled_errors_total', help: 'Errors that no code expected, by where they surfaced', label: 'kind'},
 	peerBytes: {name: 'crocus_peer_bytes_total', help: 'Bytes sent to and received from other entries', label: 'direction'},
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -16,18 +16,20 @@
 	PrefillModel,
 	PrefixCacheIndex,
 	QueueRefusal,
+	ServicePace,
 } from '../dispatch/index.js';
 import type {
-	EngineOutcome, EngineRecord, EngineView, Fleet, GenerationPlacement, PlacementContext, Prefill, PrefixBlock,
+	EngineOutcome, EngineRecord, EngineView, Fleet, GenerationPlacement, PlacementContext, Prefill, PrefixBlock, StreamPace,
 } from '../dispatch/index.js';
 import {refusalReason} from '../errors/index.js';
 import {BlockQuarantine, CrashAttribution} from '../quarantine/index.js';
 import type {CrashReport, Run} from '../quarantine/index.js';
 import {RequestLimits, RequestPermits} from '../requestlimits/index.js';
 import type {LimitedEngine} from '../requestlimits/index.js';
+import {WorkMeter} from '../scaling/index.js';
 import type {Timer, TimerService} from '../timers/index.js';
 import {AllocatorClients} from './clients.js';
-import {formatRequestKind, Reservation} from './types.js';
+import {formatRequestKind, isLate, Reservation} from './types.js';
 import type {PermitAnswer, ReservedEngines, ReservationRequest} from './types.js';
 
 /** Time after a request's deadline at which its reservation is released if the holder has not released it, in milliseconds. */
@@ -39,6 +41,8 @@
 /** Maximum time for which an entry is told to ask for no further permit, in milliseconds, unless none can be granted for longer; and the time for each entry that asks, which bounds their messages. */
 const maxPermitWaitMs = 250;
 const permitWaitPerClientMs = 5;
+/** Work of reading a token of a prompt, in that of generating one: an engine reads many at once. It weighs the customers' requests against each other. */
+const promptTokenWork = 1 / 64;
 /** Share of the capacity that is open to answers which will be late. */
 const lateShare = 0.5;
 
@@ -78,9 +82,11 @@
 	readonly #permits: RequestPermits;
 	readonly #dependencies: SlotAllocatorDependencies;
 	readonly #queues = new Map<string, AdmissionQueue<Allocation>>();
+	readonly #workMeters = new Map<string, WorkMeter>();
 	readonly #grantRates = new Map<string, GrantRate>();
 	readonly #usages = new WeakMap<EngineView, EngineUsage>();
 	readonly #kindModels = new Map<string, PrefillModel>();
+	readonly #servicePaces = new Map<string, ServicePace>();
 	readonly #prefixCaches = new PrefixCacheIndex();
 	readonly #attribution: CrashAttribution;
 	#allocationCount = 0;
@@ -126,29 +132,27 @@
 
 	/** Waits for a reservation; returns a refusal where `acquire` throws. */
 	async tryAcquire(request: ReservationRequest, signal: AbortSignal): Promise<LocalReservation | QueueRefusal> {
-		const {timers, fleet} = this.#dependencies;
-		const now = timers.getNow();
-		const excluded = new Set(request.excludedEngines);
-		this.#loadCaches(request, now);
-		const allocation = await this.#getQueue(request.service).tryWait({
-			targetAt: now + request.targetMs, deadlineAt: now + request.deadlineMs, firstByteDeadlineAt: now + request.firstByteTimeoutMs, queuedAt: now, serviceMs: request.serviceMs,
-			group: isLong(request) ? 'long' : 'short',
-		}, at => {
-			const serving = fleet.listServing(request.service);
-			const result = this.#tryAllocate(request, serving.filter(view => !excluded.has(view.record.id)), {
-				now: at, targetAt: now + request.targetMs, callerLeavesAt: now + Math.min(request.deadlineMs, request.firstByteTimeoutMs),
-			});
-			// Engines that this request may not use may have places for those behind it.
-			const mayOthersPass = result === undefined && excluded.size > 0 && serving.some(view => excluded.has(view.record.id) && this.#isAvailableToDecode(view, at));
-			return mayOthersPass ? heldBack : result;
-		}, signal);
-		const isGranted = !(allocation instanceof QueueRefusal);
-		// What is wrong with one prompt says nothing about the requests of its kind, nor does a cancelled request, and a limit ends sooner than a rate would show it.
-		if (isGranted || (!signal.aborted && allocation.reason !== refusalReason.quarantined && allocation.reason !== refusalReason.limited)) {
-			this.#getGrantRate(request).onEnd(isGranted, timers.getNow());
+		const {timers} = this;
+		const meter = this.getWorkMeter(request.service);
+		const targetAt = timers.getNow() + request.targetMs;
+		const arrival = meter.onArrival(timers.getNow());
+		let result: LocalReservation | QueueRefusal | undefined;
+		try {
+			result = await this.#tryAcquire(request, signal);
+			return result;
+		} finally {
+			const isTooLate = result instanceof LocalReservation
+				? timers.getNow() + result.engines.firstTokenMs > targetAt
+				: !signal.aborted && result?.reason !== refusalReason.quarantined;
+			meter.onWaitEnd(arrival, result instanceof LocalReservation ? result.promptMs : undefined, isTooLate && !isLate(request), timers.getNow());
 		}
+	}
 
-		return isGranted ? new LocalReservation(this, allocation, request, {timers, isAdopted: false}) : allocation;
+	/** Returns what measures the work that callers ask of a service's engines. */
+	getWorkMeter(service: string): WorkMeter {
+		const meter = this.#workMeters.get(service) ?? new WorkMeter();
+		this.#workMeters.set(service, meter);
+		return meter;
 	}
 
 	/**
@@ -217,7 +221,7 @@
 	getUsage(view: EngineView): EngineUsage {
 		let usage = this.#usages.get(view);
 		if (!usage) {
-			usage = new EngineUsage(view.record.stage === engineStage.prefill, this.#getKindModel(view));
+			usage = new EngineUsage(view.record.stage === engineStage.prefill, this.#getKindModel(view), this.#getServicePace(view.record.service));
 			this.#usages.set(view, usage);
 		}
 
@@ -254,6 +258,39 @@
 		this.#queues.get(service)?.dispatch();
 	}
 
+	async #tryAcquire(request: ReservationRequest, signal: AbortSignal): Promise<LocalReservation | QueueRefusal> {
+		const {timers, fleet} = this.#dependencies;
+		const now = timers.getNow();
+		const excluded = new Set(request.excludedEngines);
+		this.#loadCaches(request, now);
+		const allocation = await this.#getQueue(request.service).tryWait({
+			targetAt: now + request.targetMs, deadlineAt: now + request.deadlineMs, firstByteDeadlineAt: now + request.firstByteTimeoutMs, queuedAt: now, serviceMs: request.serviceMs,
+			group: isLong(request) ? 'long' : 'short',
+			customer: request.customer, work: request.outputTokens + (request.uniqueTokens * promptTokenWork),
+		}, at => {
+			const serving = fleet.listServing(request.service);
+			const result = this.#tryAllocate(request, serving.filter(view => !excluded.has(view.record.id)), {
+				now: at, targetAt: now + request.targetMs, callerLeavesAt: now + Math.min(request.deadlineMs, request.firstByteTimeoutMs),
+			});
+			// Engines that this request may not use may have places for those behind it.
+			const mayOthersPass = result === undefined && excluded.size > 0 && serving.some(view => excluded.has(view.record.id) && this.#isAvailableToDecode(view, at));
+			return mayOthersPass ? heldBack : result;
+		}, signal);
+		const isGranted = !(allocation instanceof QueueRefusal);
+		// What is wrong with one prompt says nothing about the requests of its kind, nor does a cancelled request, and a limit ends sooner than a rate would show it.
+		if (isGranted || (!signal.aborted && allocation.reason !== refusalReason.quarantined && allocation.reason !== refusalReason.limited)) {
+			this.#getGrantRate(request).onEnd(isGranted, timers.getNow());
+		}
+
+		return isGranted ? new LocalReservation(this, allocation, request, {timers, isAdopted: false}) : allocation;
+	}
+
+	#getServicePace(service: string): ServicePace {
+		const pace = this.#servicePaces.get(service) ?? new ServicePace();
+		this.#servicePaces.set(service, pace);
+		return pace;
+	}
+
 	/** Returns the prefill model of the engines of the same service and stage. */
 	#getKindModel({record: {service, stage}}: EngineView): PrefillModel {
 		const kind = `${service} ${stage}`;
@@ -408,6 +445,8 @@
 /** A reservation granted by the allocator of this process. */
 export class LocalReservation extends Reservation {
 	readonly engines: ReservedEngines;
+	/** Estimated time that the prompt keeps its engine busy, in milliseconds. */
+	readonly promptMs: number;
 	readonly #allocator: SlotAllocator;
 	readonly #placement: GenerationPlacement;
 	readonly #prefill: Prefill;
@@ -417,6 +456,7 @@
 	readonly #timers: TimerService;
 	readonly #expiryTimer: Timer;
 	readonly #isAdopted: boolean;
+	readonly #meter: WorkMeter;
 	#isPrefillPending = true;
 	#isHeld = true;
 	/** Whether the request counts in the usage of its decode engine. */
@@ -438,6 +478,9 @@
 		this.engines = {
 			prefillEngine: placement.prefillEngine?.record.id, decodeEngine: placement.decodeEngine.record.id, prefixSource: placement.prefixSource?.record.id, firstTokenMs: placement.firstTokenMs,
 		};
+		this.promptMs = allocator.getUsage(placement.prefillEngine ?? placement.decodeEngine).computeBusyMs(placement.work);
+		this.#meter = allocator.getWorkMeter(request.service);
+		this.#meter.onHold(timers.getNow());
 		this.#expiryTimer = timers.startTimer(request.deadlineMs + expiryMarginMs, () => {
 			this.release(undefined);
 		});
@@ -449,6 +492,7 @@
 		}
 
 		this.#isPrefillPending = false;
+		this.#meter.onDecode(this.#timers.getNow());
 		const {prefillEngine, decodeEngine} = this.#placement;
 		this.#allocator.onRunPrefilled(this.#run, outcome);
 		this.#allocator.onBlocksRead(prefillEngine ?? decodeEngine, this.#blocks, outcome === engineOutcome.answered);
@@ -482,6 +526,10 @@
 		this.#allocator.onCapacityFreed(this.#request.service);
 	}
 
+	onPace(pace: StreamPace): void {
+		this.#allocator.getUsage(this.#placement.decodeEngine).pace.add(pace, this.#timers.getNow());
+	}
+
 	release(outcome: EngineOutcome | undefined): void {
 		if (!this.#isHeld) {
 			return;
@@ -489,6 +537,7 @@
 
 		this.onPrefillEnd(undefined);
 		this.#isHeld = false;
+		this.#meter.onRelease(this.#timers.getNow());
 		this.#expiryTimer.cancel();
 		this.#allocator.onRunEnd(this.#run, outcome);
 		const {prefillEngine, decodeEngine} = this.#placement;
