Ordered engines: what spot engines replace goes at once; after a loss, what is needed for a while is left

Before the load is known, engines in whose place spot engines serve are given up at once: the number that serves stays.

--- a/src/scaling/decide.ts
+++ b/src/scaling/decide.ts
@@ -24,12 +24,14 @@
 Decides which numbers of engines to order. Made for a load that rises by 2 to 4 times for seconds, in waves of about 11 s, over a few failure domains that
 may be lost, with spot engines that may be reclaimed all at once, and engines that serve 4 s after their order. Growth is ordered at once. Engines are
 removed in steps, the dearest first, only while no request waits, and only when the engines that serve without them are those which the plan has,
-and the loss of a failure domain leaves as many as needed for a while. Before the load is known the number of engines does not fall, and where it is not seen here only the minimum is ordered.
+and the loss of a failure domain leaves as many as needed for a while. Before the load is known the number of engines that serve does not fall, and only those go in whose place spot engines serve. Where it is not seen here only the minimum is ordered.
 
 Which engines of a group the platform removes, and the stage of new ones, is its own choice. A step that could, at worst, remove the last engine of a stage is not made.
 */
 export function decideOrders(facts: ScalingFacts): ScalingDecision {
-	const {service, work, spec, groups, isSettled, slotsPerEngine, minNeed} = facts;
+	const {
+		service, work, spec, groups, isSettled, slotsPerEngine, minNeed,
+	} = facts;
 	const desired = new Map(groups.map(group => [group, group.ordered]));
 	const need = work && computeNeed(work, spec, slotsPerEngine * computeDecodeShare(groups), minNeed);
 	const plan = need ? planEngines(need, spec, groups) : planMinimum(facts);
@@ -39,7 +41,8 @@
 
 	addEngines(facts, plan, desired);
 	const isGrowing = [...desired].some(([group, count]) => count > group.ordered);
-	const isRemoval = need !== undefined && isSettled && facts.canRemove && work?.waiting === 0 && removeEngines(facts, need, desired);
+	const mayRemove = facts.canRemove && work?.waiting === 0;
+	const isRemoval = mayRemove && (isSettled ? need !== undefined && removeEngines(facts, need, desired) : removeReplaced(facts, desired));
 	return {
 		orders: isGrowing || isRemoval
 			? [...desired].filter(([group, count]) => count !== group.ordered).map(([{domain, isSpot}, count]) => ({
@@ -124,6 +127,29 @@
 	return isRemoval;
 }
 
+/**
+Lowers, before the load is known, the orders of engines in whose place spot engines serve: the number that serves stays, so that there is nothing to wait
+for. Both kinds would be paid otherwise for as long as the load is measured. Returns whether any was lowered.
+*/
+function removeReplaced({groups, spec}: ScalingFacts, desired: Map<EngineGroup, number>): boolean {
+	const before = new Map(desired);
+	const floor = sumGroups(groups.filter(({isSpot}) => isSpot), ({ordered}) => ordered);
+	const bounds: RemovalBounds = {
+		desired, before, floor, need: {full: floor, measured: floor, short: 0}, isBlocked: false,
+	};
+	let isRemoval = false;
+	for (const spot of groups.filter(({isSpot, isShort}) => isSpot && !isShort)) {
+		const other = findGroup(groups, spot.domain, false);
+		const target = Math.max(0, spot.ordered - spot.serving, spec.minEngines - spot.serving);
+		while (spot.serving > 0 && desired.get(other)! > target && !other.isShort && isRemovable(groups, other, bounds)) {
+			desired.set(other, desired.get(other)! - 1);
+			isRemoval = true;
+		}
+	}
+
+	return isRemoval;
+}
+
 type RemovalBounds = {
 	readonly desired: ReadonlyMap<EngineGroup, number>;
 	/** Orders before the removal. */
--- a/src/scaling/plan.ts
+++ b/src/scaling/plan.ts
@@ -8,7 +8,7 @@
 type DomainOffer = {readonly domain: string; readonly price: number; readonly maxSpot: number; readonly maxOther: number};
 
 /**
-Plans the cheapest engines with which the service has what it needs also after the loss of any one failure domain, at least
+Plans the cheapest engines with which the service has what it needs, and what it needs for a short while also after the loss of any one failure domain, at least
 the minimum in each. Spot engines are cheapest; others are planned where spot engines can't be had. Where the maximum of the
 domains does not allow that, all are used as far as needed, and so many are no spot engines that the reclaim of all spot engines of a failure domain leaves what
 the service needs until they are replaced. Made for tens of failure domains with up to thousands of engines.
@@ -17,12 +17,13 @@
 	const offers = createOffers(spec, groups);
 	let best: Map<string, DomainPlan> | undefined;
 	let bestPrice = Number.POSITIVE_INFINITY;
-	// With no more than `level` engines in a domain, the loss of any one leaves what is needed.
-	const minLevel = offers.length > 1 ? Math.ceil(full / (offers.length - 1)) : spec.maxEngines + 1;
+	// With no more than `level` engines in a domain, the loss of any one leaves what is needed until others take their place.
+	const minLevel = offers.length > 1 ? Math.ceil(Math.max(full / offers.length, short / (offers.length - 1))) : spec.maxEngines + 1;
 	for (let level = Math.max(minLevel, spec.minEngines); level <= spec.maxEngines; level++) {
-		const plan = selectCheapest(offers, spec, level, full + level);
+		const count = Math.max(full, short + level);
+		const plan = selectCheapest(offers, spec, level, count);
 		const price = computePrice(plan, offers, spec);
-		if (sumPlan(plan) >= full + level && price < bestPrice) {
+		if (sumPlan(plan) >= count && price < bestPrice) {
 			best = plan;
 			bestPrice = price;
 		}
