A duty goes to its preferred entry where many start at once; a first start does not wait

Entries that started less than 10 s ago wait for 3 s without a holder; at their end all of them tried. The preferred one tries first now. Where the settings say that the deployment starts for the first time, there are no earlier numbers to learn of, and nothing is waited for.

--- a/src/duties/leasedduty.ts
+++ b/src/duties/leasedduty.ts
@@ -15,6 +15,8 @@
 	readonly leaseMs: number;
 	/** Time after which a call of the holder is ended, in milliseconds. */
 	readonly callTimeoutMs: number;
+	/** Whether the deployment starts for the first time: there are no earlier numbers that this entry could not know. */
+	readonly isFirstStart?: boolean;
 };
 
 export type LeasedDutyDependencies = {
@@ -314,11 +316,9 @@
 	/** Decides whether this entry tries to acquire a duty that has been without a holder for `absentMs`: the preferred one at once, of the others a few. */
 	#isTryDue(absentMs: number): boolean {
 		const {timers, isPreferred, getRandom} = this.#dependencies;
-		if (timers.getNow() - this.#startedAt < newcomerMs && absentMs < newcomerMinAbsentMs) {
-			return false;
-		}
-
-		return isPreferred() || (absentMs >= minAbsentMs && getRandom() < tryChance);
+		const isNewcomer = !this.#options.isFirstStart && timers.getNow() - this.#startedAt < newcomerMs;
+		const waitMs = isNewcomer ? newcomerMinAbsentMs : 0;
+		return absentMs >= waitMs && (isPreferred() || (absentMs >= waitMs + minAbsentMs && getRandom() < tryChance));
 	}
 
 	/** Puts the next try off, so that a slow store is not called all the time, and not by all entries together. */
--- a/src/duties/test/leasedduty.test.ts
+++ b/src/duties/test/leasedduty.test.ts
@@ -25,6 +25,18 @@
 
 	const listHolders = () => world.platform.calls.map(({holder}) => holder);
 
+	it('goes to its preferred entry where many start at once, which would otherwise have to hand it over', async () => {
+		const started = new DutyWorld();
+		for (let index = 0; index < 30; index++) {
+			started.startCandidate(`other${index}`);
+		}
+
+		started.startCandidate('preferred', true);
+		await started.waitForCall('preferred');
+		expect(started.changes).to.have.lengthOf(1);
+		started.expectNoViolations();
+	});
+
 	it('keeps its number while it is renewed', async () => {
 		await world.advance(60_000);
 		expect(new Set(world.platform.calls.map(({number}) => number)).size).to.equal(1);
