The work of a service is measured, and customers are ranked, only where that is asked for

Suspected: the meter of ordered engines and the shares of customers, which ran for each request of every deployment. Where a service has no bounds on its engines nothing is measured, and where no request has a customer nothing is ranked. 195 tests of places, dispatch and scaling pass; its effect on the deployment has not been measured yet.

--- a/src/dispatch/queue.ts
+++ b/src/dispatch/queue.ts
@@ -226,7 +226,11 @@
 			return this.#createRefusal(request, now, refusalReason.deadline);
 		}
 
-		this.#shares.onRequest(request.customer, now);
+		// Where no request has a customer there is nothing to share.
+		if (request.customer !== undefined || this.#shares.size > 0) {
+			this.#shares.onRequest(request.customer, now);
+		}
+
 		const group = this.#getGroup(request.group);
 		const aheadCount = group.countAhead(request, now);
 		if (aheadCount === 0) {
--- a/src/places/allocator.ts
+++ b/src/places/allocator.ts
@@ -58,6 +58,8 @@
 	readonly limits?: RequestLimits;
 	/** Returns the share of the limits of a service's engines that this allocator may grant, above 0 up to 1. Default: 1. */
 	readonly getLimitShare?: (service: string) => number;
+	/** Returns whether the work of a service is measured, as its engines are ordered by it. Default: it is. */
+	readonly isMetered?: (service: string) => boolean;
 	/** Called when work that no request waits for failed. */
 	readonly onTaskFailed?: (task: string, error: unknown) => void;
 	/** Called when an engine crashed while it had reserved requests. */
@@ -133,7 +135,11 @@
 	/** Waits for a reservation; returns a refusal where `acquire` throws. */
 	async tryAcquire(request: ReservationRequest, signal: AbortSignal): Promise<LocalReservation | QueueRefusal> {
 		const {timers} = this;
-		const meter = this.getWorkMeter(request.service);
+		const meter = this.findWorkMeter(request.service);
+		if (!meter) {
+			return this.#tryAcquire(request, signal);
+		}
+
 		const targetAt = timers.getNow() + request.targetMs;
 		const arrival = meter.onArrival(timers.getNow());
 		let result: LocalReservation | QueueRefusal | undefined;
@@ -148,6 +154,11 @@
 		}
 	}
 
+	/** Returns what measures the work of a service, where that is needed. */
+	findWorkMeter(service: string): WorkMeter | undefined {
+		return this.#dependencies.isMetered?.(service) === false ? undefined : this.getWorkMeter(service);
+	}
+
 	/** Returns what measures the work that callers ask of a service's engines. */
 	getWorkMeter(service: string): WorkMeter {
 		const meter = this.#workMeters.get(service) ?? new WorkMeter();
@@ -456,7 +467,7 @@
 	readonly #timers: TimerService;
 	readonly #expiryTimer: Timer;
 	readonly #isAdopted: boolean;
-	readonly #meter: WorkMeter;
+	readonly #meter: WorkMeter | undefined;
 	#isPrefillPending = true;
 	#isHeld = true;
 	/** Whether the request counts in the usage of its decode engine. */
@@ -479,8 +490,8 @@
 			prefillEngine: placement.prefillEngine?.record.id, decodeEngine: placement.decodeEngine.record.id, prefixSource: placement.prefixSource?.record.id, firstTokenMs: placement.firstTokenMs,
 		};
 		this.promptMs = allocator.getUsage(placement.prefillEngine ?? placement.decodeEngine).computeBusyMs(placement.work);
-		this.#meter = allocator.getWorkMeter(request.service);
-		this.#meter.onHold(timers.getNow());
+		this.#meter = allocator.findWorkMeter(request.service);
+		this.#meter?.onHold(timers.getNow());
 		this.#expiryTimer = timers.startTimer(request.deadlineMs + expiryMarginMs, () => {
 			this.release(undefined);
 		});
@@ -492,7 +503,7 @@
 		}
 
 		this.#isPrefillPending = false;
-		this.#meter.onDecode(this.#timers.getNow());
+		this.#meter?.onDecode(this.#timers.getNow());
 		const {prefillEngine, decodeEngine} = this.#placement;
 		this.#allocator.onRunPrefilled(this.#run, outcome);
 		this.#allocator.onBlocksRead(prefillEngine ?? decodeEngine, this.#blocks, outcome === engineOutcome.answered);
@@ -537,7 +548,7 @@
 
 		this.onPrefillEnd(undefined);
 		this.#isHeld = false;
-		this.#meter.onRelease(this.#timers.getNow());
+		this.#meter?.onRelease(this.#timers.getNow());
 		this.#expiryTimer.cancel();
 		this.#allocator.onRunEnd(this.#run, outcome);
 		const {prefillEngine, decodeEngine} = this.#placement;
